--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+export PYTHONPATH := src:.
+
+.PHONY: demo fleet test check unit scenarios model bench-overhead install
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps -e .
+	touch $@
+
+demo: install
+	$(BIN)/python -m egretstep.programs.bench demo
+
+fleet: install
+	$(BIN)/python -m standins.keep
+
+test: install
+	$(BIN)/python tests/run.py
+
+unit: install
+	$(BIN)/python -m nose2 -s tests -t .
--- /dev/null
+++ b/src/egretstep/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: MySQL protocol, keys, sessions."""
--- /dev/null
+++ b/src/egretstep/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of each workspace over the whole fleet."""
--- /dev/null
+++ b/src/egretstep/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, traces and logs."""
--- /dev/null
+++ b/src/egretstep/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators use: the agents' endpoint and its client."""
--- /dev/null
+++ b/src/egretstep/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between the programs of egretstep."""
--- /dev/null
+++ b/src/egretstep/peers/links.py
@@ -0,0 +1,189 @@
+"""Links between programs: one connection to one peer, with heartbeats.
+
+A link is opened on first use and again after a failure. While calls are
+outstanding it sends heartbeats, so that a peer that went silent is noticed
+before the deadline of the calls. The error tells whether a call was sent:
+`LinkError` means that it was not, `LinkLostError` that it may have run.
+"""
+
+import asyncio
+import contextlib
+import typing
+
+import capnp
+
+from egretstep import clock, errors
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+HEARTBEAT_INTERVAL_SECONDS = 0.25
+HEARTBEAT_TIMEOUT_SECONDS = 1.0
+RECONNECT_DELAY_SECONDS = 0.1
+_DISCONNECTED = 'DISCONNECTED'
+
+Remote = typing.Any
+Call = typing.Callable[[Remote], typing.Awaitable[typing.Any]]
+
+
+class Link:
+    """A connection to one peer that is opened when it is needed."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        interface: typing.Any,
+        heartbeat: Call | None = None,
+        time_source: clock.Clock | None = None,
+    ) -> None:
+        self._address = address
+        self._port = port
+        self._interface = interface
+        self._heartbeat = heartbeat
+        self._clock = time_source or clock.MonotonicClock()
+        self._remote: Remote = None
+        self._client: typing.Any = None
+        self._stream: typing.Any = None
+        self._outstanding = 0
+        self._connecting = asyncio.Lock()
+        self._failed_at = float('-inf')
+        self._heartbeat_task: asyncio.Task[None] | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether a connection to the peer stands."""
+        return self._remote is not None
+
+    async def call(self, call: Call, *, timeout: float) -> typing.Any:
+        """Make one call and return its answer.
+
+        Raises `LinkError` when the call was not sent, and `LinkLostError`
+        when no answer came within `timeout` seconds or before the
+        connection broke.
+        """
+        remote = self._remote or await self._connect()
+        self._outstanding += 1
+        try:
+            async with asyncio.timeout(timeout):
+                return await call(remote)
+        except TimeoutError as error:
+            raise errors.LinkLostError(
+                f'no answer from {self._name()} within {timeout:.3f} s; '
+                'check that the host is up',
+            ) from error
+        except capnp.KjException as error:
+            self._drop_if_disconnected(error, remote)
+            raise errors.LinkLostError(
+                f'connection to {self._name()} broke: {error.description}; '
+                'check that the host is up',
+            ) from error
+        finally:
+            self._outstanding -= 1
+
+    def close(self) -> None:
+        """Close the connection; a later call opens it again."""
+        if self._heartbeat_task:
+            self._heartbeat_task.cancel()
+            self._heartbeat_task = None
+        client, stream = self._client, self._stream
+        self._remote = self._client = self._stream = None
+        if client:
+            client.close()
+        if stream:
+            stream.close()
+
+    def _name(self) -> str:
+        return f'{self._address}:{self._port}'
+
+    async def _connect(self) -> Remote:
+        async with self._connecting:
+            if self._remote:
+                return self._remote
+            if self._clock.now() - self._failed_at < RECONNECT_DELAY_SECONDS:
+                raise errors.LinkError(
+                    f'{self._name()} was just found down; try another host',
+                )
+            try:
+                return await self._open()
+            except (OSError, TimeoutError, capnp.KjException) as error:
+                self._failed_at = self._clock.now()
+                raise errors.LinkError(
+                    f'can not connect to {self._name()}: {error!r}; '
+                    'check that the host is up',
+                ) from error
+
+    async def _open(self) -> Remote:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            self._stream = await capnp.AsyncIoStream.create_connection(
+                host=self._address,
+                port=self._port,
+            )
+        self._client = capnp.TwoPartyClient(self._stream)
+        self._remote = self._client.bootstrap().cast_as(self._interface)
+        if self._heartbeat:
+            self._heartbeat_task = asyncio.create_task(
+                self._send_heartbeats(self._heartbeat, self._remote),
+            )
+        return self._remote
+
+    async def _send_heartbeats(self, heartbeat: Call, remote: Remote) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+            if not self._outstanding:
+                continue
+            try:
+                async with asyncio.timeout(HEARTBEAT_TIMEOUT_SECONDS):
+                    await heartbeat(remote)
+            except (TimeoutError, capnp.KjException):
+                self._heartbeat_task = None
+                self.close()
+                return
+
+    def _drop_if_disconnected(
+        self,
+        error: capnp.KjException,
+        remote: Remote,
+    ) -> None:
+        if error.type == _DISCONNECTED and self._remote is remote:
+            self.close()
+
+
+class Listener:
+    """Accepts links from other programs.
+
+    `make_server` is called once for each link, so that an implementation
+    can hold what belongs to the link; its `link_closed` method is awaited
+    when the link ends.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        make_server: typing.Callable[[], typing.Any],
+    ) -> None:
+        self._address = address
+        self._port = port
+        self._make_server = make_server
+
+    async def run(self) -> None:
+        """Accept links until cancelled."""
+        server = await capnp.AsyncIoStream.create_server(
+            self._accept,
+            self._address,
+            self._port,
+        )
+        async with server:
+            await server.serve_forever()
+
+    async def _accept(self, stream: typing.Any) -> None:
+        implementation = self._make_server()
+        try:
+            with contextlib.suppress(capnp.KjException, ConnectionError):
+                await capnp.TwoPartyServer(
+                    stream,
+                    bootstrap=implementation,
+                ).on_disconnect()
+        finally:
+            await implementation.link_closed()
--- /dev/null
+++ b/src/egretstep/peers/messages.py
@@ -0,0 +1,224 @@
+"""Typed requests and answers, and their Cap'n Proto form."""
+
+import dataclasses
+import typing
+
+from egretstep import errors, identifiers
+from egretstep.peers import schema
+
+NO_STALENESS_LIMIT = -1
+_KINDS = {kind.value: kind for kind in identifiers.StatementKind}
+_OUTCOMES = {outcome.value: outcome for outcome in identifiers.Outcome}
+
+Cell = bytes | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StatementRequest:
+    """One statement of a caller on its way to the owner of the database.
+
+    `floor` is the position that the caller's connection has seen,
+    `timeout_ms` the time left until the caller's deadline, and
+    `max_staleness_ms` the age that a read accepts, or none when it must see
+    the session's own writes. `expect_pin` says that the caller is inside a
+    transaction, so that the statement must not run outside of one.
+    """
+
+    request_id: identifiers.RequestId
+    workspace: identifiers.WorkspaceName
+    database: identifiers.DatabaseName
+    sql: bytes
+    kind: identifiers.StatementKind
+    session_id: identifiers.SessionId = identifiers.SessionId('')
+    floor: identifiers.LogPosition = identifiers.LOG_START
+    pin_id: identifiers.PinId = identifiers.PinId(0)
+    expect_pin: bool = False
+    timeout_ms: int
+    max_staleness_ms: int | None = None
+    request_key: identifiers.RequestKey = identifiers.RequestKey('')
+    traceparent: str = ''
+    zone: identifiers.ZoneName = identifiers.ZoneName('')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Column:
+    """Name, MySQL type code and character set of a result column."""
+
+    name: str
+    type_code: int
+    character_set: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What the owner answers: an outcome with a result or an error.
+
+    Cells are in the MySQL text protocol, row by row. `redirect` names the
+    host that is known to hold the term when this one does not.
+    """
+
+    request_id: identifiers.RequestId
+    outcome: identifiers.Outcome
+    error_code: int = 0
+    sql_state: str = ''
+    message: str = ''
+    retry_after_ms: int = 0
+    affected_rows: int = 0
+    insert_id: int = 0
+    columns: tuple[Column, ...] = ()
+    rows: typing.Sequence[tuple[Cell, ...]] = ()
+    pinned: bool = False
+    in_transaction: bool = False
+    position: identifiers.LogPosition = identifiers.LOG_START
+    server: identifiers.ServerName = identifiers.ServerName('')
+    primary: bool = True
+    redirect: identifiers.HostName = identifiers.HostName('')
+
+
+def refusal_answer(
+    *,
+    request_id: identifiers.RequestId,
+    refusal: errors.Refusal,
+    redirect: identifiers.HostName = identifiers.HostName(''),
+) -> Answer:
+    """Make the answer that carries a refusal."""
+    return Answer(
+        request_id=request_id,
+        outcome=refusal.outcome,
+        error_code=refusal.kind.code,
+        sql_state=refusal.kind.sql_state,
+        message=refusal.text(),
+        retry_after_ms=refusal.retry_after_ms,
+        redirect=redirect,
+    )
+
+
+def encode_request(request: StatementRequest) -> typing.Any:
+    """Turn a request into its Cap'n Proto form."""
+    staleness = request.max_staleness_ms
+    return schema.StatementRequest.new_message(
+        requestId=request.request_id,
+        workspace=request.workspace,
+        database=request.database,
+        sql=request.sql,
+        kind=request.kind.value,
+        sessionId=request.session_id,
+        floor=_encode_position(request.floor),
+        pinId=request.pin_id,
+        expectPin=request.expect_pin,
+        timeoutMs=request.timeout_ms,
+        maxStalenessMs=NO_STALENESS_LIMIT if staleness is None else staleness,
+        requestKey=request.request_key,
+        traceparent=request.traceparent,
+        zone=request.zone,
+    )
+
+
+def decode_request(message: typing.Any) -> StatementRequest:
+    """Read a request from its Cap'n Proto form."""
+    staleness = message.maxStalenessMs
+    return StatementRequest(
+        request_id=message.requestId,
+        workspace=message.workspace,
+        database=message.database,
+        sql=bytes(message.sql),
+        kind=_KINDS[str(message.kind)],
+        session_id=message.sessionId,
+        floor=_decode_position(message.floor),
+        pin_id=message.pinId,
+        expect_pin=message.expectPin,
+        timeout_ms=message.timeoutMs,
+        max_staleness_ms=None if staleness < 0 else staleness,
+        request_key=message.requestKey,
+        traceparent=message.traceparent,
+        zone=message.zone,
+    )
+
+
+def encode_answer(answer: Answer, message: typing.Any) -> None:
+    """Write an answer into a Cap'n Proto message under construction."""
+    message.requestId = answer.request_id
+    message.outcome = answer.outcome.value
+    message.errorCode = answer.error_code
+    message.sqlState = answer.sql_state
+    message.message = answer.message
+    message.retryAfterMs = answer.retry_after_ms
+    message.affectedRows = answer.affected_rows
+    message.insertId = answer.insert_id
+    message.pinned = answer.pinned
+    message.inTransaction = answer.in_transaction
+    message.position = _encode_position(answer.position)
+    message.server = answer.server
+    message.primary = answer.primary
+    message.redirect = answer.redirect
+    if answer.columns:
+        _encode_rows(answer, message)
+
+
+def decode_answer(message: typing.Any) -> Answer:
+    """Read an answer from its Cap'n Proto form."""
+    columns = tuple(
+        Column(
+            name=column.name,
+            type_code=column.typeCode,
+            character_set=column.characterSet,
+        )
+        for column in message.columns
+    )
+    return Answer(
+        request_id=message.requestId,
+        outcome=_OUTCOMES[str(message.outcome)],
+        error_code=message.errorCode,
+        sql_state=message.sqlState,
+        message=message.message,
+        retry_after_ms=message.retryAfterMs,
+        affected_rows=message.affectedRows,
+        insert_id=message.insertId,
+        columns=columns,
+        rows=_decode_rows(message, len(columns)),
+        pinned=message.pinned,
+        in_transaction=message.inTransaction,
+        position=_decode_position(message.position),
+        server=message.server,
+        primary=message.primary,
+        redirect=message.redirect,
+    )
+
+
+def _encode_position(position: identifiers.LogPosition) -> dict[str, int]:
+    return {'term': position.term, 'index': position.index}
+
+
+def _decode_position(message: typing.Any) -> identifiers.LogPosition:
+    return identifiers.LogPosition(term=message.term, index=message.index)
+
+
+def _encode_rows(answer: Answer, message: typing.Any) -> None:
+    message.columns = [
+        {
+            'name': column.name,
+            'typeCode': column.type_code,
+            'characterSet': column.character_set,
+        }
+        for column in answer.columns
+    ]
+    cells = [cell for row in answer.rows for cell in row]
+    message.nullCells = [
+        index for index, cell in enumerate(cells) if cell is None
+    ]
+    message.cells = [cell or b'' for cell in cells]
+
+
+def _decode_rows(
+    message: typing.Any,
+    width: int,
+) -> list[tuple[Cell, ...]]:
+    if not width:
+        return []
+    cells: list[Cell] = list(message.cells)
+    for index in message.nullCells:
+        cells[index] = None
+    return [
+        tuple(cells[start : start + width])
+        for start in range(0, len(cells), width)
+    ]
--- /dev/null
+++ b/src/egretstep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table service, host list, database control."""
--- /dev/null
+++ b/src/egretstep/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""Connections, queues, transactions and outcomes at the owner."""
--- /dev/null
+++ b/src/egretstep/pooling/execution.py
@@ -0,0 +1,425 @@
+"""Runs requests on the servers of an owned database.
+
+Every answer that a server gave is checked against the lease of the term
+before it goes out: an owner that was paused or cut off acknowledges nothing
+and serves no read that could be old.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+from egretstep import clock, errors, identifiers
+from egretstep.observability import metrics
+from egretstep.peers import messages
+from egretstep.platform import database
+from egretstep.pooling import (
+    connections,
+    gate,
+    idempotency,
+    outcomes,
+    pins,
+    servers,
+)
+from egretstep.replication import group
+from egretstep.routing import replicas
+from egretstep.settings import tree
+
+RETRY_PAUSE_SECONDS = 0.02
+LEASE_POLL_SECONDS = 0.01
+_NO_EFFECT = frozenset((identifiers.StatementKind.READ,))
+
+
+class _StaleError(errors.EgretstepError):
+    """A server or term changed before the statement ran; try again."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A request with what its execution needs."""
+
+    request: messages.StatementRequest
+    effective: tree.Effective
+    deadline: float
+    pin_key: pins.PinKey
+
+
+Attempt = typing.Callable[
+    [Job, group.Tenure],
+    typing.Awaitable[messages.Answer],
+]
+
+
+class Executor:
+    """Runs the requests of one owned database."""
+
+    def __init__(
+        self,
+        *,
+        database_group: group.DatabaseGroup,
+        pools: servers.ServerPools,
+        zone_of: typing.Callable[
+            [identifiers.ServerName],
+            identifiers.ZoneName,
+        ],
+        is_zone_in: typing.Callable[[identifiers.ZoneName], bool],
+        time_source: clock.Clock,
+    ) -> None:
+        self._group = database_group
+        self._pools = pools
+        self._zone_of = zone_of
+        self._is_zone_in = is_zone_in
+        self._clock = time_source
+        self.pins = pins.PinTable()
+        self.gate = gate.WriteGate(
+            pinned=lambda: len(self.pins),
+            time_source=time_source,
+        )
+
+    async def run(self, job: Job) -> messages.Answer:
+        """Run a request and return its answer.
+
+        Raises `errors.RefusedError`; its outcome tells what is known.
+        """
+        kind = job.request.kind
+        pin = self.pins.get(job.pin_key)
+        if pin is not None:
+            return await self._run_pinned(job, pin)
+        if job.request.expect_pin:
+            raise errors.RefusedError(
+                refusal=outcomes.transaction_lost('its owner changed'),
+            )
+        if kind is identifiers.StatementKind.READ:
+            return await self._repeat(job, self._read)
+        if kind is identifiers.StatementKind.WRITE:
+            return await self._pass_gate(job, self._write)
+        if kind in {
+            identifiers.StatementKind.BEGIN,
+            identifiers.StatementKind.SESSION,
+        }:
+            return await self._pass_gate(job, self._pin)
+        return messages.Answer(
+            request_id=job.request.request_id,
+            outcome=identifiers.Outcome.DONE,
+        )
+
+    async def _pass_gate(
+        self,
+        job: Job,
+        attempt: Attempt,
+    ) -> messages.Answer:
+        try:
+            async with self.gate.entered(deadline=job.deadline):
+                return await self._repeat(job, attempt)
+        except TimeoutError as error:
+            raise errors.RefusedError(
+                refusal=outcomes.unavailable('its primary is being moved'),
+            ) from error
+
+    async def _repeat(
+        self,
+        job: Job,
+        attempt: Attempt,
+    ) -> messages.Answer:
+        reason = 'no primary'
+        while self._clock.now() < job.deadline:
+            tenure = self._group.tenure
+            if tenure is None:
+                raise errors.RefusedError(
+                    refusal=outcomes.not_owner(self._group.database),
+                )
+            try:
+                return await attempt(job, tenure)
+            except (errors.DatabaseServerError, _StaleError) as error:
+                reason = str(error)
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        raise errors.RefusedError(refusal=outcomes.unavailable(reason))
+
+    async def _read(self, job: Job, tenure: group.Tenure) -> messages.Answer:
+        needs = self._needs(job)
+        choice = replicas.make_router(job.effective.read_policy).choose(
+            needs=needs,
+            candidates=self._candidates(tenure),
+        )
+        server = tenure.primary
+        if choice and await self._reaches(choice, job, tenure):
+            server = choice.server
+        pool = self._pools[server]
+        async with pool.queue.slot(
+            workspace=job.request.workspace,
+            weight=job.effective.weight,
+            deadline=job.deadline,
+        ):
+            connection = await self._acquire(job, pool.connections, tenure)
+            try:
+                done = await self._hand_over(job, connection)
+            finally:
+                await pool.connections.release(connection)
+        await self._check_lease(job, tenure)
+        role = 'primary' if server == tenure.primary else 'replica'
+        metrics.reads.inc({'database': self._group.database, 'role': role})
+        return self._answer(job, done, tenure, server)
+
+    async def _write(self, job: Job, tenure: group.Tenure) -> messages.Answer:
+        pool = self._pools[tenure.primary]
+        async with pool.queue.slot(
+            workspace=job.request.workspace,
+            weight=job.effective.weight,
+            deadline=job.deadline,
+        ):
+            connection = await self._acquire(job, pool.connections, tenure)
+            try:
+                done = await self._hand_over(job, connection)
+            finally:
+                await pool.connections.release(connection)
+        await self._check_lease(job, tenure)
+        return self._answer(job, done, tenure, tenure.primary)
+
+    async def _pin(self, job: Job, tenure: group.Tenure) -> messages.Answer:
+        source = self._pools[tenure.primary].connections
+        connection = await self._acquire(job, source, tenure)
+        pin = pins.Pin(
+            connection=connection,
+            source=source,
+            term=tenure.term,
+            server=tenure.primary,
+        )
+        self.pins.add(job.pin_key, pin)
+        return await self._run_pinned(job, pin)
+
+    async def _run_pinned(
+        self,
+        job: Job,
+        pin: pins.Pin,
+    ) -> messages.Answer:
+        tenure = self._group.tenure
+        if tenure is None or tenure.term != pin.term or pin.busy:
+            await self.pins.drop(job.pin_key)
+            raise errors.RefusedError(
+                refusal=outcomes.transaction_lost('the primary changed'),
+            )
+        if job.request.kind is identifiers.StatementKind.SESSION:
+            pin.tainted = True
+        pin.busy = True
+        try:
+            return await self._run_on_pin(job, pin, tenure)
+        except (errors.DatabaseServerError, _StaleError) as error:
+            raise errors.RefusedError(
+                refusal=outcomes.transaction_lost(str(error)),
+            ) from error
+        finally:
+            pin.busy = False
+            if not pin.is_needed:
+                await self.pins.drop(job.pin_key)
+
+    async def _run_on_pin(
+        self,
+        job: Job,
+        pin: pins.Pin,
+        tenure: group.Tenure,
+    ) -> messages.Answer:
+        async with self._pools[pin.server].queue.slot(
+            workspace=job.request.workspace,
+            weight=job.effective.weight,
+            deadline=job.deadline,
+        ):
+            done = await self._hand_over(job, pin.connection)
+        await self._check_lease(job, tenure)
+        return self._answer(job, done, tenure, pin.server)
+
+    async def _acquire(
+        self,
+        job: Job,
+        source: connections.ServerConnections,
+        tenure: group.Tenure,
+    ) -> database.ServerConnection:
+        try:
+            async with asyncio.timeout(job.deadline - self._clock.now()):
+                return await source.acquire(tenure.term)
+        except TimeoutError as error:
+            raise errors.RefusedError(
+                refusal=outcomes.unavailable('all connections are in use'),
+            ) from error
+
+    async def _hand_over(
+        self,
+        job: Job,
+        connection: database.ServerConnection,
+    ) -> database.StatementResult:
+        """Run the statement; from here on a write may have taken effect."""
+        try:
+            async with asyncio.timeout(job.deadline - self._clock.now()):
+                return await self._run(job, connection)
+        except TimeoutError as error:
+            raise errors.RefusedError(
+                refusal=outcomes.deadline(job.request.kind),
+            ) from error
+        except errors.DatabaseServerError as error:
+            if self._has_no_effect(job, connection):
+                raise
+            raise errors.RefusedError(
+                refusal=outcomes.unknown(str(error)),
+            ) from error
+        except database.ServerRefusalError as error:
+            if outcomes.is_stale(error):
+                raise _StaleError(str(error)) from error
+            if outcomes.is_unknown(error):
+                raise errors.RefusedError(
+                    refusal=outcomes.unknown(error.message),
+                ) from error
+            raise
+
+    async def _run(
+        self,
+        job: Job,
+        connection: database.ServerConnection,
+    ) -> database.StatementResult:
+        request = job.request
+        is_keyed_write = (
+            request.request_key
+            and request.kind is identifiers.StatementKind.WRITE
+            and not connection.in_transaction
+        )
+        if is_keyed_write:
+            return await idempotency.run_once(
+                connection=connection,
+                workspace=request.workspace,
+                request_key=request.request_key,
+                sql=request.sql,
+            )
+        return await connection.run(request.sql)
+
+    def _has_no_effect(
+        self,
+        job: Job,
+        connection: database.ServerConnection,
+    ) -> bool:
+        """Tell whether a broken connection means that nothing happened.
+
+        A transaction that was not committed is rolled back by the server.
+        """
+        if job.request.kind in _NO_EFFECT:
+            return True
+        pin = self.pins.get(job.pin_key)
+        inside = pin is not None and pin.connection is connection
+        return inside and job.request.kind not in {
+            identifiers.StatementKind.COMMIT,
+            identifiers.StatementKind.SESSION,
+        }
+
+    async def _check_lease(self, job: Job, tenure: group.Tenure) -> None:
+        while not tenure.lease.is_held():
+            is_over = self._group.tenure is not tenure
+            if is_over or self._clock.now() > job.deadline:
+                raise self._lease_lost(job)
+            await asyncio.sleep(LEASE_POLL_SECONDS)
+
+    def _lease_lost(self, job: Job) -> Exception:
+        if job.request.kind in _NO_EFFECT and not job.request.expect_pin:
+            return _StaleError('the term ended before the answer')
+        return errors.RefusedError(
+            refusal=outcomes.unknown('the term ended before the answer'),
+        )
+
+    async def _reaches(
+        self,
+        choice: replicas.Choice,
+        job: Job,
+        tenure: group.Tenure,
+    ) -> bool:
+        """Wait until a replica is at the floor; false sends to the primary."""
+        floor = choice.wait_for
+        if floor is None:
+            return True
+        source = self._pools[choice.server].connections
+        if source.free_count <= 0:
+            return False
+        wait_seconds = min(
+            clock.to_seconds(job.effective.replica_wait_ms),
+            (job.deadline - self._clock.now()) / 2,
+        )
+        try:
+            connection = await source.acquire(tenure.term)
+        except errors.DatabaseServerError:
+            return False
+        try:
+            async with asyncio.timeout(2 * wait_seconds):
+                answer = await connection.run(
+                    f'CALL group_wait({floor.term}, {floor.index}, '
+                    f'{wait_seconds:.3f})',
+                )
+        except (
+            TimeoutError,
+            errors.DatabaseServerError,
+            database.ServerRefusalError,
+        ):
+            return False
+        finally:
+            await source.release(connection)
+        return answer.rows[0][0] == b'1'
+
+    def _needs(self, job: Job) -> replicas.ReadNeeds:
+        request = job.request
+        longest_age = None
+        if request.max_staleness_ms is not None:
+            longest_age = clock.to_seconds(request.max_staleness_ms)
+        floor = self._group.floors.floor(
+            session_id=request.session_id,
+            carried=request.floor,
+        )
+        return replicas.ReadNeeds(
+            floor=floor,
+            longest_age=longest_age,
+            zone=request.zone,
+        )
+
+    def _candidates(self, tenure: group.Tenure) -> list[replicas.Candidate]:
+        return [
+            replicas.Candidate(
+                server=watched.name,
+                is_primary=watched.name == tenure.primary,
+                applied=watched.applied,
+                age_bound=self._group.evidence.age_bound(watched.applied),
+                load=self._pools[watched.name].queue.load,
+                zone=self._zone_of(watched.name),
+            )
+            for watched in self._group.monitors
+            if watched.is_up
+            and self._group.may_serve(watched.name)
+            and self._is_zone_in(self._zone_of(watched.name))
+        ]
+
+    def _answer(
+        self,
+        job: Job,
+        done: database.StatementResult,
+        tenure: group.Tenure,
+        server: identifiers.ServerName,
+    ) -> messages.Answer:
+        position = _read_position(done.information)
+        if position > identifiers.LOG_START:
+            self._group.floors.acknowledge(
+                session_id=job.request.session_id,
+                position=position,
+            )
+        pin = self.pins.get(job.pin_key)
+        return messages.Answer(
+            request_id=job.request.request_id,
+            outcome=identifiers.Outcome.DONE,
+            affected_rows=done.affected_rows,
+            insert_id=done.insert_id,
+            columns=done.columns,
+            rows=done.rows,
+            pinned=pin is not None and pin.is_needed,
+            in_transaction=done.in_transaction,
+            position=position,
+            server=server,
+            primary=server == tenure.primary,
+        )
+
+
+def _read_position(information: bytes) -> identifiers.LogPosition:
+    term, found, index = information.partition(b':')
+    if not found or not term.isdigit() or not index.isdigit():
+        return identifiers.LOG_START
+    return identifiers.LogPosition(term=int(term), index=int(index))
--- /dev/null
+++ b/src/egretstep/pooling/gate.py
@@ -0,0 +1,72 @@
+"""Gate for writes, closed while a primary or an owner changes on plan."""
+
+import asyncio
+import contextlib
+import typing
+
+from egretstep import clock
+
+POLL_SECONDS = 0.005
+
+
+class WriteGate:
+    """Counts running writes and holds new ones back while it is closed.
+
+    `pinned` tells how many transactions are open; they count as running
+    until their end, and their statements pass a closed gate.
+    """
+
+    def __init__(
+        self,
+        *,
+        pinned: typing.Callable[[], int],
+        time_source: clock.Clock,
+    ) -> None:
+        self._pinned = pinned
+        self._clock = time_source
+        self._running = 0
+        self._closed = False
+
+    @property
+    def is_quiet(self) -> bool:
+        """Tell whether no write runs and no transaction is open."""
+        return self._running == 0 and self._pinned() == 0
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether new writes are held back."""
+        return self._closed
+
+    @contextlib.asynccontextmanager
+    async def entered(self, *, deadline: float) -> typing.AsyncIterator[None]:
+        """Run the block as a write; waits while the gate is closed.
+
+        Raises `TimeoutError` at the deadline, a monotonic time.
+        """
+        while self._closed:
+            if self._clock.now() > deadline:
+                raise TimeoutError
+            await asyncio.sleep(POLL_SECONDS)
+        self._running += 1
+        try:
+            yield
+        finally:
+            self._running -= 1
+
+    async def close(self, *, longest_wait: float) -> bool:
+        """Hold new writes back and wait until none runs.
+
+        Returns whether all ended within the seconds allowed. The gate stays
+        closed either way.
+        """
+        self._closed = True
+        deadline = self._clock.now() + longest_wait
+        while not self.is_quiet:
+            if self._clock.now() > deadline:
+                return False
+            await asyncio.sleep(POLL_SECONDS)
+        return True
+
+    def open(self) -> None:
+        """Let writes pass again."""
+        self._closed = False
--- /dev/null
+++ b/src/egretstep/pooling/host.py
@@ -0,0 +1,327 @@
+"""All databases of this host's pool, and the tokens that it counts."""
+
+import asyncio
+import contextlib
+import typing
+
+import logbook
+
+from egretstep import clock, errors, identifiers
+from egretstep.limits import admission
+from egretstep.membership import members, view
+from egretstep.peers import links, messages, schema
+from egretstep.pooling import outcomes, owned, pins
+from egretstep.supervision import supervisor
+
+TOKEN_TIMEOUT_SECONDS = 0.3
+HANDOVER_TIMEOUT_SECONDS = 1.0
+REPLACED_WAIT_SECONDS = 2.0
+POLL_SECONDS = 0.02
+_logger = logbook.Logger('pool')
+_FREE_KINDS = frozenset((
+    identifiers.StatementKind.COMMIT,
+    identifiers.StatementKind.ROLLBACK,
+))
+
+
+class PoolHost:
+    """Owns the databases that the fleet's order gives to this host."""
+
+    def __init__(
+        self,
+        *,
+        host: identifiers.HostName,
+        credentials: owned.Credentials,
+        feed: view.FleetViewFeed,
+        time_source: clock.Clock,
+    ) -> None:
+        self._host = host
+        self._credentials = credentials
+        self._feed = feed
+        self._clock = time_source
+        self._owned: dict[identifiers.DatabaseName, owned.OwnedDatabase] = {}
+        self._leaving: dict[identifiers.DatabaseName, asyncio.Task[None]] = {}
+        self._supervisor = supervisor.Supervisor(name='databases')
+        self._admissions: dict[
+            tuple[identifiers.DatabaseName, identifiers.WorkspaceName],
+            admission.Admission,
+        ] = {}
+        self._links: dict[identifiers.HostName, links.Link] = {}
+        self._stopping = False
+
+    @property
+    def databases(self) -> list[owned.OwnedDatabase]:
+        """Return the databases that this host owns or is about to own."""
+        return list(self._owned.values())
+
+    async def run(self) -> None:
+        """Follow the fleet's order until cancelled."""
+        await self._feed.wait_ready()
+        subscription = self._feed.views.subscribe(self._follow)
+        self._follow(self._current_view())
+        try:
+            await self._supervisor.run()
+        finally:
+            subscription.dispose()
+
+    async def stop(self) -> None:
+        """Hand every database over; nothing that runs is cut."""
+        self._stopping = True
+        await self._wait_replaced()
+        for database in list(self._owned):
+            self._start_leaving(database)
+        await asyncio.gather(*self._leaving.values())
+
+    async def execute(
+        self,
+        request: messages.StatementRequest,
+        link: pins.LinkId,
+    ) -> messages.Answer:
+        """Run a request of an entry and return its answer."""
+        pin_key = (link, request.pin_id)
+        serving = self._owned.get(request.database)
+        try:
+            if serving is None or not serving.is_serving:
+                raise errors.RefusedError(
+                    refusal=outcomes.not_owner(request.database),
+                )
+            return await self._admit_and_run(serving, request, pin_key)
+        except errors.RefusedError as error:
+            return messages.refusal_answer(
+                request_id=request.request_id,
+                refusal=error.refusal,
+                redirect=self._redirect(request.database),
+            )
+
+    async def release(
+        self,
+        link: pins.LinkId,
+        pin_id: identifiers.PinId,
+    ) -> None:
+        """Roll back and free what a caller held."""
+        for serving in self.databases:
+            await serving.executor.pins.drop((link, pin_id))
+
+    async def link_closed(self, link: pins.LinkId) -> None:
+        """Roll back and free what all callers of an entry held."""
+        for serving in self.databases:
+            await serving.executor.pins.drop_link(link)
+
+    def accept_handover(
+        self,
+        database: identifiers.DatabaseName,
+        term: identifiers.Term,
+    ) -> bool:
+        """Note that another host has released a database."""
+        taking = self._owned.get(database)
+        if taking is None:
+            return False
+        taking.accept_handover(term)
+        return True
+
+    def take_tokens(
+        self,
+        workspace: identifiers.WorkspaceName,
+        wanted: int,
+    ) -> admission.Lot | None:
+        """Give tokens of a workspace that is counted here, or none."""
+        home = self._home_of(workspace)
+        serving = self._owned.get(home) if home else None
+        if home is None or serving is None or not serving.is_serving:
+            return None
+        counting = self._admission(home, workspace)
+        if not isinstance(counting, admission.CountingAdmission):
+            return None
+        return counting.take(wanted)
+
+    def _redirect(
+        self,
+        database: identifiers.DatabaseName,
+    ) -> identifiers.HostName:
+        waiting = self._owned.get(database)
+        if waiting is None or waiting.is_serving:
+            return identifiers.HostName('')
+        holder = waiting.holder
+        return identifiers.HostName('') if holder == self._host else holder
+
+    async def _admit_and_run(
+        self,
+        serving: owned.OwnedDatabase,
+        request: messages.StatementRequest,
+        pin_key: pins.PinKey,
+    ) -> messages.Answer:
+        if request.kind in _FREE_KINDS:
+            return await serving.execute(request, pin_key)
+        gatekeeper = self._admission(request.database, request.workspace)
+        await gatekeeper.admit(
+            longest_wait=clock.to_seconds(request.timeout_ms) / 2,
+        )
+        return await serving.execute(request, pin_key)
+
+    def _admission(
+        self,
+        database: identifiers.DatabaseName,
+        workspace: identifiers.WorkspaceName,
+    ) -> admission.Admission:
+        key = (database, workspace)
+        known = self._admissions.get(key)
+        if known is None:
+            known = self._make_admission(database, workspace)
+            self._admissions[key] = known
+        return known
+
+    def _make_admission(
+        self,
+        database: identifiers.DatabaseName,
+        workspace: identifiers.WorkspaceName,
+    ) -> admission.Admission:
+        home = self._home_of(workspace)
+        if home in {None, database}:
+            effective = self._current_view().tree.effective(
+                workspace=workspace,
+                database=database,
+            )
+            return admission.CountingAdmission(
+                workspace=workspace,
+                effective=effective,
+                time_source=self._clock,
+                full=not self._owned[database].had_previous_owner,
+            )
+        return admission.BorrowingAdmission(
+            workspace=workspace,
+            take_tokens=self._borrow,
+            time_source=self._clock,
+        )
+
+    def _home_of(
+        self,
+        workspace: identifiers.WorkspaceName,
+    ) -> identifiers.DatabaseName | None:
+        known = self._current_view().tree.fleet.workspaces.get(workspace)
+        if known is None:
+            return None
+        return identifiers.DatabaseName(known.databases[0])
+
+    async def _borrow(
+        self,
+        workspace: identifiers.WorkspaceName,
+        wanted: int,
+    ) -> admission.Lot:
+        own_lot = self.take_tokens(workspace, wanted)
+        if own_lot is not None:
+            return own_lot
+        home = self._home_of(workspace)
+        counting = self._current_view().owner(home) if home else None
+        if counting is None or counting.host == self._host:
+            return admission.Lot(granted=0, retry_after=TOKEN_TIMEOUT_SECONDS)
+        try:
+            answer = await self._link(counting).call(
+                lambda pool: pool.takeTokens(
+                    workspace=workspace,
+                    wanted=wanted,
+                    term=0,
+                ),
+                timeout=TOKEN_TIMEOUT_SECONDS,
+            )
+        except (errors.LinkError, errors.LinkLostError):
+            return admission.Lot(
+                granted=0,
+                retry_after=links.RECONNECT_DELAY_SECONDS,
+            )
+        return admission.Lot(
+            granted=answer.granted,
+            retry_after=clock.to_seconds(answer.retryAfterMs),
+        )
+
+    def _link(self, member: members.Member) -> links.Link:
+        link = self._links.get(member.host)
+        if link is None:
+            link = links.Link(
+                address=member.address,
+                port=member.pool_port,
+                interface=schema.Pool,
+            )
+            self._links[member.host] = link
+        return link
+
+    def _current_view(self) -> view.FleetView:
+        return typing.cast(view.FleetView, self._feed.latest)
+
+    def _follow(self, current: view.FleetView) -> None:
+        for name in current.tree.fleet.databases:
+            database = identifiers.DatabaseName(name)
+            preferred = current.owner(database)
+            is_mine = preferred is not None and preferred.host == self._host
+            if is_mine and not self._stopping:
+                self._start_owning(database)
+            elif preferred is not None and database in self._owned:
+                self._start_leaving(database)
+        for (database, workspace), gatekeeper in self._admissions.items():
+            gatekeeper.change(
+                current.tree.effective(workspace=workspace, database=database),
+            )
+
+    def _start_owning(self, database: identifiers.DatabaseName) -> None:
+        if database in self._owned or database in self._leaving:
+            return
+        owning = owned.OwnedDatabase(
+            database=database,
+            host=self._host,
+            credentials=self._credentials,
+            current_view=self._current_view,
+            time_source=self._clock,
+        )
+        self._owned[database] = owning
+        self._supervisor.start(
+            supervisor.Child(name=database, run=owning.run),
+        )
+
+    def _start_leaving(self, database: identifiers.DatabaseName) -> None:
+        if database in self._leaving:
+            return
+        task = asyncio.create_task(self._leave(database))
+        self._leaving[database] = task
+        task.add_done_callback(lambda _task: self._leaving.pop(database, None))
+
+    async def _wait_replaced(self) -> None:
+        """Wait until the fleet gives this host's databases to others."""
+        deadline = self._clock.now() + REPLACED_WAIT_SECONDS
+        while self._clock.now() < deadline:
+            preferred = map(self._current_view().owner, self._owned)
+            if all(
+                member is not None and member.host != self._host
+                for member in preferred
+            ):
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _leave(self, database: identifiers.DatabaseName) -> None:
+        leaving = self._owned[database]
+        term = await leaving.hand_over()
+        self._owned.pop(database)
+        self._forget_admissions(database)
+        await self._tell_next_owner(database, term)
+        await self._supervisor.stop_child(database)
+
+    def _forget_admissions(self, database: identifiers.DatabaseName) -> None:
+        for key in [key for key in self._admissions if key[0] == database]:
+            self._admissions.pop(key)
+
+    async def _tell_next_owner(
+        self,
+        database: identifiers.DatabaseName,
+        term: identifiers.Term,
+    ) -> None:
+        following = self._current_view().owner(database)
+        if following is None or following.host == self._host or not term:
+            return
+        deadline = self._clock.now() + REPLACED_WAIT_SECONDS
+        while self._clock.now() < deadline:
+            with contextlib.suppress(errors.LinkError, errors.LinkLostError):
+                answer = await self._link(following).call(
+                    lambda pool: pool.handOver(database=database, term=term),
+                    timeout=HANDOVER_TIMEOUT_SECONDS,
+                )
+                if answer.accepted:
+                    return
+            await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/src/egretstep/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs of a host, one module for each."""
--- /dev/null
+++ b/src/egretstep/programs/agent.py
@@ -0,0 +1,349 @@
+"""The control program of a host: settings, membership, operators."""
+
+import asyncio
+import contextlib
+import time
+import typing
+
+import logbook
+import orjson
+
+from egretstep import clock, errors, identifiers
+from egretstep.membership import gossip, members
+from egretstep.observability import metrics
+from egretstep.operators import endpoint
+from egretstep.peers import links, schema
+from egretstep.platform import client, interfaces
+from egretstep.programs import runner
+from egretstep.settings import changes, distribution, freshness
+from egretstep.settings import schema as settings_schema
+from egretstep.supervision import supervisor
+
+HOST_LIST_SECONDS = 10.0
+WATCH_SECONDS = 0.5
+STATUS_SECONDS = 0.5
+_POOL_STATES = {
+    'pool': members.PoolState.UP,
+    'pool-leaving': members.PoolState.LEAVING,
+}
+_logger = logbook.Logger('agent')
+
+
+class AgentServer(schema.Agent.Server):
+    """One link to the agent, from a program of its host or another agent."""
+
+    def __init__(self, *, agent: 'Agent') -> None:
+        self._agent = agent
+        self._program = ''
+        self._told_confirmed_at = freshness.NEVER
+
+    async def watch(
+        self,
+        settingsVersion: int,
+        membersRevision: int,
+        program: str,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Answer when there is news, or after a short while."""
+        self._program = program
+        self._agent.note_program(program, up=True)
+        await self._agent.wait_news(
+            settingsVersion,
+            membersRevision,
+            self._told_confirmed_at,
+        )
+        self._told_confirmed_at = self._agent.keeper.confirmed_at
+        self._agent.fill_view(
+            _context.results.init('view'),
+            settingsVersion,
+            membersRevision,
+        )
+
+    async def probe(
+        self,
+        gossip: typing.Any,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Answer another agent's probe."""
+        _context.results.gossip = self._agent.gossip.answer(gossip)
+
+    async def probeFor(self, host: str, **_kwargs: typing.Any) -> bool:
+        """Probe a host for an agent that can't reach it."""
+        return await self._agent.gossip.probe_for_other(
+            identifiers.HostName(host),
+        )
+
+    async def fetchSettings(
+        self,
+        knownVersion: int,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Give the record when it is later than the known one."""
+        keeper = self._agent.keeper
+        versioned = _context.results.init('versioned')
+        versioned.version = keeper.version
+        if keeper.version > knownVersion:
+            versioned.record = keeper.encoded
+
+    async def pushSettings(
+        self,
+        versioned: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> int:
+        """Take a record in and return the version held."""
+        await self._agent.keeper.adopt(bytes(versioned.record))
+        return self._agent.keeper.version
+
+    async def witnessVersion(self, **_kwargs: typing.Any) -> int:
+        """Return the version held, for other witnesses."""
+        return self._agent.keeper.version
+
+    async def statusJson(self, **_kwargs: typing.Any) -> str:
+        """Return nothing yet; operators use the HTTP endpoint."""
+        return '{}'
+
+    async def link_closed(self) -> None:
+        """Note that a program of this host has ended."""
+        if self._program:
+            self._agent.note_program(self._program, up=False)
+
+
+class Agent:
+    """Wires the parts of the agent together."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_schema.HostSettings,
+        token: str = '',
+    ) -> None:
+        self._settings = settings
+        self._clock = clock.MonotonicClock()
+        self._platform = client.PlatformClient(url=settings.platform_url)
+        self.keeper = freshness.SettingsKeeper(time_source=self._clock)
+        self._table = members.MemberTable(
+            own=_own_member(settings),
+            time_source=self._clock,
+        )
+        self.gossip = gossip.Gossip(
+            table=self._table,
+            keeper=self.keeper,
+            time_source=self._clock,
+            on_vouch=self._on_vouch,
+        )
+        self._distribution = distribution.Distribution(
+            keeper=self.keeper,
+            table=self._table,
+            gossip=self.gossip,
+            service=self._platform,
+            time_source=self._clock,
+        )
+        self._endpoint = self._make_endpoint(token)
+        self._pool_link = links.Link(
+            address=settings.address,
+            port=settings.pool_port,
+            interface=schema.Pool,
+        )
+
+    async def run(self) -> None:
+        """Run until cancelled, then tell the fleet that this host leaves."""
+        listener = links.Listener(
+            address=self._settings.address,
+            port=self._settings.agent_port,
+            make_server=lambda: AgentServer(agent=self),
+        )
+        metrics_endpoint = metrics.MetricsEndpoint(
+            address=self._settings.address,
+            port=self._settings.metrics_port,
+        )
+        tree = supervisor.Supervisor(
+            name='agent',
+            children=[
+                supervisor.Child(name='listener', run=listener.run),
+                supervisor.Child(name='hosts', run=self._follow_host_list),
+                supervisor.Child(name='gossip', run=self.gossip.run),
+                supervisor.Child(name='settings', run=self._distribution.run),
+                supervisor.Child(name='operators', run=self._endpoint.run),
+                supervisor.Child(name='metrics', run=metrics_endpoint.run),
+            ],
+        )
+        try:
+            await tree.run()
+        finally:
+            await self._platform.close()
+
+    def note_program(self, program: str, *, up: bool) -> None:
+        """Note that a program of this host has come or gone."""
+        state = _POOL_STATES.get(program)
+        if state is None:
+            return
+        if not up:
+            state = members.PoolState.DOWN
+        if state is not self._table.own.pool:
+            self.gossip.announce_own(pool=state)
+
+    async def wait_news(
+        self,
+        version: int,
+        revision: int,
+        confirmed_at: float,
+    ) -> None:
+        """Wait until settings, hosts or the confirmation are news."""
+        deadline = self._clock.now() + WATCH_SECONDS
+        while self._clock.now() < deadline:
+            changed = (
+                self.keeper.version != version
+                or self._table.revision != revision
+                or self.keeper.confirmed_at - confirmed_at > WATCH_SECONDS
+            )
+            if changed:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.02), self.keeper.changed:
+                    await self.keeper.changed.wait()
+
+    def fill_view(
+        self,
+        view: typing.Any,
+        version: int,
+        revision: int,
+    ) -> None:
+        """Write what changed since a known version and revision."""
+        view.settingsVersion = self.keeper.version
+        if self.keeper.version != version:
+            view.record = self.keeper.encoded
+        confirmed = max(self.keeper.confirmed_at, 0)
+        view.confirmedAtMs = clock.to_milliseconds(confirmed)
+        view.membersRevision = self._table.revision
+        if self._table.revision != revision:
+            view.members = [
+                members.to_message(member) for member in self._table.all()
+            ]
+
+    async def _on_vouch(
+        self,
+        sender: members.Member,
+        vouch: freshness.Vouch,
+        asked_at: float,
+    ) -> None:
+        await self._distribution.on_vouch(sender, vouch, asked_at)
+
+    async def _follow_host_list(self) -> None:
+        while True:
+            with contextlib.suppress(errors.PlatformError):
+                await self._report_own()
+                for listed in await self._platform.list_hosts():
+                    self.gossip.introduce(_from_listed(listed))
+            await asyncio.sleep(HOST_LIST_SECONDS)
+
+    async def _report_own(self) -> None:
+        own = self._table.own
+        await self._platform.report_host(
+            interfaces.ListedHost(
+                host=own.host,
+                zone=own.zone,
+                address=own.address,
+                agent_port=own.agent_port,
+                pool_port=own.pool_port,
+                leaving=own.state is members.MemberState.LEAVING,
+            ),
+        )
+
+    def _make_endpoint(self, token: str) -> endpoint.OperatorEndpoint:
+        changer = changes.SettingsChanger(
+            keeper=self.keeper,
+            table=self._table,
+            distribution=self._distribution,
+            service=self._platform,
+        )
+        return endpoint.OperatorEndpoint(
+            address=self._settings.address,
+            port=self._settings.operator_port,
+            token=token or self._settings.operator_token,
+            changer=changer,
+            keeper=self.keeper,
+            status=self._status,
+        )
+
+    async def _status(self) -> dict[str, typing.Any]:
+        record = self.keeper.record
+        vouch = self.keeper.vouch()
+        return {
+            'host': self._settings.host,
+            'settings_version': self.keeper.version,
+            'settings_age_seconds': round(min(vouch.age, 1e9), 3),
+            'databases': await self._database_statuses(),
+            'witnesses': list(record.witnesses) if record else [],
+            'hosts': [
+                {
+                    'host': member.host,
+                    'zone': member.zone,
+                    'state': member.state.value,
+                    'pool': member.pool.value,
+                }
+                for member in self._table.all()
+            ],
+        }
+
+    async def _database_statuses(self) -> list[dict[str, typing.Any]]:
+        try:
+            answer = await self._pool_link.call(
+                lambda pool: pool.status(),
+                timeout=STATUS_SECONDS,
+            )
+        except (errors.LinkError, errors.LinkLostError):
+            return []
+        return [
+            {
+                'database': database.database,
+                'owner': self._settings.host,
+                'serving': database.serving,
+                'term': database.term,
+                'primary': database.primary,
+                'servers': orjson.loads(database.servers),
+            }
+            for database in answer.databases
+        ]
+
+
+def _own_member(settings: settings_schema.HostSettings) -> members.Member:
+    # A restarted host must overrule reports about its earlier life.
+    incarnation = int(time.time() * clock.MILLISECONDS_PER_SECOND)
+    return members.Member(
+        host=identifiers.HostName(settings.host),
+        zone=identifiers.ZoneName(settings.zone),
+        address=settings.address,
+        agent_port=settings.agent_port,
+        pool_port=settings.pool_port,
+        incarnation=incarnation,
+    )
+
+
+def _from_listed(listed: interfaces.ListedHost) -> members.Member:
+    state = members.MemberState.ALIVE
+    if listed.leaving:
+        state = members.MemberState.LEAVING
+    return members.Member(
+        host=identifiers.HostName(listed.host),
+        zone=identifiers.ZoneName(listed.zone),
+        address=listed.address,
+        agent_port=listed.agent_port,
+        pool_port=listed.pool_port,
+        state=state,
+    )
+
+
+async def _serve(settings: settings_schema.HostSettings) -> None:
+    await Agent(settings=settings).run()
+
+
+def main() -> None:
+    """Start the program."""
+    runner.run(program=_serve, description=__doc__)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/egretstep/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Database groups: leases, terms, failover, replicas and positions."""
--- /dev/null
+++ b/src/egretstep/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which server, owner and try a statement goes to."""
--- /dev/null
+++ b/src/egretstep/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: schema, inheritance, versions and freshness."""
--- /dev/null
+++ b/src/egretstep/settings/schema.py
@@ -0,0 +1,240 @@
+"""Schema of the fleet's settings and of a process's own settings.
+
+Both are YAML documents that pydantic checks as a whole before anything
+starts. The fleet's settings are a tree whose defaults pass down from the
+fleet to availability zones, databases and workspaces; see
+`egretstep.settings.tree`.
+"""
+
+import enum
+import ipaddress
+import re
+import typing
+
+import pydantic
+
+MAXIMUM_PORT = 65535
+NAME_PATTERN = '^[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}$'
+DIGEST_PATTERN = re.compile('^[0-9a-f]{40}$')
+
+Port = typing.Annotated[int, pydantic.Field(ge=1, le=MAXIMUM_PORT)]
+Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Positive = typing.Annotated[int, pydantic.Field(gt=0)]
+PositiveNumber = typing.Annotated[float, pydantic.Field(gt=0)]
+
+
+class Model(pydantic.BaseModel):
+    """Base of all settings: unknown names are errors, values don't change."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class PlaceState(enum.Enum):
+    """Whether an availability zone, a server or a host takes new work."""
+
+    IN = 'in'
+    OUT = 'out'
+
+
+class ReadPolicy(enum.Enum):
+    """Where reads go; all but `session` are baselines for measurements."""
+
+    SESSION = 'session'
+    PRIMARY = 'primary'
+    RANDOM_REPLICA = 'random-replica'
+
+
+class QueuePolicy(enum.Enum):
+    """Order of waiting requests; `first-come` is a baseline."""
+
+    FAIR = 'fair'
+    FIRST_COME = 'first-come'
+
+
+class Tunables(Model):
+    """Values that pass down the tree; a level sets only what differs.
+
+    Rates are statements a second and bursts are statements, both counted
+    over the whole fleet. Times are milliseconds.
+    """
+
+    rate: PositiveNumber | None = None
+    burst: Positive | None = None
+    weight: PositiveNumber | None = None
+    request_timeout_ms: Positive | None = None
+    replica_wait_ms: Positive | None = None
+    read_policy: ReadPolicy | None = None
+    queue_policy: QueuePolicy | None = None
+
+
+class ZoneTunables(Tunables):
+    """Values that an availability zone may set for requests entering it.
+
+    Rate, burst, weight and queue order count over the whole fleet, so that
+    an availability zone can't set them.
+    """
+
+    @pydantic.model_validator(mode='after')
+    def _only_local(self) -> 'ZoneTunables':
+        fleet_wide = {'rate', 'burst', 'weight', 'queue_policy'}
+        wrong = sorted(fleet_wide & self.model_fields_set)
+        if wrong:
+            raise ValueError(
+                f'{", ".join(wrong)} can not differ by availability zone; '
+                'set it for the fleet, a database or a workspace',
+            )
+        return self
+
+
+class Zone(Model):
+    """An availability zone: its region, and whether it takes new work."""
+
+    region: str = 'default'
+    state: PlaceState = PlaceState.IN
+    defaults: ZoneTunables = ZoneTunables()
+
+
+class Server(Model):
+    """A database server by IP number; `state: out` keeps new work away."""
+
+    zone: str
+    address: str
+    port: Port
+    state: PlaceState = PlaceState.IN
+
+    @pydantic.field_validator('address')
+    @classmethod
+    def _is_ip_number(cls, address: str) -> str:
+        ipaddress.ip_address(address)
+        return address
+
+
+class Database(Model):
+    """A database service: a group of servers with one primary.
+
+    `slots` is how many statements one server runs at once, `connections`
+    how many connections the group accepts on each server.
+    """
+
+    servers: dict[Name, Server] = pydantic.Field(min_length=1)
+    slots: Positive = 2
+    connections: Positive = 20
+    state: PlaceState = PlaceState.IN
+    defaults: Tunables = Tunables()
+
+
+class KeyState(enum.Enum):
+    """Whether a caller's key works."""
+
+    ACTIVE = 'active'
+    WITHDRAWN = 'withdrawn'
+
+
+class Key(Model):
+    """A caller's key, as the digest that the MySQL challenge needs."""
+
+    digest: str
+    state: KeyState = KeyState.ACTIVE
+
+    @pydantic.field_validator('digest')
+    @classmethod
+    def _is_digest(cls, digest: str) -> str:
+        if not DIGEST_PATTERN.match(digest):
+            raise ValueError(
+                'a digest is 40 hexadecimal digits; '
+                'make one with `egretstep key digest`',
+            )
+        return digest
+
+
+class Workspace(Model):
+    """A workspace: its databases, keys and own values.
+
+    The owner of the first database counts the workspace's rate and burst.
+    """
+
+    databases: list[str] = pydantic.Field(min_length=1)
+    keys: dict[Name, Key] = {}
+    defaults: Tunables = Tunables()
+
+
+class Route(Model):
+    """Name that callers give with USE, and the database it leads to.
+
+    A route with `open: true` serves callers without a key as well.
+    """
+
+    database: str
+    open: bool = False
+
+
+class FleetSettings(Model):
+    """The whole tree of settings that operators change together."""
+
+    defaults: Tunables = Tunables()
+    zones: dict[Name, Zone] = pydantic.Field(min_length=1)
+    databases: dict[Name, Database] = pydantic.Field(min_length=1)
+    workspaces: dict[Name, Workspace] = {}
+    routes: dict[Name, Route] = {}
+    witnesses: list[Name] = []
+
+    @pydantic.model_validator(mode='after')
+    def _references_exist(self) -> 'FleetSettings':
+        problems = [*self._unknown_zones(), *self._unknown_databases()]
+        if problems:
+            raise ValueError('; '.join(problems))
+        return self
+
+    def _unknown_zones(self) -> list[str]:
+        known = sorted(self.zones)
+        return [
+            f'databases.{name}.servers.{server_name}.zone: {server.zone!r} '
+            f'is not an availability zone; one of {known}'
+            for name, database in self.databases.items()
+            for server_name, server in database.servers.items()
+            if server.zone not in self.zones
+        ]
+
+    def _unknown_databases(self) -> list[str]:
+        known = sorted(self.databases)
+        used = [
+            (f'workspaces.{name}.databases', database)
+            for name, workspace in self.workspaces.items()
+            for database in workspace.databases
+        ]
+        used.extend(
+            (f'routes.{name}.database', route.database)
+            for name, route in self.routes.items()
+        )
+        return [
+            f'{path}: {database!r} is not a database; one of {known}'
+            for path, database in used
+            if database not in self.databases
+        ]
+
+
+class HostSettings(Model):
+    """What a process of a host knows before it has spoken to anyone.
+
+    `peers` are addresses of other hosts' agents, used while the platform's
+    service is down. `database_user` is the system's own name at the
+    database servers.
+    """
+
+    host: Name
+    zone: Name
+    address: str
+    caller_port: Port
+    pool_port: Port
+    agent_port: Port
+    operator_port: Port
+    metrics_port: Port | None = None
+    platform_url: str
+    database_user: str = 'egretstep'
+    database_password: str = ''
+    peers: list[str] = []
+    operator_token: str = ''
+    trace_sample: float = 0
+    certificate: str | None = None
+    certificate_key: str | None = None
+    log_format: typing.Literal['text', 'json'] = 'text'
--- /dev/null
+++ b/src/egretstep/settings/tree.py
@@ -0,0 +1,144 @@
+"""Inheritance of values: fleet, availability zone, database, workspace.
+
+A value is looked up from the most special level to the most general one,
+and comes from the first level that sets it.
+"""
+
+import dataclasses
+import functools
+import typing
+
+from egretstep import identifiers
+from egretstep.settings import schema
+
+BUILT_IN = schema.Tunables(
+    rate=1000,
+    burst=500,
+    weight=1,
+    request_timeout_ms=5000,
+    replica_wait_ms=50,
+    read_policy=schema.ReadPolicy.SESSION,
+    queue_policy=schema.QueuePolicy.FAIR,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Explanation:
+    """A value in force and the path of the level that it comes from."""
+
+    name: str
+    setting: typing.Any
+    level: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Effective:
+    """All values in force for one workspace on one database."""
+
+    rate: float
+    burst: int
+    weight: float
+    request_timeout_ms: int
+    replica_wait_ms: int
+    read_policy: schema.ReadPolicy
+    queue_policy: schema.QueuePolicy
+
+
+class SettingsTree:
+    """Looks values up in the fleet's settings.
+
+    >>> from egretstep.settings import loader
+    >>> fleet = schema.FleetSettings(
+    ...     zones={'north': schema.Zone()},
+    ...     databases={
+    ...         'loans': schema.Database(
+    ...             servers={
+    ...                 'loans-1': schema.Server(
+    ...                     zone='north', address='127.0.0.1', port=3306
+    ...                 )
+    ...             }
+    ...         )
+    ...     },
+    ...     workspaces={'clinic': schema.Workspace(databases=['loans'])},
+    ... )
+    >>> tree = SettingsTree(fleet=fleet)
+    >>> tree.explain(name='rate', workspace='clinic', database='loans').level
+    'built-in'
+    """
+
+    def __init__(self, *, fleet: schema.FleetSettings) -> None:
+        self._fleet = fleet
+        self._effective = functools.lru_cache(maxsize=None)(
+            self._compute_effective,
+        )
+
+    @property
+    def fleet(self) -> schema.FleetSettings:
+        """Return the settings that this tree reads."""
+        return self._fleet
+
+    def effective(
+        self,
+        *,
+        workspace: identifiers.WorkspaceName,
+        database: identifiers.DatabaseName,
+        zone: identifiers.ZoneName | None = None,
+    ) -> Effective:
+        """Return all values in force; unknown names use general levels."""
+        return self._effective(workspace, database, zone)
+
+    def explain(
+        self,
+        *,
+        name: str,
+        workspace: str = '',
+        database: str = '',
+        zone: str | None = None,
+    ) -> Explanation:
+        """Return one value and the level that sets it.
+
+        Raises `KeyError` for a name that is no value of the tree.
+        """
+        if name not in schema.Tunables.model_fields:
+            raise KeyError(name)
+        for level, tunables in self._levels(workspace, database, zone):
+            setting = getattr(tunables, name)
+            if setting is not None:
+                return Explanation(name=name, setting=setting, level=level)
+        raise KeyError(name)
+
+    def _levels(
+        self,
+        workspace: str,
+        database: str,
+        zone: str | None,
+    ) -> typing.Iterator[tuple[str, schema.Tunables]]:
+        fleet = self._fleet
+        if workspace in fleet.workspaces:
+            yield (
+                f'workspaces.{workspace}',
+                fleet.workspaces[workspace].defaults,
+            )
+        if database in fleet.databases:
+            yield f'databases.{database}', fleet.databases[database].defaults
+        if zone in fleet.zones:
+            yield f'zones.{zone}', fleet.zones[zone].defaults
+        yield 'fleet', fleet.defaults
+        yield 'built-in', BUILT_IN
+
+    def _compute_effective(
+        self,
+        workspace: str,
+        database: str,
+        zone: str | None,
+    ) -> Effective:
+        in_force = {
+            name: self.explain(
+                name=name,
+                workspace=workspace,
+                database=database,
+                zone=zone,
+            ).setting
+            for name in schema.Tunables.model_fields
+        }
+        return Effective(**in_force)
--- /dev/null
+++ b/src/egretstep/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Supervisor tree of the programs."""
--- /dev/null
+++ b/standins/storage.py
@@ -0,0 +1,124 @@
+"""SQL execution of a stand-in database server, on sqlite in memory."""
+
+import dataclasses
+import re
+import sqlite3
+import typing
+
+from mysql_mimic import charset, results, types
+from mysql_mimic import errors as mimic_errors
+
+ERROR_CODE_DUPLICATE = 1062
+ERROR_CODE_NO_TABLE = 1146
+ERROR_CODE_SYNTAX = 1064
+_BACKSLASH_QUOTE = re.compile(r"\\'")
+_FOR_UPDATE = re.compile(r'\s+FOR\s+(UPDATE|SHARE)\b.*$', re.IGNORECASE)
+
+
+@dataclasses.dataclass(slots=True)
+class StatementResult:
+    """Rows, or the counters of a statement that has none."""
+
+    columns: list[results.ResultColumn]
+    rows: list[tuple[typing.Any, ...]]
+    affected_rows: int = 0
+    insert_id: int = 0
+
+
+class Storage:
+    """One sqlite database in memory, with one connection.
+
+    A server keeps two: a working copy on which the writer's transaction
+    runs, and a copy of what is committed, which everybody else reads.
+    """
+
+    def __init__(self) -> None:
+        self._connection = self._open()
+
+    def reset(self) -> None:
+        """Start again with an empty database."""
+        self._connection.close()
+        self._connection = self._open()
+
+    def apply(self, statements: typing.Iterable[str]) -> None:
+        """Run the statements of one committed transaction."""
+        self._connection.execute('BEGIN')
+        for statement in statements:
+            self.execute(statement)
+        self._connection.execute('COMMIT')
+
+    def begin(self) -> None:
+        """Start a transaction."""
+        self._connection.execute('BEGIN')
+
+    def commit(self) -> None:
+        """End the open transaction and keep its changes."""
+        self._connection.execute('COMMIT')
+
+    def rollback(self) -> None:
+        """End the open transaction and drop its changes."""
+        if self._connection.in_transaction:
+            self._connection.execute('ROLLBACK')
+
+    def execute(self, sql: str) -> StatementResult:
+        """Run one statement; raises a MySQL error as a server would."""
+        text = _FOR_UPDATE.sub('', _BACKSLASH_QUOTE.sub("''", sql))
+        try:
+            cursor = self._connection.execute(text)
+        except sqlite3.Error as error:
+            raise _to_mysql(error) from error
+        if cursor.description is None:
+            return StatementResult(
+                columns=[],
+                rows=[],
+                affected_rows=max(cursor.rowcount, 0),
+                insert_id=cursor.lastrowid or 0,
+            )
+        rows = cursor.fetchall()
+        return StatementResult(columns=_columns(cursor, rows), rows=rows)
+
+    def _open(self) -> sqlite3.Connection:
+        connection = sqlite3.connect(':memory:', isolation_level=None)
+        connection.create_function('SLEEP', 1, lambda _seconds: 0)
+        return connection
+
+
+def _columns(
+    cursor: sqlite3.Cursor,
+    rows: list[tuple[typing.Any, ...]],
+) -> list[results.ResultColumn]:
+    columns = []
+    for index, description in enumerate(cursor.description):
+        sample = next(
+            (row[index] for row in rows if row[index] is not None),
+            None,
+        )
+        is_binary = isinstance(sample, bytes)
+        columns.append(
+            results.ResultColumn(
+                description[0],
+                _column_type(sample),
+                charset.CharacterSet['binary' if is_binary else 'utf8mb4'],
+            ),
+        )
+    return columns
+
+
+def _column_type(sample: typing.Any) -> types.ColumnType:
+    if isinstance(sample, int):
+        return types.ColumnType.LONGLONG
+    if isinstance(sample, float):
+        return types.ColumnType.DOUBLE
+    if isinstance(sample, bytes):
+        return types.ColumnType.BLOB
+    return types.ColumnType.VARCHAR
+
+
+def _to_mysql(error: sqlite3.Error) -> mimic_errors.MysqlError:
+    text = str(error)
+    code = ERROR_CODE_SYNTAX
+    if isinstance(error, sqlite3.IntegrityError):
+        code = ERROR_CODE_DUPLICATE
+    elif 'no such table' in text:
+        code = ERROR_CODE_NO_TABLE
+    return mimic_errors.MysqlError(text, typing.cast(typing.Any, code))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in the layout of the package."""
--- /dev/null
+++ b/tests/fixtures.py
@@ -0,0 +1,54 @@
+"""What tests share: a small deployment, callers and a faked platform."""
+
+import typing
+
+import asyncmy
+
+from standins import fleet
+
+PORT_OFFSET = 2000
+
+
+async def connect(
+    deployment: fleet.Fleet,
+    *,
+    host: str = 'host-1',
+    workspace: str = 'depot-milano',
+    key: str | None = None,
+    database: str | None = 'loans',
+    **options: typing.Any,
+) -> asyncmy.Connection:
+    """Connect a caller to one host."""
+    settings = deployment.hosts[host]
+    return await asyncmy.connect(
+        host=settings.address,
+        port=settings.caller_port,
+        user=workspace,
+        password=f'key-of-{workspace}' if key is None else key,
+        database=database,
+        autocommit=options.pop('autocommit', True),
+        **options,
+    )
+
+
+async def run(connection: asyncmy.Connection, sql: str) -> typing.Any:
+    """Run one statement and return its rows."""
+    async with connection.cursor() as cursor:
+        await cursor.execute(sql)
+        return await cursor.fetchall()
+
+
+async def received(deployment: fleet.Fleet, database: str) -> list[str]:
+    """Return all statements that the servers of a database were given."""
+    found: list[str] = []
+    for server in deployment.fleet.databases[database].servers.values():
+        connection = await asyncmy.connect(
+            host=server.address,
+            port=server.port,
+            user='test',
+            autocommit=None,
+        )
+        rows = await run(connection, 'CALL group_received()')
+        found.append(rows[0][0])
+        connection.close()
+    return found
