--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $@
 
 demo: install
-	$(BIN)/python -m egretstep.programs.bench demo
+	$(BIN)/python -m standins.demo
 
 fleet: install
 	$(BIN)/python -m standins.keep
--- /dev/null
+++ b/src/egretstep/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workload models, load, checks of promises, and reports."""
--- a/src/egretstep/programs/entry.py
+++ b/src/egretstep/programs/entry.py
@@ -7,7 +7,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.callers import server, session
 from egretstep.membership import view
-from egretstep.observability import traces
+from egretstep.observability import metrics, traces
 from egretstep.programs import runner
 from egretstep.routing import relay, statements
 from egretstep.settings import schema
@@ -45,11 +45,16 @@
                 is_stopping=lambda: self._stopping,
             ),
         )
+        endpoint = metrics.MetricsEndpoint(
+            address=settings.address,
+            port=settings.entry_metrics_port,
+        )
         self._tree = supervisor.Supervisor(
             name='entry',
             children=[
                 supervisor.Child(name='view', run=self._feed.run),
                 supervisor.Child(name='callers', run=self._accept),
+                supervisor.Child(name='metrics', run=endpoint.run),
             ],
         )
 
--- a/src/egretstep/programs/pool.py
+++ b/src/egretstep/programs/pool.py
@@ -9,7 +9,7 @@
 
 from egretstep import clock, identifiers
 from egretstep.membership import view
-from egretstep.observability import traces
+from egretstep.observability import metrics, traces
 from egretstep.peers import links, messages, schema
 from egretstep.pooling import host, owned, pins
 from egretstep.programs import runner
@@ -133,6 +133,10 @@
         time_source=clock.MonotonicClock(),
     )
     tracer = traces.Tracer(program='pool', sample=settings.trace_sample)
+    endpoint = metrics.MetricsEndpoint(
+        address=settings.address,
+        port=settings.pool_metrics_port,
+    )
     link_ids = itertools.count(1)
     listener = links.Listener(
         address=settings.address,
@@ -149,6 +153,7 @@
             supervisor.Child(name='view', run=feed.run),
             supervisor.Child(name='listener', run=listener.run),
             supervisor.Child(name='databases', run=pool.run),
+            supervisor.Child(name='metrics', run=endpoint.run),
         ],
     )
     running = asyncio.ensure_future(tree.run())
--- a/src/egretstep/settings/schema.py
+++ b/src/egretstep/settings/schema.py
@@ -229,6 +229,8 @@
     agent_port: Port
     operator_port: Port
     metrics_port: Port | None = None
+    pool_metrics_port: Port | None = None
+    entry_metrics_port: Port | None = None
     platform_url: str
     database_user: str = 'egretstep'
     database_password: str = ''
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,117 @@
+"""The demonstration: an example deployment, a short load, and its checks."""
+
+import argparse
+import asyncio
+import json
+import sys
+import typing
+import urllib.request
+
+from egretstep.bench import checks, load, measures, workload
+from standins import fleet
+
+DEMO_SECONDS = 12.0
+PORT_OFFSET = 0
+
+
+def make_workload(
+    deployment: fleet.Fleet,
+    *,
+    seconds: float,
+    rate: float = 25,
+) -> workload.Workload:
+    """Return callers of every workspace on its first database."""
+    groups = [
+        workload.CallerGroup(
+            workspace=name,
+            key=f'key-of-{name}',
+            database=settings.databases[0],
+            rate=rate,
+        )
+        for name, settings in deployment.fleet.workspaces.items()
+    ]
+    return workload.Workload(seconds=seconds, groups=groups)
+
+
+def addresses(deployment: fleet.Fleet) -> list[workload.Address]:
+    """Return where callers connect."""
+    return [
+        workload.Address(
+            host=name,
+            address=host.address,
+            port=host.caller_port,
+        )
+        for name, host in deployment.hosts.items()
+    ]
+
+
+def replica_share(deployment: fleet.Fleet) -> float:
+    """Return the share of reads that replicas served, from the metrics."""
+    counts = {'primary': 0.0, 'replica': 0.0}
+    for host in deployment.hosts.values():
+        port = typing.cast(int, host.pool_metrics_port)
+        url = f'http://{host.address}:{port}/metrics'
+        with urllib.request.urlopen(url, timeout=2) as response:
+            for line in response.read().decode().splitlines():
+                for role in counts:
+                    if line.startswith('egretstep_reads') and role in line:
+                        counts[role] += float(line.rsplit(' ', 1)[1])
+    return counts['replica'] / max(1, sum(counts.values()))
+
+
+async def run(example: str, seconds: float) -> int:
+    """Run the demonstration and return its exit code."""
+    deployment = fleet.Fleet(example=example, port_offset=PORT_OFFSET)
+    try:
+        sys.stdout.write(f'starting {example} ...\n')
+        await deployment.start()
+        running = load.Load(
+            model=make_workload(deployment, seconds=seconds),
+            addresses=addresses(deployment),
+        )
+        sys.stdout.write(f'load for {seconds:.0f} s ...\n')
+        await running.run()
+        _print_report(running, replica_share(deployment))
+    finally:
+        deployment.stop()
+    return 1 if running.violations.total else 0
+
+
+def _print_report(running: load.Load, share: float) -> None:
+    row = '{:<34}{:>11}{:>9}{:>11}{:>9}\n'
+    out = sys.stdout
+    out.write(row.format('callers', 'statements', 'errors', 'median ms', 'p99 ms'))
+    for name, group in running.groups.items():
+        figures = measures.summary(group)
+        failed = figures['statements'] - figures['outcomes'].get('done', 0)
+        out.write(
+            row.format(
+                name,
+                figures['statements'],
+                failed,
+                f'{figures["median_ms"]:.2f}',
+                f'{figures["p99_ms"]:.2f}',
+            ),
+        )
+        for kind, count in figures['outcomes'].items():
+            if kind != 'done':
+                out.write(f'    {kind}: {count}\n')
+    out.write(f'share of reads served by replicas: {share:.3f}\n')
+    for promise in checks.Promise:
+        broken = running.violations.counts[promise]
+        out.write(f'violations of "{promise.value}": {broken}\n')
+    for example in running.violations.examples:
+        out.write(f'    {example}\n')
+
+
+def main() -> None:
+    """Start the demonstration."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--example', default='ausili-brambilla')
+    parser.add_argument('--seconds', type=float, default=DEMO_SECONDS)
+    options = parser.parse_args()
+    sys.exit(asyncio.run(run(options.example, options.seconds)))
+
+
+if __name__ == '__main__':
+    main()
