--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -22,6 +22,8 @@
 HOST_LIST_SECONDS = 10.0
 WATCH_SECONDS = 0.5
 STATUS_SECONDS = 0.5
+LEAVE_SECONDS = 15.0
+PROGRAM_POLL_SECONDS = 0.1
 _POOL_STATES = {
     'pool': members.PoolState.UP,
     'pool-leaving': members.PoolState.LEAVING,
@@ -46,6 +48,8 @@
         **_kwargs: typing.Any,
     ) -> None:
         """Answer when there is news, or after a short while."""
+        if program != self._program and self._program:
+            self._agent.note_program(self._program, up=False)
         self._program = program
         self._agent.note_program(program, up=True)
         await self._agent.wait_news(
@@ -124,6 +128,7 @@
         self._clock = clock.MonotonicClock()
         self._platform = client.PlatformClient(url=settings.platform_url)
         self.keeper = freshness.SettingsKeeper(time_source=self._clock)
+        self._programs: set[str] = set()
         self._table = members.MemberTable(
             own=_own_member(settings),
             time_source=self._clock,
@@ -170,13 +175,23 @@
                 supervisor.Child(name='metrics', run=metrics_endpoint.run),
             ],
         )
+        running = asyncio.ensure_future(tree.run())
         try:
-            await tree.run()
+            await asyncio.shield(running)
+        except asyncio.CancelledError:
+            await self._leave()
+            running.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await running
         finally:
             await self._platform.close()
 
     def note_program(self, program: str, *, up: bool) -> None:
         """Note that a program of this host has come or gone."""
+        if up:
+            self._programs.add(program)
+        else:
+            self._programs.discard(program)
         state = _POOL_STATES.get(program)
         if state is None:
             return
@@ -223,6 +238,15 @@
                 members.to_message(member) for member in self._table.all()
             ]
 
+    async def _leave(self) -> None:
+        """Tell the fleet, then serve this host's programs until they end."""
+        self.gossip.announce_own(state=members.MemberState.LEAVING)
+        with contextlib.suppress(errors.PlatformError):
+            await self._report_own()
+        deadline = self._clock.now() + LEAVE_SECONDS
+        while self._programs and self._clock.now() < deadline:
+            await asyncio.sleep(PROGRAM_POLL_SECONDS)
+
     async def _on_vouch(
         self,
         sender: members.Member,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -152,6 +152,7 @@
         port=options.port,
         print=None,
         access_log=None,
+        shutdown_timeout=0.1,
     )
 
 
