Encode only what differs from its default; count without the metrics library

Cause: profile of the entry under 16 callers: 11% in one call that builds the request from nested maps, 10% in reading all fields of every answer, 4% in raising one labelled counter.

--- a/src/egretstep/callers/server.py
+++ b/src/egretstep/callers/server.py
@@ -261,10 +261,7 @@
     def _count(self, outcome: identifiers.Outcome) -> None:
         grant = self.caller.grant
         workspace = grant.workspace if grant else ''
-        metrics.statements.inc({
-            'workspace': workspace,
-            'outcome': outcome.value,
-        })
+        metrics.statements.inc(workspace, outcome.value)
 
 
 class CallerServer(mimic_server.MysqlServer):
--- a/src/egretstep/callers/session.py
+++ b/src/egretstep/callers/session.py
@@ -16,7 +16,7 @@
 from egretstep.peers import messages
 from egretstep.pooling import outcomes
 from egretstep.routing import relay, statements
-from egretstep.settings import freshness, schema
+from egretstep.settings import freshness
 
 _AUTOCOMMIT = re.compile(
     r'^\s*SET\s+(?:SESSION\s+|@@(?:SESSION\.)?)?AUTOCOMMIT\s*=\s*'
@@ -291,9 +291,10 @@
         name = self.database or (allowed[0] if len(allowed) == 1 else '')
         if not name:
             raise errors.RefusedError(refusal=_no_database(allowed))
-        route = fleet.routes.get(name) or schema.Route(database=name)
-        if route.open or route.database in allowed:
-            return identifiers.DatabaseName(route.database)
+        route = fleet.routes.get(name)
+        target = route.database if route else name
+        if target in allowed or (route and route.open):
+            return identifiers.DatabaseName(target)
         raise errors.RefusedError(refusal=_database_denied(name, grant))
 
     def _check_place(self, grant: keys.Grant) -> None:
--- a/src/egretstep/limits/admission.py
+++ b/src/egretstep/limits/admission.py
@@ -160,7 +160,7 @@
     retry_after: float,
 ) -> errors.RefusedError:
     """Make the refusal of a request above the rate."""
-    metrics.refusals.inc({'workspace': workspace, 'kind': 'rate'})
+    metrics.refusals.inc(workspace, 'rate')
     return errors.RefusedError(
         refusal=errors.Refusal(
             kind=errors.RefusalKind.RATE_EXCEEDED,
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -5,6 +5,7 @@
 import aioprometheus
 from aioprometheus import service
 
+PUBLISH_SECONDS = 0.5
 LATENCY_BUCKETS_SECONDS = (
     0.0005,
     0.001,
@@ -21,21 +22,47 @@
     5,
 )
 
-statements = aioprometheus.Counter(
+
+
+class LocalCounter:
+    """A counter that is cheap to raise and is published when it is read."""
+
+    def __init__(self, name: str, meaning: str, labels: tuple[str, ...]) -> None:
+        self._counter = aioprometheus.Counter(name, meaning)
+        self._labels = labels
+        self._pending: dict[tuple[str, ...], int] = {}
+        _local_counters.append(self)
+
+    def inc(self, *values: str) -> None:
+        """Raise the counter of these label values by one."""
+        self._pending[values] = self._pending.get(values, 0) + 1
+
+    def publish(self) -> None:
+        """Add what was counted to the published counter."""
+        pending, self._pending = self._pending, {}
+        for values, count in pending.items():
+            self._counter.add(
+                dict(zip(self._labels, values, strict=True)),
+                count,
+            )
+
+
+_local_counters: list[LocalCounter] = []
+
+statements = LocalCounter(
     'egretstep_statements_total',
     'Statements answered to callers, by workspace and outcome.',
+    ('workspace', 'outcome'),
 )
-refusals = aioprometheus.Counter(
+refusals = LocalCounter(
     'egretstep_refusals_total',
     'Requests refused, by workspace and kind.',
+    ('workspace', 'kind'),
 )
-refused_within_rate = aioprometheus.Counter(
-    'egretstep_refused_within_rate_total',
-    'Requests refused for rate while tokens were on the way, by workspace.',
-)
-reads = aioprometheus.Counter(
+reads = LocalCounter(
     'egretstep_reads_total',
     'Reads served, by database and role of the server.',
+    ('database', 'role'),
 )
 statement_seconds = aioprometheus.Histogram(
     'egretstep_statement_seconds',
@@ -51,9 +78,10 @@
     'egretstep_caller_connections',
     'Open caller connections.',
 )
-retries = aioprometheus.Counter(
+retries = LocalCounter(
     'egretstep_retries_total',
     'Statements sent again, by reason.',
+    ('reason',),
 )
 settings_version = aioprometheus.Gauge(
     'egretstep_settings_version',
@@ -79,6 +107,9 @@
         endpoint = service.Service()
         await endpoint.start(addr=self._address, port=self._port)
         try:
-            await asyncio.Event().wait()
+            while True:
+                await asyncio.sleep(PUBLISH_SECONDS)
+                for counter in _local_counters:
+                    counter.publish()
         finally:
             await endpoint.stop()
--- a/src/egretstep/peers/messages.py
+++ b/src/egretstep/peers/messages.py
@@ -6,9 +6,10 @@
 from egretstep import errors, identifiers
 from egretstep.peers import schema
 
-NO_STALENESS_LIMIT = -1
-_KINDS = {kind.value: kind for kind in identifiers.StatementKind}
-_OUTCOMES = {outcome.value: outcome for outcome in identifiers.Outcome}
+_KINDS = tuple(identifiers.StatementKind)
+_KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
+_OUTCOMES = tuple(identifiers.Outcome)
+_OUTCOME_NUMBERS = {kind: number for number, kind in enumerate(_OUTCOMES)}
 
 Cell = bytes | None
 
@@ -93,25 +94,36 @@
     )
 
 
-def encode_request(request: StatementRequest) -> typing.Any:
-    """Turn a request into its Cap'n Proto form."""
-    staleness = request.max_staleness_ms
-    return schema.StatementRequest.new_message(
-        requestId=request.request_id,
-        workspace=request.workspace,
-        database=request.database,
-        sql=request.sql,
-        kind=request.kind.value,
-        sessionId=request.session_id,
-        floor=_encode_position(request.floor),
-        pinId=request.pin_id,
-        expectPin=request.expect_pin,
-        timeoutMs=request.timeout_ms,
-        maxStalenessMs=NO_STALENESS_LIMIT if staleness is None else staleness,
-        requestKey=request.request_key,
-        traceparent=request.traceparent,
-        zone=request.zone,
-    )
+def encode_request(
+    request: StatementRequest,
+    timeout_ms: int,
+) -> typing.Any:
+    """Turn a request into its Cap'n Proto form, with the time left.
+
+    Fields that have their default are left out, since each costs time.
+    """
+    message = schema.StatementRequest.new_message()
+    message.requestId = request.request_id
+    message.workspace = request.workspace
+    message.database = request.database
+    message.sql = request.sql
+    message.kind = _KIND_NUMBERS[request.kind]
+    message.pinId = request.pin_id
+    message.timeoutMs = timeout_ms
+    message.zone = request.zone
+    if request.floor.index:
+        _encode_position(request.floor, message.floor)
+    if request.session_id:
+        message.sessionId = request.session_id
+    if request.expect_pin:
+        message.expectPin = True
+    if request.max_staleness_ms is not None:
+        message.maxStalenessMs = request.max_staleness_ms
+    if request.request_key:
+        message.requestKey = request.request_key
+    if request.traceparent:
+        message.traceparent = request.traceparent
+    return message
 
 
 def decode_request(message: typing.Any) -> StatementRequest:
@@ -122,7 +134,7 @@
         workspace=message.workspace,
         database=message.database,
         sql=bytes(message.sql),
-        kind=_KINDS[str(message.kind)],
+        kind=_KINDS[message.kind.raw],
         session_id=message.sessionId,
         floor=_decode_position(message.floor),
         pin_id=message.pinId,
@@ -138,25 +150,28 @@
 def encode_answer(answer: Answer, message: typing.Any) -> None:
     """Write an answer into a Cap'n Proto message under construction."""
     message.requestId = answer.request_id
-    message.outcome = answer.outcome.value
-    message.errorCode = answer.error_code
-    message.sqlState = answer.sql_state
-    message.message = answer.message
-    message.retryAfterMs = answer.retry_after_ms
-    message.affectedRows = answer.affected_rows
-    message.insertId = answer.insert_id
-    message.pinned = answer.pinned
-    message.inTransaction = answer.in_transaction
-    message.position = _encode_position(answer.position)
+    message.outcome = _OUTCOME_NUMBERS[answer.outcome]
     message.server = answer.server
     message.primary = answer.primary
-    message.redirect = answer.redirect
-    if answer.columns:
+    if answer.position.index:
+        _encode_position(answer.position, message.position)
+    if answer.pinned:
+        message.pinned = True
+        message.inTransaction = answer.in_transaction
+    if answer.outcome is not identifiers.Outcome.DONE:
+        _encode_error(answer, message)
+    elif answer.columns:
         _encode_rows(answer, message)
+    else:
+        message.affectedRows = answer.affected_rows
+        message.insertId = answer.insert_id
 
 
 def decode_answer(message: typing.Any) -> Answer:
     """Read an answer from its Cap'n Proto form."""
+    outcome = _OUTCOMES[message.outcome.raw]
+    if outcome is not identifiers.Outcome.DONE:
+        return _decode_error(message, outcome)
     columns = tuple(
         Column(
             name=column.name,
@@ -167,11 +182,7 @@
     )
     return Answer(
         request_id=message.requestId,
-        outcome=_OUTCOMES[str(message.outcome)],
-        error_code=message.errorCode,
-        sql_state=message.sqlState,
-        message=message.message,
-        retry_after_ms=message.retryAfterMs,
+        outcome=outcome,
         affected_rows=message.affectedRows,
         insert_id=message.insertId,
         columns=columns,
@@ -181,16 +192,47 @@
         position=_decode_position(message.position),
         server=message.server,
         primary=message.primary,
+    )
+
+
+def _encode_error(answer: Answer, message: typing.Any) -> None:
+    message.errorCode = answer.error_code
+    message.sqlState = answer.sql_state
+    message.message = answer.message
+    message.retryAfterMs = answer.retry_after_ms
+    message.redirect = answer.redirect
+
+
+def _decode_error(
+    message: typing.Any,
+    outcome: identifiers.Outcome,
+) -> Answer:
+    return Answer(
+        request_id=message.requestId,
+        outcome=outcome,
+        error_code=message.errorCode,
+        sql_state=message.sqlState,
+        message=message.message,
+        retry_after_ms=message.retryAfterMs,
+        pinned=message.pinned,
+        in_transaction=message.inTransaction,
         redirect=message.redirect,
     )
 
 
-def _encode_position(position: identifiers.LogPosition) -> dict[str, int]:
-    return {'term': position.term, 'index': position.index}
+def _encode_position(
+    position: identifiers.LogPosition,
+    message: typing.Any,
+) -> None:
+    message.term = position.term
+    message.index = position.index
 
 
 def _decode_position(message: typing.Any) -> identifiers.LogPosition:
-    return identifiers.LogPosition(term=message.term, index=message.index)
+    index = message.index
+    if not index:
+        return identifiers.LOG_START
+    return identifiers.LogPosition(term=message.term, index=index)
 
 
 def _encode_rows(answer: Answer, message: typing.Any) -> None:
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -157,7 +157,7 @@
                 await pool.connections.release(connection)
         await self._check_lease(job, tenure)
         role = 'primary' if server == tenure.primary else 'replica'
-        metrics.reads.inc({'database': self._group.database, 'role': role})
+        metrics.reads.inc(self._group.database, role)
         return self._answer(job, done, tenure, server)
 
     async def _write(self, job: Job, tenure: group.Tenure) -> messages.Answer:
--- a/src/egretstep/routing/relay.py
+++ b/src/egretstep/routing/relay.py
@@ -90,7 +90,7 @@
                     redirect = relayed.answer.redirect or None
             await asyncio.sleep(backoff * self._random.uniform(0.5, 1))
             backoff = min(backoff * 2, LONGEST_BACKOFF_SECONDS)
-            metrics.retries.inc({'reason': 'not run'})
+            metrics.retries.inc('not run')
         raise errors.RefusedError(refusal=outcomes.unavailable(reason))
 
     async def release(
@@ -133,11 +133,10 @@
     ) -> Relayed:
         """Send once; raises `errors.LinkError` when that did nothing."""
         remaining = delivery.deadline - self._clock.now()
-        request = dataclasses.replace(
+        encoded = messages.encode_request(
             delivery.request,
-            timeout_ms=max(1, clock.to_milliseconds(remaining)),
+            max(1, clock.to_milliseconds(remaining)),
         )
-        encoded = messages.encode_request(request)
         link = self._link(member)
         try:
             reply = await link.call(
@@ -147,7 +146,7 @@
         except errors.LinkLostError as error:
             return self._settle_lost(delivery, error)
         answer = messages.decode_answer(reply.answer)
-        if answer.request_id != request.request_id:
+        if answer.request_id != delivery.request.request_id:
             link.close()
             return self._settle_lost(
                 delivery,
@@ -173,7 +172,7 @@
             or bool(delivery.request.request_key)
         )
         if is_safe and not is_commit and self._budget.spend():
-            metrics.retries.inc({'reason': 'lost'})
+            metrics.retries.inc('lost')
             raise errors.LinkError(str(error)) from error
         raise errors.RefusedError(
             refusal=outcomes.unknown(str(error)),
