Give up at once on servers that are down; keep a refused statement's transaction

Cause: load with the primary killed or frozen showed partial transactions committed. A refusal inside a transaction told the entry that there was none, so that its next statement ran in the old one. Requests on a frozen server held out until their deadline, and two tasks used one control connection. Change: refusals say whether a transaction is still open; a pin that the entry does not know of is rolled back; running statements on a server that is found down end at once (reads elsewhere, writes unknown); control calls take turns. Still open: gaps of 5 s after a failover.

--- a/src/egretstep/bench/load.py
+++ b/src/egretstep/bench/load.py
@@ -190,12 +190,16 @@
 
     async def _transact(self, session: Session) -> None:
         await self._send(session, 'BEGIN')
-        for column in ('total', 'twin'):
-            await self._send(
-                session,
-                f'UPDATE {TABLE} SET {column} = {column} + 1 '
-                f'WHERE id = {session.row}',
-            )
+        try:
+            for column in ('total', 'twin'):
+                await self._send(
+                    session,
+                    f'UPDATE {TABLE} SET {column} = {column} + 1 '
+                    f'WHERE id = {session.row}',
+                )
+        except _LOST:
+            self._disconnect(session)
+            raise
         await self._count_write(session, 'COMMIT')
 
     async def _count_write(self, session: Session, sql: str) -> None:
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -23,11 +23,12 @@
 )
 
 
-
 class LocalCounter:
     """A counter that is cheap to raise and is published when it is read."""
 
-    def __init__(self, name: str, meaning: str, labels: tuple[str, ...]) -> None:
+    def __init__(
+        self, name: str, meaning: str, labels: tuple[str, ...]
+    ) -> None:
         self._counter = aioprometheus.Counter(name, meaning)
         self._labels = labels
         self._pending: dict[tuple[str, ...], int] = {}
--- a/src/egretstep/peers/messages.py
+++ b/src/egretstep/peers/messages.py
@@ -81,8 +81,12 @@
     request_id: identifiers.RequestId,
     refusal: errors.Refusal,
     redirect: identifiers.HostName = identifiers.HostName(''),
+    pinned: bool = False,
 ) -> Answer:
-    """Make the answer that carries a refusal."""
+    """Make the answer that carries a refusal.
+
+    A refused statement does not end the transaction that it belongs to.
+    """
     return Answer(
         request_id=request_id,
         outcome=refusal.outcome,
@@ -91,6 +95,8 @@
         message=refusal.text(),
         retry_after_ms=refusal.retry_after_ms,
         redirect=redirect,
+        pinned=pinned,
+        in_transaction=pinned,
     )
 
 
--- a/src/egretstep/platform/database.py
+++ b/src/egretstep/platform/database.py
@@ -55,7 +55,12 @@
     Rows come as the bytes of the text protocol, without conversion.
     """
 
-    def __init__(self, *, raw: asyncmy.Connection, server: str) -> None:
+    def __init__(
+        self,
+        *,
+        raw: asyncmy.Connection,
+        server: identifiers.ServerName,
+    ) -> None:
         self._raw = raw
         self._server = server
         self._in_doubt = False
@@ -66,7 +71,7 @@
         cls,
         *,
         endpoint: Endpoint,
-        server: str,
+        server: identifiers.ServerName,
     ) -> 'ServerConnection':
         """Connect; raises `errors.DatabaseServerError`."""
         try:
@@ -87,6 +92,11 @@
             ) from error
         return cls(raw=raw, server=server)
 
+    @property
+    def server(self) -> identifiers.ServerName:
+        """Return the name of the server."""
+        return self._server
+
     @property
     def is_usable(self) -> bool:
         """Tell whether the state of the connection is known."""
@@ -185,10 +195,16 @@
     a connection that went silent is replaced by a new one.
     """
 
-    def __init__(self, *, endpoint: Endpoint, server: str) -> None:
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        server: identifiers.ServerName,
+    ) -> None:
         self._endpoint = endpoint
         self._server = server
         self._connection: ServerConnection | None = None
+        self._turn = asyncio.Lock()
 
     async def fence(
         self,
@@ -232,7 +248,7 @@
 
     async def _call(self, sql: str) -> interfaces.ServerStatus:
         try:
-            async with asyncio.timeout(CONTROL_TIMEOUT_SECONDS):
+            async with self._turn, asyncio.timeout(CONTROL_TIMEOUT_SECONDS):
                 return await self._call_once(sql)
         except (TimeoutError, ServerRefusalError) as error:
             await self.close()
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -27,6 +27,7 @@
 
 RETRY_PAUSE_SECONDS = 0.02
 LEASE_POLL_SECONDS = 0.01
+DEADLINE_MARGIN_SECONDS = 0.05
 _NO_EFFECT = frozenset((identifiers.StatementKind.READ,))
 
 
@@ -71,6 +72,10 @@
         self._is_zone_in = is_zone_in
         self._clock = time_source
         self.pins = pins.PinTable()
+        self._running: dict[
+            identifiers.ServerName,
+            set[asyncio.Timeout],
+        ] = {}
         self.gate = gate.WriteGate(
             pinned=lambda: len(self.pins),
             time_source=time_source,
@@ -83,6 +88,10 @@
         """
         kind = job.request.kind
         pin = self.pins.get(job.pin_key)
+        if pin is not None and not job.request.expect_pin:
+            # The entry never learned of this transaction.
+            await self.pins.drop(job.pin_key)
+            pin = None
         if pin is not None:
             return await self._run_pinned(job, pin)
         if job.request.expect_pin:
@@ -247,10 +256,15 @@
         connection: database.ServerConnection,
     ) -> database.StatementResult:
         """Run the statement; from here on a write may have taken effect."""
+        bound = asyncio.timeout(job.deadline - self._clock.now())
+        running = self._running.setdefault(connection.server, set())
+        running.add(bound)
         try:
-            async with asyncio.timeout(job.deadline - self._clock.now()):
+            async with bound:
                 return await self._run(job, connection)
         except TimeoutError as error:
+            if self._clock.now() < job.deadline - DEADLINE_MARGIN_SECONDS:
+                raise self._given_up(job, connection) from error
             raise errors.RefusedError(
                 refusal=outcomes.deadline(job.request.kind),
             ) from error
@@ -261,13 +275,38 @@
                 refusal=outcomes.unknown(str(error)),
             ) from error
         except database.ServerRefusalError as error:
-            if outcomes.is_stale(error):
-                raise _StaleError(str(error)) from error
-            if outcomes.is_unknown(error):
-                raise errors.RefusedError(
-                    refusal=outcomes.unknown(error.message),
-                ) from error
+            self._raise_refusal(error)
             raise
+        finally:
+            running.discard(bound)
+
+    def abort(self, server: identifiers.ServerName) -> None:
+        """Give up on what runs on a server that was found down.
+
+        Reads go to another server; of writes the caller hears at once that
+        their outcome is unknown.
+        """
+        now = asyncio.get_running_loop().time()
+        for bound in list(self._running.get(server, ())):
+            bound.reschedule(now)
+
+    def _given_up(
+        self,
+        job: Job,
+        connection: database.ServerConnection,
+    ) -> Exception:
+        reason = f'{connection.server} is down'
+        if self._has_no_effect(job, connection):
+            return errors.DatabaseServerError(f'{reason}; start it')
+        return errors.RefusedError(refusal=outcomes.unknown(reason))
+
+    def _raise_refusal(self, error: database.ServerRefusalError) -> None:
+        if outcomes.is_stale(error):
+            raise _StaleError(str(error)) from error
+        if outcomes.is_unknown(error):
+            raise errors.RefusedError(
+                refusal=outcomes.unknown(error.message),
+            ) from error
 
     async def _run(
         self,
--- a/src/egretstep/pooling/host.py
+++ b/src/egretstep/pooling/host.py
@@ -91,6 +91,7 @@
                 request_id=request.request_id,
                 refusal=error.refusal,
                 redirect=self._redirect(request.database),
+                pinned=serving is not None and serving.is_pinned(pin_key),
             )
 
     async def release(
--- a/src/egretstep/pooling/owned.py
+++ b/src/egretstep/pooling/owned.py
@@ -15,6 +15,7 @@
 from egretstep.supervision import supervisor
 
 DRAIN_SECONDS = 8.0
+WATCHDOG_SECONDS = 0.05
 _logger = logbook.Logger('owned')
 
 
@@ -77,6 +78,7 @@
             children=[
                 *self._group.children(),
                 supervisor.Child(name='owner', run=self._owner.run),
+                supervisor.Child(name='watchdog', run=self._abort_down),
             ],
         )
         self._warming: asyncio.Task[None] | None = None
@@ -135,6 +137,10 @@
         self._group.leave()
         return tenure.term
 
+    def is_pinned(self, pin_key: pins.PinKey) -> bool:
+        """Tell whether a caller holds a connection here."""
+        return self._executor.pins.get(pin_key) is not None
+
     def accept_handover(self, term: identifiers.Term) -> None:
         """Note that the old owner has released a term."""
         self._owner.accept_handover(term)
@@ -169,6 +175,14 @@
         except database_module.ServerRefusalError as error:
             return _relay_error(request, error, self._executor, pin_key)
 
+    async def _abort_down(self) -> None:
+        """Give up at once on what runs on servers that are down."""
+        while True:
+            for watched in self._group.monitors:
+                if not watched.is_up:
+                    self._executor.abort(watched.name)
+            await asyncio.sleep(WATCHDOG_SECONDS)
+
     def _settings(self) -> schema.Database:
         return self._view().tree.fleet.databases[self._database]
 
--- a/src/egretstep/replication/group.py
+++ b/src/egretstep/replication/group.py
@@ -13,6 +13,7 @@
 from egretstep.settings import schema
 from egretstep.supervision import supervisor
 
+GRACE_SECONDS = 0.03
 _logger = logbook.Logger('group')
 
 
@@ -70,6 +71,7 @@
             for name, endpoint in self.endpoints.items()
         }
         self._lost = asyncio.Event()
+        self._late_answers: set[asyncio.Task[typing.Any]] = set()
 
     @property
     def database(self) -> identifiers.DatabaseName:
@@ -194,13 +196,27 @@
         term: identifiers.Term,
         held: lease.MajorityLease,
     ) -> list[interfaces.ServerStatus]:
-        answers = await asyncio.gather(
-            *(
-                self._fence_one(watched, term, held)
-                for watched in self.monitors
-            ),
-        )
-        return [status for status in answers if status is not None]
+        """Ask all servers; a majority is enough when the others are slow."""
+        pending = {
+            asyncio.create_task(self._fence_one(watched, term, held))
+            for watched in self.monitors
+        }
+        fenced: list[interfaces.ServerStatus] = []
+        while pending:
+            grace = GRACE_SECONDS if len(fenced) >= held.majority else None
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=grace,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            answers = [task.result() for task in done]
+            fenced.extend(each for each in answers if each is not None)
+        self._late_answers.update(pending)
+        for task in pending:
+            task.add_done_callback(self._late_answers.discard)
+        return fenced
 
     async def _fence_one(
         self,
@@ -265,7 +281,8 @@
         tenure = self._tenure
         if tenure is None:
             return
-        if status.promised_term > tenure.term:
+        is_mine = status.promised_owner == self._owner
+        if status.promised_term > tenure.term and not is_mine:
             self._lose(status)
             return
         if not status.accepted or status.promised_term != tenure.term:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -80,7 +80,9 @@
 def _print_report(running: load.Load, share: float) -> None:
     row = '{:<34}{:>11}{:>9}{:>11}{:>9}\n'
     out = sys.stdout
-    out.write(row.format('callers', 'statements', 'errors', 'median ms', 'p99 ms'))
+    out.write(
+        row.format('callers', 'statements', 'errors', 'median ms', 'p99 ms')
+    )
     for name, group in running.groups.items():
         figures = measures.summary(group)
         failed = figures['statements'] - figures['outcomes'].get('done', 0)
