Statements of open transactions pass the slots; unsent statements are retried

Cause: after a failover the slots of the new primary filled with statements that waited for locks, whose holders' COMMIT waited for a slot, until the 5 s deadline. Idle connections to a killed server each cost one unknown outcome, although the client library had sent nothing. Ruled out: a lost quorum on the new primary (a single write after the kill was acknowledged in 0.39 s).

--- a/src/egretstep/errors.py
+++ b/src/egretstep/errors.py
@@ -105,3 +105,7 @@
 
 class DatabaseServerError(EgretstepError):
     """A database server can't be reached or answered wrongly."""
+
+
+class NotSentError(DatabaseServerError):
+    """A statement was not handed to the server, so that it has not run."""
--- a/src/egretstep/platform/database.py
+++ b/src/egretstep/platform/database.py
@@ -12,6 +12,9 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 CONTROL_TIMEOUT_SECONDS = 0.25
+# The client library gives this one before it has sent anything.
+CODE_GONE_AWAY = 2006
+_LOST_CODES = frozenset((0, CODE_GONE_AWAY, 2013, 2014, 2027))
 _ERRORS = (OSError, TimeoutError, asyncmy_errors.Error, EOFError)
 
 
@@ -100,7 +103,10 @@
     @property
     def is_usable(self) -> bool:
         """Tell whether the state of the connection is known."""
-        return not self._in_doubt and self._raw.connected
+        if self._in_doubt or not self._raw.connected:
+            return False
+        transport = self._raw._transport  # noqa: SLF001
+        return transport is not None and not transport.is_closing()
 
     @property
     def in_transaction(self) -> bool:
@@ -146,10 +152,10 @@
         sql_state = getattr(error, 'sqlstate', None) or ''
         lost = isinstance(error, asyncmy_errors.InterfaceError) or (
             isinstance(error, asyncmy_errors.OperationalError)
-            and code in {0, 2006, 2013, 2014, 2027}
+            and code in _LOST_CODES
         )
         if lost:
-            return self._broken(error)
+            return self._broken(error, is_sent=code != CODE_GONE_AWAY)
         self._in_doubt = False
         return ServerRefusalError(
             code=code,
@@ -157,9 +163,15 @@
             message=text,
         )
 
-    def _broken(self, error: BaseException) -> errors.DatabaseServerError:
+    def _broken(
+        self,
+        error: BaseException,
+        *,
+        is_sent: bool = True,
+    ) -> errors.DatabaseServerError:
         self.close()
-        return errors.DatabaseServerError(
+        kind = errors.DatabaseServerError if is_sent else errors.NotSentError
+        return kind(
             f'connection to {self._server} broke ({error!r}); '
             'check that the server is up',
         )
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -227,10 +227,11 @@
         pin: pins.Pin,
         tenure: group.Tenure,
     ) -> messages.Answer:
-        async with self._pools[pin.server].queue.slot(
+        # An open transaction holds locks that others wait for in the slots,
+        # so that its statements must not wait behind them.
+        with self._pools[pin.server].queue.charged(
             workspace=job.request.workspace,
             weight=job.effective.weight,
-            deadline=job.deadline,
         ):
             done = await self._hand_over(job, pin.connection)
         await self._check_lease(job, tenure)
@@ -268,6 +269,8 @@
             raise errors.RefusedError(
                 refusal=outcomes.deadline(job.request.kind),
             ) from error
+        except errors.NotSentError:
+            raise
         except errors.DatabaseServerError as error:
             if self._has_no_effect(job, connection):
                 raise
--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -96,6 +96,22 @@
         """
         flow = self._flow(workspace, weight)
         await self._enter(flow, workspace, deadline)
+        try:
+            with self.charged(workspace=workspace, weight=weight):
+                yield
+        finally:
+            self._free += 1
+            self._dispatch()
+
+    @contextlib.contextmanager
+    def charged(
+        self,
+        *,
+        workspace: identifiers.WorkspaceName,
+        weight: float,
+    ) -> typing.Iterator[None]:
+        """Charge the block to a workspace without waiting for a slot."""
+        flow = self._flow(workspace, weight)
         estimate = flow.service_seconds
         self._charge(flow, estimate)
         started = self._clock.now()
@@ -107,8 +123,6 @@
                 MINIMUM_SERVICE_SECONDS,
             )
             self._settle(flow, estimate=estimate, served=served)
-            self._free += 1
-            self._dispatch()
 
     def _flow(
         self,
--- a/standins/database.py
+++ b/standins/database.py
@@ -26,6 +26,7 @@
 CODE_LOCK_TIMEOUT = 1205
 CODE_QUORUM_LOST = 1180
 REPLICATION_USER = 'replicator'
+FAULT_USER = 'fault'
 PULL_BATCH = 500
 PULL_WAIT_SECONDS = 0.2
 QUORUM_WAIT_SECONDS = 2.0
@@ -346,6 +347,8 @@
         """Count the connection; replication has connections of its own."""
         self._connection = connection
         member = self._member
+        while member.faults.silent > 1 and self.username != FAULT_USER:
+            await asyncio.sleep(PULL_WAIT_SECONDS / 10)
         if self.username == REPLICATION_USER:
             return
         if member.open_connections >= member.options.connections:
@@ -470,12 +473,14 @@
     async def _write(self, sql: str) -> mysql_server.Reply:
         if self._transaction is not None:
             self._check_primary()
+            await self._lock()
             done = self._member.working.execute(sql)
             self._transaction.append(sql)
             return _rows_reply(done)
         await self._begin()
         try:
             self._check_primary()
+            await self._lock()
             done = self._member.working.execute(sql)
             typing.cast(list[str], self._transaction).append(sql)
         except errors.MysqlError:
@@ -488,8 +493,10 @@
         self._check_term()
         if self._transaction is not None:
             await self._commit()
-        if not self._member.primary:
-            self._transaction = []
+        self._transaction = []
+
+    async def _lock(self) -> None:
+        if self._holds_lock:
             return
         try:
             async with asyncio.timeout(LOCK_WAIT_SECONDS):
@@ -497,7 +504,7 @@
         except TimeoutError as error:
             raise mysql_error(CODE_LOCK_TIMEOUT, 'lock wait timeout') from error
         self._holds_lock = True
-        self._transaction = []
+        self._check_primary()
         self._member.working.begin()
 
     async def _commit(self) -> mysql_server.Reply:
@@ -583,8 +590,6 @@
     async def admit(self) -> errors.MysqlError | None:
         """Refuse connections above the limit, after the set delay."""
         member = self._member
-        while member.faults.silent > 1:
-            await asyncio.sleep(PULL_WAIT_SECONDS / 10)
         if member.faults.refuse_connections:
             return mysql_error(CODE_TOO_MANY_CONNECTIONS, 'refused by a fault')
         await asyncio.sleep(member.options.connect_delay)
