Notice frozen pools, pauses of this process, and silent servers in time

Cause: an agent took a frozen pool for live, since its link stayed open; a pool that woke up judged all servers silent and claimed the term back; giving a connection back waited for ROLLBACK on a silent server; a host that gave up a database in mid-claim told nobody, so that the next owner waited 9 s. Change: agents expect a question from their pool every 0.6 s; an owner that was paused hears from its servers before it judges; reset and bind are bounded and end with the server; a claim under way is finished and then handed over.

--- a/src/egretstep/callers/session.py
+++ b/src/egretstep/callers/session.py
@@ -1,5 +1,6 @@
 """One caller's session: its key, database, transaction and statements."""
 
+import asyncio
 import dataclasses
 import itertools
 import re
@@ -18,6 +19,8 @@
 from egretstep.routing import relay, statements
 from egretstep.settings import freshness
 
+FRESH_WAIT_SECONDS = 0.3
+FRESH_POLL_SECONDS = 0.01
 _AUTOCOMMIT = re.compile(
     r'^\s*SET\s+(?:SESSION\s+|@@(?:SESSION\.)?)?AUTOCOMMIT\s*=\s*'
     r'(0|1|ON|OFF|TRUE|FALSE)\s*;?\s*$',
@@ -123,6 +126,7 @@
     async def answer(self, sql: bytes) -> messages.Answer:
         """Run one statement; raises `errors.RefusedError`."""
         text = sql.decode('utf-8', errors='surrogateescape')
+        await self._wait_fresh()
         grant = self._check_grant()
         local = self._answer_locally(text)
         if local is not None:
@@ -158,6 +162,16 @@
             raise errors.RefusedError(refusal=_key_withdrawn(grant))
         return grant
 
+    async def _wait_fresh(self) -> None:
+        """Give a host that was paused the time to hear of its settings."""
+        deadline = self._shared.time_source.now() + FRESH_WAIT_SECONDS
+        current = self._shared.current_view()
+        while current is None or not self._is_fresh(current):
+            if self._shared.time_source.now() > deadline:
+                return
+            await asyncio.sleep(FRESH_POLL_SECONDS)
+            current = self._shared.current_view()
+
     def _is_fresh(self, current: view.FleetView) -> bool:
         return freshness.is_fresh(
             confirmed_at=current.confirmed_at,
--- a/src/egretstep/pooling/connections.py
+++ b/src/egretstep/pooling/connections.py
@@ -14,6 +14,7 @@
 from egretstep.platform import database
 
 RESERVED_FOR_CONTROL = 2
+RESET_SECONDS = 0.3
 _logger = logbook.Logger('connections')
 
 
@@ -38,6 +39,11 @@
         self._open = 0
         self._freed = asyncio.Condition()
 
+    @property
+    def server(self) -> identifiers.ServerName:
+        """Return the name of the server."""
+        return self._server
+
     @property
     def open_count(self) -> int:
         """Return how many connections stand or are being made."""
@@ -72,7 +78,7 @@
         An open transaction is rolled back before the next user gets it.
         """
         if connection.is_usable and connection.in_transaction:
-            await self._roll_back(connection)
+            await _run_or_close(connection, 'ROLLBACK')
         if connection.is_usable:
             self._idle.append(connection)
         else:
@@ -135,18 +141,28 @@
     ) -> bool:
         if connection.is_usable and connection.term == term:
             return True
-        try:
-            await connection.run(f"CALL group_session({term}, '{self._owner}')")
-        except (errors.DatabaseServerError, database.ServerRefusalError):
-            connection.close()
+        await _run_or_close(
+            connection,
+            f"CALL group_session({term}, '{self._owner}')",
+        )
         if not connection.is_usable:
             self._open -= 1
             return False
         connection.term = term
         return True
 
-    async def _roll_back(self, connection: database.ServerConnection) -> None:
-        try:
-            await connection.run('ROLLBACK')
-        except (errors.DatabaseServerError, database.ServerRefusalError):
-            connection.close()
+
+async def _run_or_close(
+    connection: database.ServerConnection,
+    sql: str,
+) -> None:
+    """Run a short statement; a connection that does not do it is closed."""
+    try:
+        async with asyncio.timeout(RESET_SECONDS):
+            await connection.run(sql)
+    except (
+        TimeoutError,
+        errors.DatabaseServerError,
+        database.ServerRefusalError,
+    ):
+        connection.close()
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import typing
 
@@ -244,9 +245,13 @@
         tenure: group.Tenure,
     ) -> database.ServerConnection:
         try:
-            async with asyncio.timeout(job.deadline - self._clock.now()):
+            async with self._abortable(source.server, job):
                 return await source.acquire(tenure.term)
         except TimeoutError as error:
+            if self._is_early(job):
+                raise errors.NotSentError(
+                    f'{source.server} is down; start it',
+                ) from error
             raise errors.RefusedError(
                 refusal=outcomes.unavailable('all connections are in use'),
             ) from error
@@ -257,14 +262,11 @@
         connection: database.ServerConnection,
     ) -> database.StatementResult:
         """Run the statement; from here on a write may have taken effect."""
-        bound = asyncio.timeout(job.deadline - self._clock.now())
-        running = self._running.setdefault(connection.server, set())
-        running.add(bound)
         try:
-            async with bound:
+            async with self._abortable(connection.server, job):
                 return await self._run(job, connection)
         except TimeoutError as error:
-            if self._clock.now() < job.deadline - DEADLINE_MARGIN_SECONDS:
+            if self._is_early(job):
                 raise self._given_up(job, connection) from error
             raise errors.RefusedError(
                 refusal=outcomes.deadline(job.request.kind),
@@ -280,9 +282,26 @@
         except database.ServerRefusalError as error:
             self._raise_refusal(error)
             raise
+
+    @contextlib.asynccontextmanager
+    async def _abortable(
+        self,
+        server: identifiers.ServerName,
+        job: Job,
+    ) -> typing.AsyncGenerator[None, None]:
+        bound = asyncio.timeout(job.deadline - self._clock.now())
+        running = self._running.setdefault(server, set())
+        running.add(bound)
+        try:
+            async with bound:
+                yield
         finally:
             running.discard(bound)
 
+    def _is_early(self, job: Job) -> bool:
+        """Tell whether a timeout came from `abort`, before the deadline."""
+        return self._clock.now() < job.deadline - DEADLINE_MARGIN_SECONDS
+
     def abort(self, server: identifiers.ServerName) -> None:
         """Give up on what runs on a server that was found down.
 
--- a/src/egretstep/pooling/owned.py
+++ b/src/egretstep/pooling/owned.py
@@ -15,6 +15,7 @@
 from egretstep.supervision import supervisor
 
 DRAIN_SECONDS = 8.0
+CLAIM_SECONDS = 2.0
 WATCHDOG_SECONDS = 0.05
 _logger = logbook.Logger('owned')
 
@@ -123,7 +124,7 @@
 
         Returns the released term, zero when none was held.
         """
-        tenure = self._group.tenure
+        tenure = await self._finish_claim()
         if tenure is None:
             return identifiers.NO_TERM
         is_quiet = await self._executor.gate.close(longest_wait=DRAIN_SECONDS)
@@ -137,6 +138,13 @@
         self._group.leave()
         return tenure.term
 
+    async def _finish_claim(self) -> group.Tenure | None:
+        """Wait for a claim under way, so that a whole term is released."""
+        deadline = self._clock.now() + CLAIM_SECONDS
+        while self._group.is_claiming and self._clock.now() < deadline:
+            await asyncio.sleep(WATCHDOG_SECONDS)
+        return self._group.tenure
+
     def is_pinned(self, pin_key: pins.PinKey) -> bool:
         """Tell whether a caller holds a connection here."""
         return self._executor.pins.get(pin_key) is not None
--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -23,6 +23,7 @@
 WATCH_SECONDS = 0.5
 STATUS_SECONDS = 0.5
 LEAVE_SECONDS = 15.0
+POOL_SILENT_SECONDS = 0.6
 PROGRAM_POLL_SECONDS = 0.1
 _POOL_STATES = {
     'pool': members.PoolState.UP,
@@ -52,6 +53,7 @@
             self._agent.note_program(self._program, up=False)
         self._program = program
         self._agent.note_program(program, up=True)
+        self._agent.pool_watch.begin(program)
         await self._agent.wait_news(
             settingsVersion,
             membersRevision,
@@ -63,6 +65,7 @@
             settingsVersion,
             membersRevision,
         )
+        self._agent.pool_watch.end(program)
 
     async def probe(
         self,
@@ -115,6 +118,31 @@
             self._agent.note_program(self._program, up=False)
 
 
+class PoolWatch:
+    """Notices a pool that is frozen: it has stopped asking for news."""
+
+    def __init__(self, *, time_source: clock.Clock) -> None:
+        self._clock = time_source
+        self._answered_at: float | None = None
+
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether the pool should have asked again by now."""
+        if self._answered_at is None:
+            return False
+        return self._clock.now() - self._answered_at > POOL_SILENT_SECONDS
+
+    def begin(self, program: str) -> None:
+        """Note that a program has asked for news."""
+        if program in _POOL_STATES:
+            self._answered_at = None
+
+    def end(self, program: str) -> None:
+        """Note that a program was answered."""
+        if program in _POOL_STATES:
+            self._answered_at = self._clock.now()
+
+
 class Agent:
     """Wires the parts of the agent together."""
 
@@ -129,6 +157,7 @@
         self._platform = client.PlatformClient(url=settings.platform_url)
         self.keeper = freshness.SettingsKeeper(time_source=self._clock)
         self._programs: set[str] = set()
+        self.pool_watch = PoolWatch(time_source=self._clock)
         self._table = members.MemberTable(
             own=_own_member(settings),
             time_source=self._clock,
@@ -170,6 +199,7 @@
                 supervisor.Child(name='listener', run=listener.run),
                 supervisor.Child(name='hosts', run=self._follow_host_list),
                 supervisor.Child(name='gossip', run=self.gossip.run),
+                supervisor.Child(name='pool-watch', run=self._watch_pool),
                 supervisor.Child(name='settings', run=self._distribution.run),
                 supervisor.Child(name='operators', run=self._endpoint.run),
                 supervisor.Child(name='metrics', run=metrics_endpoint.run),
@@ -263,6 +293,14 @@
                     self.gossip.introduce(_from_listed(listed))
             await asyncio.sleep(HOST_LIST_SECONDS)
 
+    async def _watch_pool(self) -> None:
+        while True:
+            await asyncio.sleep(PROGRAM_POLL_SECONDS)
+            is_up = self._table.own.pool is not members.PoolState.DOWN
+            if is_up and self.pool_watch.is_silent:
+                _logger.warning('the pool of this host is silent')
+                self.gossip.announce_own(pool=members.PoolState.DOWN)
+
     async def _report_own(self) -> None:
         own = self._table.own
         await self._platform.report_host(
--- a/src/egretstep/replication/group.py
+++ b/src/egretstep/replication/group.py
@@ -83,6 +83,12 @@
         """Return the term in which this host serves, if it does."""
         return self._tenure
 
+    @property
+    def is_claiming(self) -> bool:
+        """Tell whether servers obey this host and it does not serve yet."""
+        term, owner = self.promised()
+        return self._tenure is None and term > 0 and owner == self._owner
+
     @property
     def monitors(self) -> list[monitor.ServerMonitor]:
         """Return the monitors of all servers."""
--- a/src/egretstep/replication/owner.py
+++ b/src/egretstep/replication/owner.py
@@ -16,6 +16,8 @@
 
 CLAIM_PAUSE_SECONDS = 0.1
 POLL_SECONDS = 0.05
+PAUSE_SECONDS = 0.3
+REFRESH_SECONDS = 0.3
 HANDOVER_WAIT_SECONDS = 9.0
 MOVE_PAUSE_SECONDS = 5.0
 MOVE_WAIT_SECONDS = 2.0
@@ -143,12 +145,22 @@
 
     async def _serve(self) -> None:
         """Return when another term is needed."""
+        checked_at = self._clock.now()
         while not self._group.lost.is_set():
+            paused = self._clock.now() - checked_at > PAUSE_SECONDS
+            if paused:
+                # All servers look silent to a process that was stopped
+                # itself; it must hear from them before it judges.
+                await asyncio.sleep(REFRESH_SECONDS)
+            checked_at = self._clock.now()
+            if paused:
+                continue
             if not self._group.is_primary_up():
                 _logger.warning('{}: primary lost', self._group.database)
                 return
             if self._should_move() and await self._prepare_move():
                 return
+            checked_at = self._clock.now()
             await asyncio.sleep(POLL_SECONDS)
 
     def _should_move(self) -> bool:
--- a/standins/database.py
+++ b/standins/database.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import json
+import logging
 import re
 import typing
 
@@ -621,6 +622,7 @@
 
 def main() -> None:
     """Start the program."""
+    logging.disable(logging.CRITICAL)
     with contextlib.suppress(KeyboardInterrupt):
         uvloop.run(serve(parse_options()))
 
