--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,177 @@
+"""Steps of callers: connections, statements, answers."""
+
+import asyncio
+import time
+import typing
+
+from behave import given, then, when
+
+from tests import fixtures
+
+Context = typing.Any
+
+
+@given('caller "{name}" of "{workspace}" on "{host}"')
+@when('caller "{name}" of "{workspace}" connects to "{host}"')
+def connect(context: Context, name: str, workspace: str, host: str) -> None:
+    databases = context.world.deployment.fleet.workspaces[workspace].databases
+    context.run(
+        context.world.connect(name, workspace, host, database=databases[0]),
+    )
+
+
+@given('"{name}" has run "{sql}"')
+@when('"{name}" runs "{sql}"')
+def run_statement(context: Context, name: str, sql: str) -> None:
+    context.run(context.world.run(name, sql))
+
+
+@given('the table "{definition}" made by "{name}"')
+def make_table(context: Context, definition: str, name: str) -> None:
+    context.run(context.world.run(name, f'CREATE TABLE {definition}'))
+    assert context.world.last_error is None, context.world.last_error
+
+
+@then('the answer is {expected}')
+def check_answer(context: Context, expected: str) -> None:
+    assert context.world.last_error is None, context.world.last_error
+    shown = ', '.join(
+        str(cell) for row in context.world.last_rows for cell in row
+    )
+    assert shown == expected, f'{shown} instead of {expected}'
+
+
+@then('the statement fails with {code:d}')
+def check_error(context: Context, code: int) -> None:
+    error = context.world.last_error
+    assert error is not None, f'got {context.world.last_rows}'
+    assert error.args[0] == code, error
+
+
+@then('the message says "{text}"')
+def check_message(context: Context, text: str) -> None:
+    assert text in str(context.world.last_error), context.world.last_error
+
+
+@then('"{name}" gets the error {code:d} for "{sql}" within {seconds:g} s')
+def error_within(
+    context: Context,
+    name: str,
+    code: int,
+    sql: str,
+    seconds: float,
+) -> None:
+    async def is_refused() -> bool:
+        await context.world.run(name, sql)
+        error = context.world.last_error
+        return error is not None and error.args[0] in {code, 2006, 2013}
+
+    context.run(context.world.eventually(is_refused, seconds))
+
+
+@then('"{name}" reads {expected} with "{sql}" within {seconds:g} s')
+def reads_within(
+    context: Context,
+    name: str,
+    expected: str,
+    sql: str,
+    seconds: float,
+) -> None:
+    async def is_read() -> bool:
+        await context.world.run(name, sql)
+        rows = context.world.last_rows
+        return rows is not None and str(rows[0][0]) == expected
+
+    context.run(context.world.eventually(is_read, seconds))
+
+
+@then('{count:d} writes by "{writer}" are each seen at once by "{reader}"')
+def seen_at_once(
+    context: Context,
+    count: int,
+    writer: str,
+    reader: str,
+) -> None:
+    for number in range(1, count + 1):
+        context.run(
+            context.world.run(
+                writer,
+                f'REPLACE INTO seen (id, n) VALUES (1, {number})',
+            ),
+        )
+        assert context.world.last_error is None, context.world.last_error
+        context.run(
+            context.world.run(reader, 'SELECT n FROM seen WHERE id = 1'),
+        )
+        check_answer(context, str(number))
+
+
+@when('callers of "{workspace}" send {rate:d} statements/s for {seconds:d} s')
+def flood(context: Context, workspace: str, rate: int, seconds: int) -> None:
+    context.run(_flood(context, workspace, rate, seconds))
+
+
+async def _flood(
+    context: Context,
+    workspace: str,
+    rate: int,
+    seconds: int,
+) -> None:
+    world = context.world
+    database = world.deployment.fleet.workspaces[workspace].databases[0]
+    callers = [
+        await world.connect(
+            f'flood-{host}-{number}',
+            workspace,
+            host,
+            database=database,
+        )
+        for host in world.deployment.hosts
+        for number in range(4)
+    ]
+    deadline = time.monotonic() + seconds
+    pause = len(callers) / rate
+    world.outcomes = await asyncio.gather(
+        *(_send_until(caller, deadline, pause) for caller in callers),
+    )
+
+
+async def _send_until(
+    caller: typing.Any,
+    deadline: float,
+    pause: float,
+) -> int:
+    passed = 0
+    due = time.monotonic()
+    while time.monotonic() < deadline:
+        due += pause
+        try:
+            await fixtures.run(caller, 'SELECT 1')
+        except Exception as error:  # noqa: BLE001
+            assert error.args[0] in {45002, 45004, 2006, 2013}, error
+        else:
+            passed += 1
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+    return passed
+
+
+@then('at most {limit:d} of them ran')
+def at_most(context: Context, limit: int) -> None:
+    passed = sum(context.world.outcomes)
+    assert passed <= limit, f'{passed} ran'
+
+
+@then('at least {limit:d} of them ran')
+def at_least(context: Context, limit: int) -> None:
+    passed = sum(context.world.outcomes)
+    assert passed >= limit, f'{passed} ran'
+
+
+@then('no database server was given a key')
+def no_key(context: Context) -> None:
+    for database in context.world.deployment.fleet.databases:
+        seen = context.run(
+            fixtures.received(context.world.deployment, database),
+        )
+        for text in seen:
+            assert 'key-of-' not in text
--- a/src/egretstep/bench/load.py
+++ b/src/egretstep/bench/load.py
@@ -60,9 +60,19 @@
     async def run(self) -> None:
         """Create the rows, send the load, and check the totals."""
         await self.prepare()
-        await asyncio.gather(*map(self._drive, self._model.groups))
+        await self.send()
         await self.check()
 
+    async def send(self) -> None:
+        """Send the load of all groups."""
+        await asyncio.gather(*map(self._drive, self._model.groups))
+
+    def leave_hosts(self, hosts: typing.Collection[str]) -> None:
+        """Connect to these hosts no more."""
+        self._addresses = [
+            each for each in self._addresses if each.host not in hosts
+        ]
+
     async def prepare(self) -> None:
         """Create each session's counter."""
         for database in {group.database for group in self._model.groups}:
--- a/standins/database.py
+++ b/standins/database.py
@@ -50,7 +50,7 @@
     stop_replication: float = 0
     lose_commit_answers: float = 0
     accept_stale_terms: float = 0
-    report_fresh: float = 0
+    silent_old: float = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -335,6 +335,7 @@
         self._term = 0
         self._owner = ''
         self._is_counted = False
+        self._is_cut = False
         self._connection: typing.Any = None
         self._transaction: list[str] | None = None
         self._holds_lock = False
@@ -362,6 +363,10 @@
         )
         member.sessions.add(self)
 
+    def cut(self) -> None:
+        """Leave this connection silent for good; new ones work."""
+        self._is_cut = True
+
     def end(self) -> None:
         """Close the connection, because its owner was fenced."""
         if self._connection:
@@ -378,7 +383,7 @@
         call = _CALL.match(sql)
         if call and call.group(1).startswith('fault'):
             return self._set_fault(call.group(2))
-        while faults.silent:
+        while faults.silent or self._is_cut:
             await asyncio.sleep(PULL_WAIT_SECONDS / 10)
         if faults.answer_delay:
             await asyncio.sleep(faults.answer_delay)
@@ -402,6 +407,9 @@
     def _set_fault(self, arguments: str) -> mysql_server.Reply:
         name, setting = (part.strip(" '") for part in arguments.split(','))
         setattr(self._member.faults, name, float(setting))
+        if name == 'silent_old':
+            for session in self._member.sessions:
+                session.cut()
         return mysql_server.Reply(columns=[], rows=[])
 
     async def _control(self, name: str, text: str) -> mysql_server.Reply:
