Reads of a stated age by evidence only; restarted hosts ask their seeds

Cause: a read that stated an age took any replica at its session's floor, which for a fresh session is any at all. A host that started while the store was down knew of no other host, and dead hosts were never asked again.

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -129,11 +129,12 @@
         for host in world.deployment.hosts
         for number in range(4)
     ]
-    deadline = time.monotonic() + seconds
+    started = time.monotonic()
     pause = len(callers) / rate
     world.outcomes = await asyncio.gather(
-        *(_send_until(caller, deadline, pause) for caller in callers),
+        *(_send_until(caller, started + seconds, pause) for caller in callers),
     )
+    world.flood_seconds = time.monotonic() - started
 
 
 async def _send_until(
@@ -155,10 +156,15 @@
     return passed
 
 
-@then('at most {limit:d} of them ran')
-def at_most(context: Context, limit: int) -> None:
-    passed = sum(context.world.outcomes)
-    assert passed <= limit, f'{passed} ran'
+@then('no more of "{workspace}" ran than its {allowance} allows')
+def at_most(context: Context, workspace: str, allowance: str) -> None:
+    world = context.world
+    settings = world.deployment.fleet.workspaces[workspace].defaults
+    allowed = settings.rate * world.flood_seconds
+    if allowance == 'rate and burst':
+        allowed += settings.burst
+    passed = sum(world.outcomes)
+    assert passed <= allowed, f'{passed} ran, {allowed:.1f} allowed'
 
 
 @then('at least {limit:d} of them ran')
--- a/features/world.py
+++ b/features/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import time
 import typing
 
@@ -13,7 +14,7 @@
 from standins import demo, fleet
 from tests import fixtures
 
-PORT_OFFSET = 8000
+PORT_OFFSET = int(os.environ.get('EGRETSTEP_PORT_OFFSET', '8000'))
 FAULT_USER = 'fault'
 POLL_SECONDS = 0.05
 Caller = asyncmy.Connection
@@ -31,6 +32,7 @@
         self.failed_at = 0.0
         self.roles: dict[str, str] = {}
         self.outcomes: list[typing.Any] = []
+        self.flood_seconds = 0.0
         self._load_task: asyncio.Future[typing.Any] | None = None
 
     @property
--- a/src/egretstep/membership/gossip.py
+++ b/src/egretstep/membership/gossip.py
@@ -43,6 +43,13 @@
     transmissions_left: int
 
 
+class Seed(typing.NamedTuple):
+    """Address of an agent to ask when no other host is known."""
+
+    address: str
+    port: int
+
+
 class Gossip:
     """Keeps a member table up to date with a bounded cost for each host."""
 
@@ -53,13 +60,15 @@
         keeper: freshness.SettingsKeeper,
         time_source: clock.Clock,
         on_vouch: OnVouch,
-        seed: int | None = None,
+        seeds: typing.Sequence[Seed] = (),
+        random_seed: int | None = None,
     ) -> None:
         self._table = table
         self._keeper = keeper
         self._clock = time_source
         self._on_vouch = on_vouch
-        self._random = random.Random(seed)
+        self._random = random.Random(random_seed)
+        self._seeds = tuple(seeds)
         self._links: dict[identifiers.HostName, links.Link] = {}
         self._link_used: dict[identifiers.HostName, float] = {}
         self._news: collections.OrderedDict[identifiers.HostName, _News] = (
@@ -78,6 +87,8 @@
             target = self._next_target()
             if target:
                 await self._probe(target)
+            elif self._seeds:
+                await self._probe_seed(self._random.choice(self._seeds))
 
     def announce(self, report: members.Member) -> None:
         """Merge a report and pass it on when it was new."""
@@ -130,10 +141,34 @@
                 own=self._table.own.host,
                 hosts=reachable,
             )
+            targets.extend(self._choose_dead())
             self._random.shuffle(targets)
             self._queue = targets
         return self._queue.pop() if self._queue else None
 
+    def _choose_dead(self) -> list[members.Member]:
+        """Return one dead host at most, so that cut-off parts rejoin."""
+        dead = [each for each in self._table.all() if not each.is_reachable]
+        return [self._random.choice(dead)] if dead else []
+
+    async def _probe_seed(self, seed: Seed) -> None:
+        """Ask an address from the host's own settings who is there."""
+        link = links.Link(
+            address=seed.address,
+            port=seed.port,
+            interface=schema.Agent,
+        )
+        try:
+            answer = await link.call(
+                lambda agent: agent.probe(gossip=self._compose()),
+                timeout=PROBE_TIMEOUT_SECONDS,
+            )
+        except (errors.LinkError, errors.LinkLostError):
+            return
+        finally:
+            link.close()
+        self._take_in(answer.gossip)
+
     async def _probe(self, target: members.Member) -> None:
         if await self._exchange(target):
             return
--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -21,6 +21,7 @@
 
 HOST_LIST_SECONDS = 10.0
 WATCH_SECONDS = 0.5
+NEWS_POLL_SECONDS = 0.03
 STATUS_SECONDS = 0.5
 LEAVE_SECONDS = 15.0
 POOL_SILENT_SECONDS = 0.6
@@ -101,7 +102,7 @@
         **_kwargs: typing.Any,
     ) -> int:
         """Take a record in and return the version held."""
-        await self._agent.keeper.adopt(bytes(versioned.record))
+        self._agent.keeper.adopt(bytes(versioned.record))
         return self._agent.keeper.version
 
     async def witnessVersion(self, **_kwargs: typing.Any) -> int:
@@ -167,6 +168,7 @@
             keeper=self.keeper,
             time_source=self._clock,
             on_vouch=self._on_vouch,
+            seeds=[_seed(peer) for peer in settings.peers],
         )
         self._distribution = distribution.Distribution(
             keeper=self.keeper,
@@ -246,9 +248,7 @@
             )
             if changed:
                 return
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(0.02), self.keeper.changed:
-                    await self.keeper.changed.wait()
+            await asyncio.sleep(NEWS_POLL_SECONDS)
 
     def fill_view(
         self,
@@ -371,6 +371,11 @@
         ]
 
 
+def _seed(peer: str) -> gossip.Seed:
+    address, _separator, port = peer.rpartition(':')
+    return gossip.Seed(address=address, port=int(port))
+
+
 def _own_member(settings: settings_schema.HostSettings) -> members.Member:
     # A restarted host must overrule reports about its earlier life.
     incarnation = int(time.time() * clock.MILLISECONDS_PER_SECOND)
--- a/src/egretstep/routing/replicas.py
+++ b/src/egretstep/routing/replicas.py
@@ -33,8 +33,8 @@
 class ReadNeeds:
     """What a read asks of its server.
 
-    `floor` is the position it must see. With `longest_age`, in seconds, a
-    server whose data is surely younger will do instead.
+    `floor` is the position it must see. With `longest_age`, in seconds, it
+    must be a server whose data is surely younger instead.
     """
 
     floor: identifiers.LogPosition
@@ -75,6 +75,8 @@
         if ready:
             chosen = min(ready, key=lambda each: _cost(each, needs))
             return Choice(server=chosen.server, is_primary=False)
+        if needs.longest_age is not None:
+            return None
         furthest = max(replicas, key=lambda each: each.applied)
         return Choice(
             server=furthest.server,
@@ -113,7 +115,10 @@
         if not replicas:
             return None
         chosen = self._random.choice(replicas)
-        wait_for = None if _is_ready(chosen, needs) else needs.floor
+        is_ready = _is_ready(chosen, needs)
+        if not is_ready and needs.longest_age is not None:
+            return None
+        wait_for = None if is_ready else needs.floor
         return Choice(
             server=chosen.server,
             is_primary=False,
@@ -132,8 +137,7 @@
 
 def _is_ready(candidate: Candidate, needs: ReadNeeds) -> bool:
     if needs.longest_age is not None:
-        if candidate.age_bound <= needs.longest_age:
-            return True
+        return candidate.age_bound <= needs.longest_age
     return candidate.applied >= needs.floor
 
 
--- a/src/egretstep/settings/distribution.py
+++ b/src/egretstep/settings/distribution.py
@@ -72,7 +72,7 @@
         except (errors.LinkError, errors.LinkLostError):
             return
         if answer.versioned.version > self._keeper.version:
-            await self._adopt(bytes(answer.versioned.record))
+            self._adopt(bytes(answer.versioned.record))
 
     async def refresh_from_store(self) -> None:
         """Read the table service once; raises `errors.PlatformError`."""
@@ -81,7 +81,7 @@
         if row.body is None:
             return
         record = records.Record.model_validate(row.body)
-        await self._adopt(records.encode(record))
+        self._adopt(records.encode(record))
         self._keeper.confirm(version=record.settings_version, at=asked_at)
 
     async def push(
@@ -147,7 +147,7 @@
 
     async def _push_to(self, host: str, data: bytes) -> bool:
         if host == self._table.own.host:
-            await self._adopt(data)
+            self._adopt(data)
             return True
         member = self._table.get(identifiers.HostName(host))
         if member is None:
@@ -164,8 +164,8 @@
             return False
         return answer.version >= version
 
-    async def _adopt(self, data: bytes) -> None:
-        if await self._keeper.adopt(data):
+    def _adopt(self, data: bytes) -> None:
+        if self._keeper.adopt(data):
             _logger.info('settings version {} in force', self._keeper.version)
 
     def _note_store(self, *, answers: bool, reason: str = '') -> None:
--- a/src/egretstep/settings/freshness.py
+++ b/src/egretstep/settings/freshness.py
@@ -9,7 +9,6 @@
 age, and a host that is cut off from both sources runs out of it.
 """
 
-import asyncio
 import dataclasses
 
 from egretstep import clock, identifiers
@@ -40,7 +39,6 @@
         self._record: records.Record | None = None
         self._data = b''
         self._confirmed_at = NEVER
-        self._changed = asyncio.Condition()
 
     @property
     def record(self) -> records.Record | None:
@@ -64,11 +62,6 @@
         """Return when the version was last known to be the latest."""
         return self._confirmed_at
 
-    @property
-    def changed(self) -> asyncio.Condition:
-        """Return the condition that is notified of every new version."""
-        return self._changed
-
     def vouch(self) -> Vouch:
         """Return what this host can tell others about its version."""
         return Vouch(
@@ -76,7 +69,7 @@
             age=self._clock.now() - self._confirmed_at,
         )
 
-    async def adopt(self, data: bytes) -> bool:
+    def adopt(self, data: bytes) -> bool:
         """Take a record in when it is later; returns whether it was."""
         record = records.decode(data)
         if record.version <= self.version:
@@ -84,8 +77,6 @@
         record.fleet()
         self._record = record
         self._data = data
-        async with self._changed:
-            self._changed.notify_all()
         return True
 
     def confirm(
--- a/src/egretstep/settings/schema.py
+++ b/src/egretstep/settings/schema.py
@@ -15,10 +15,12 @@
 
 MAXIMUM_PORT = 65535
 NAME_PATTERN = '^[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}$'
+PEER_PATTERN = r'^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$'
 DIGEST_PATTERN = re.compile('^[0-9a-f]{40}$')
 
 Port = typing.Annotated[int, pydantic.Field(ge=1, le=MAXIMUM_PORT)]
 Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Peer = typing.Annotated[str, pydantic.Field(pattern=PEER_PATTERN)]
 Positive = typing.Annotated[int, pydantic.Field(gt=0)]
 PositiveNumber = typing.Annotated[float, pydantic.Field(gt=0)]
 
@@ -234,7 +236,7 @@
     platform_url: str
     database_user: str = 'egretstep'
     database_password: str = ''
-    peers: list[str] = []
+    peers: list[Peer] = []
     operator_token: str = ''
     trace_sample: float = 0
     certificate: str | None = None
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -86,9 +86,12 @@
                 self._start_server(name, server, database)
         for host in self.hosts:
             self.start_host(host)
-        await self._wait_ports()
+        await self._wait_ports(self._control_ports())
         await self.apply(expected=0)
         await self.wait_serving()
+        await self._wait_ports(
+            [host.caller_port for host in self.hosts.values()],
+        )
 
     async def apply(self, *, expected: int | None = None) -> int:
         """Apply the present document through the first host that answers."""
@@ -236,10 +239,17 @@
                 if name.endswith('_port'):
                     document[name] += self._offset
             document['platform_url'] = self.platform_url
+            document['peers'] = [
+                self._move_peer(peer) for peer in document['peers']
+            ]
             settings = schema.HostSettings.model_validate(document)
             found[settings.host] = settings
         return found
 
+    def _move_peer(self, peer: str) -> str:
+        address, port = peer.split(':')
+        return f'{address}:{int(port) + self._offset}'
+
     def _start_platform(self) -> None:
         port = self.delays.platform_port + self._offset
         self._spawn('platform', ['standins.platform', '--port', str(port)])
@@ -280,7 +290,7 @@
             stderr=output,
         )
 
-    async def _wait_ports(self) -> None:
+    def _control_ports(self) -> list[int]:
         ports = [
             server.port
             for database in self.fleet.databases.values()
@@ -288,6 +298,9 @@
         ]
         for host in self.hosts.values():
             ports.extend((host.agent_port, host.operator_port, host.pool_port))
+        return ports
+
+    async def _wait_ports(self, ports: typing.Iterable[int]) -> None:
         deadline = time.monotonic() + START_SECONDS
         for port in ports:
             while not _is_listening(port):
