--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,12 @@
 
 unit: install
 	$(BIN)/python -m nose2 -s tests -t .
+
+scenarios: install
+	$(BIN)/behave --no-capture --format progress2 features
+
+model: install
+	$(BIN)/python -m specifications
+
+bench-overhead: install
+	$(BIN)/python -m standins.overhead
--- /dev/null
+++ b/specifications/checking.py
@@ -0,0 +1,63 @@
+"""Runs models and compares the verdicts with what is expected."""
+
+import dataclasses
+import typing
+
+import minicheck
+
+MOST_STATES = 400_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Specification:
+    """A model, and whether the checker should find it to hold."""
+
+    name: str
+    model: minicheck.Protocol
+    is_broken: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """What the checker printed, and whether that was expected."""
+
+    is_expected: bool
+    text: str
+
+
+def check(specification: Specification) -> Verdict:
+    """Check one model."""
+    report = minicheck.check_safety(
+        specification.model,
+        max_states=MOST_STATES,
+    )
+    verdicts = {
+        name: found['holds'] for name, found in report['properties'].items()
+    }
+    if specification.is_broken:
+        expected = any(holds is False for holds in verdicts.values())
+    else:
+        expected = all(holds is True for holds in verdicts.values())
+    lines = _describe(specification, report, verdicts, expected=expected)
+    return Verdict(is_expected=expected, text='\n'.join(lines))
+
+
+def _describe(
+    specification: Specification,
+    report: dict[str, typing.Any],
+    verdicts: dict[str, bool | None],
+    *,
+    expected: bool,
+) -> list[str]:
+    words = {True: 'holds', False: 'refuted', None: 'undetermined'}
+    shown = ', '.join(f'{name} {words[holds]}' for name, holds in verdicts.items())
+    states = report.get('reachable_states', report.get('states', '?'))
+    lines = [f'{specification.name}: {states} states, {shown}']
+    if expected:
+        return lines
+    lines.append(f'unexpected: {specification.name}')
+    for name, found in report['properties'].items():
+        if found['holds'] is False:
+            lines.append(f'  {name}:')
+            lines.extend(f'    {step}' for step in found['counterexample'])
+    return lines
