--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests with fixed seeds."""
--- /dev/null
+++ b/properties/test_properties.py
@@ -0,0 +1,104 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from egretstep import clock, identifiers
+from egretstep.callers import prepared
+from egretstep.limits import bucket
+from egretstep.replication import floors
+from egretstep.routing import statements
+from egretstep.settings import loader, schema
+
+RATE = 20
+BURST = 5
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    max_examples=200,
+    deadline=None,
+)
+
+
+class BucketProperty(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0, 0.5),
+                strategies.floats(0, 0.3),
+                strategies.integers(0, 4),
+            ),
+            max_size=60,
+        ),
+    )
+    def test_no_window_gets_more_than_rate_and_burst(
+        self,
+        steps: list[tuple[float, float, int]],
+    ) -> None:
+        source = clock.ManualClock()
+        tokens = bucket.TokenBucket(rate=RATE, burst=BURST, time_source=source)
+        ran: list[float] = []
+        for pause, longest_wait, lot in steps:
+            source.advance(pause)
+            wait = tokens.reserve(longest_wait=longest_wait)
+            if wait is not None:
+                ran.append(source.now() + wait)
+            ran.extend([source.now()] * tokens.take(lot))
+        ran.sort()
+        for first, begin in enumerate(ran):
+            for last in range(first, len(ran)):
+                allowed = BURST + RATE * (ran[last] - begin)
+                self.assertLessEqual(last - first + 1, allowed + 1e-6)
+
+
+class FloorProperty(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.booleans(),
+                strategies.sampled_from('abcdef'),
+            ),
+            max_size=80,
+        ),
+    )
+    def test_floor_is_never_below_the_own_write(
+        self,
+        steps: list[tuple[bool, str]],
+    ) -> None:
+        known = floors.SessionFloors(capacity=2)
+        written: dict[str, int] = {}
+        for index, (is_write, name) in enumerate(steps, start=1):
+            session = identifiers.SessionId(name)
+            if is_write:
+                written[name] = index
+                known.acknowledge(
+                    session_id=session,
+                    position=identifiers.LogPosition(term=1, index=index),
+                )
+            floor = known.floor(
+                session_id=session,
+                carried=identifiers.LOG_START,
+            )
+            self.assertGreaterEqual(floor.index, written.get(name, 0))
+            self.assertLessEqual(len(known), 2)
+
+
+class InputProperty(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(strategies.text(max_size=200))
+    def test_any_text_is_classified_or_refused(self, sql: str) -> None:
+        statements.classify_text(sql)
+
+    @SETTINGS
+    @hypothesis.given(strategies.text(max_size=200))
+    def test_any_settings_text_is_checked(self, text: str) -> None:
+        loader.parse(text=text, model=schema.FleetSettings)
+
+    @SETTINGS
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_a_literal_is_one_token(self, raw: bytes) -> None:
+        found = prepared.literal(raw).decode()
+        pieces = prepared.split_at_placeholders(f'SELECT {found} , ?')
+        self.assertEqual(pieces, [f'SELECT {found} , ', ''])
--- /dev/null
+++ b/tests/callers/test_callers.py
@@ -0,0 +1,83 @@
+import unittest
+
+from egretstep import errors, identifiers
+from egretstep.callers import hints, keys, prepared
+from egretstep.settings import schema
+
+
+class PreparedTest(unittest.TestCase):
+    def test_values_cannot_end_their_literal(self) -> None:
+        pieces = prepared.split_at_placeholders('SELECT ? , ?')
+        evil = [b"' OR '1'='1", b'a\\']
+        self.assertEqual(
+            prepared.bind(pieces, evil),
+            b"SELECT ''' OR ''1''=''1' , 'a\\\\'",
+        )
+
+    def test_a_value_that_looks_like_a_placeholder(self) -> None:
+        pieces = prepared.split_at_placeholders("SELECT '?', ?, `a?`, ?")
+        bound = prepared.bind(pieces, [b'?', 2])
+        self.assertEqual(bound, b"SELECT '?', '?', `a?`, 2")
+
+    def test_bytes_that_are_no_text(self) -> None:
+        self.assertEqual(prepared.literal(b'\xff\x00'), b"X'ff00'")
+        self.assertEqual(prepared.literal(None), b'NULL')
+
+
+class HintsTest(unittest.TestCase):
+    def test_session_and_staleness(self) -> None:
+        first = hints.apply_statement(
+            hints.Hints(),
+            "SET @egretstep_session = 'till-4'",
+        ).unwrap()
+        second = hints.apply_statement(
+            first,
+            'SET @egretstep_max_staleness_ms = 500',
+        ).unwrap()
+        self.assertEqual(second.session, 'till-4')
+        self.assertEqual(second.max_staleness_ms, 500)
+
+    def test_wrong_values_are_refused_with_a_remedy(self) -> None:
+        for sql in (
+            "SET @egretstep_session = 'a b'",
+            "SET @egretstep_request_key = 'x''; DROP'",
+            "SET @egretstep_timeout_ms = 'soon'",
+            "SET @egretstep_colour = 'blue'",
+        ):
+            refusal = hints.apply_statement(hints.Hints(), sql).failure()
+            self.assertIs(refusal.kind, errors.RefusalKind.WRONG_VALUE)
+
+
+class GrantTest(unittest.TestCase):
+    def test_withdrawn_and_unknown_keys(self) -> None:
+        fleet = schema.FleetSettings(
+            zones={'z': {}},
+            databases={
+                'd': {
+                    'servers': {
+                        's': {'zone': 'z', 'address': '127.0.0.1', 'port': 1},
+                    },
+                },
+            },
+            workspaces={
+                'w': {
+                    'databases': ['d'],
+                    'keys': {
+                        'old': {'digest': '0' * 40, 'state': 'withdrawn'},
+                        'new': {'digest': '1' * 40},
+                    },
+                },
+            },
+        )
+        workspace = identifiers.WorkspaceName('w')
+        active = {
+            name: keys.is_active(
+                keys.Grant(workspace=workspace, key_name=name),
+                fleet,
+            )
+            for name in ('old', 'new', 'none', '')
+        }
+        self.assertEqual(
+            active,
+            {'old': False, 'new': True, 'none': False, '': False},
+        )
--- /dev/null
+++ b/tests/limits/test_bucket.py
@@ -0,0 +1,38 @@
+import unittest
+
+from egretstep import clock
+from egretstep.limits import bucket
+
+
+class TokenBucketTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock()
+
+    def _bucket(self, **options: bool) -> bucket.TokenBucket:
+        return bucket.TokenBucket(
+            rate=10,
+            burst=3,
+            time_source=self.clock,
+            **options,
+        )
+
+    def test_burst_then_rate(self) -> None:
+        tokens = self._bucket()
+        waits = [tokens.reserve(longest_wait=0) for _ in range(4)]
+        self.assertEqual(waits, [0, 0, 0, None])
+        self.clock.advance(0.1)
+        self.assertEqual(tokens.reserve(longest_wait=0), 0)
+
+    def test_reservations_queue_up(self) -> None:
+        tokens = self._bucket(full=False)
+        waits = [tokens.reserve(longest_wait=0.25) for _ in range(3)]
+        self.assertEqual([round(wait, 3) for wait in waits[:2]], [0.1, 0.2])
+        self.assertIsNone(waits[2])
+
+    def test_new_owner_starts_empty(self) -> None:
+        self.assertEqual(self._bucket(full=False).take(5), 0)
+
+    def test_lower_burst_takes_tokens_away(self) -> None:
+        tokens = self._bucket()
+        tokens.change(rate=10, burst=1)
+        self.assertEqual(tokens.take(5), 1)
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,90 @@
+import asyncio
+import socket
+import unittest
+
+import capnp
+
+from egretstep import errors
+from egretstep.peers import links, schema
+
+ADDRESS = '127.0.0.1'
+
+
+class _Pool(schema.Pool.Server):
+    def __init__(self, closed: list[int]) -> None:
+        self._closed = closed
+        self.is_silent = False
+
+    async def heartbeat(self, **_kwargs: object) -> None:
+        """Answer."""
+
+    async def release(self, pinId: int, **_kwargs: object) -> None:
+        await asyncio.sleep(pinId)
+
+    async def link_closed(self) -> None:
+        self._closed.append(1)
+
+
+class LinkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        with socket.socket() as probe:
+            probe.bind((ADDRESS, 0))
+            self.port = probe.getsockname()[1]
+        self.closed: list[int] = []
+
+    def _run(self, check: object) -> None:
+        async def main() -> None:
+            listener = links.Listener(
+                address=ADDRESS,
+                port=self.port,
+                make_server=lambda: _Pool(self.closed),
+            )
+            task = asyncio.create_task(listener.run())
+            await asyncio.sleep(0.05)
+            try:
+                await check()
+            finally:
+                task.cancel()
+
+        asyncio.run(capnp.run(main()))
+
+    def _link(self) -> links.Link:
+        return links.Link(
+            address=ADDRESS,
+            port=self.port,
+            interface=schema.Pool,
+        )
+
+    def test_peers_that_close_at_once_or_send_noise(self) -> None:
+        async def check() -> None:
+            for noise in [b''] * 50 + [bytes(range(64))] * 20:
+                with socket.create_connection((ADDRESS, self.port)) as peer:
+                    peer.sendall(noise)
+                await asyncio.sleep(0)
+            link = self._link()
+            await link.call(lambda pool: pool.heartbeat(), timeout=1)
+            link.close()
+
+        self._run(check)
+
+    def test_late_answer_is_lost_and_unreachable_is_not_sent(self) -> None:
+        async def check() -> None:
+            link = self._link()
+            with self.assertRaises(errors.LinkLostError):
+                await link.call(lambda pool: pool.release(5), timeout=0.05)
+            link.close()
+            away = links.Link(address=ADDRESS, port=1, interface=schema.Pool)
+            with self.assertRaises(errors.LinkError):
+                await away.call(lambda pool: pool.heartbeat(), timeout=1)
+
+        self._run(check)
+
+    def test_end_of_a_link_is_told(self) -> None:
+        async def check() -> None:
+            link = self._link()
+            await link.call(lambda pool: pool.heartbeat(), timeout=1)
+            link.close()
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(self.closed), 1)
+
+        self._run(check)
--- /dev/null
+++ b/tests/pooling/test_fair_queue.py
@@ -0,0 +1,80 @@
+import asyncio
+import unittest
+
+from egretstep import clock, errors, identifiers
+from egretstep.pooling import fair_queue
+from egretstep.settings import schema
+
+SERVICE_SECONDS = 0.002
+SHORT = identifiers.WorkspaceName('short')
+LONG = identifiers.WorkspaceName('long')
+
+
+class FairQueueTest(unittest.IsolatedAsyncioTestCase):
+    async def _serve(
+        self,
+        queue: fair_queue.FairQueue,
+        workspace: identifiers.WorkspaceName,
+        order: list[str],
+    ) -> None:
+        async with queue.slot(workspace=workspace, weight=1, deadline=1e9):
+            await asyncio.sleep(SERVICE_SECONDS)
+            order.append(workspace)
+
+    async def _order(self, policy: schema.QueuePolicy) -> list[str]:
+        queue = fair_queue.FairQueue(
+            slots=1,
+            time_source=clock.MonotonicClock(),
+            policy=policy,
+        )
+        order: list[str] = []
+        tasks = [
+            asyncio.create_task(self._serve(queue, name, order))
+            for name in [LONG] * 20 + [SHORT] * 2
+        ]
+        await asyncio.gather(*tasks)
+        return order
+
+    async def test_small_workspace_is_not_behind_a_large_one(self) -> None:
+        order = await self._order(schema.QueuePolicy.FAIR)
+        self.assertLess(order.index(SHORT), 4)
+
+    async def test_first_come_is_the_baseline(self) -> None:
+        order = await self._order(schema.QueuePolicy.FIRST_COME)
+        self.assertEqual(order.index(SHORT), 20)
+
+    async def test_what_cannot_be_served_in_time_is_refused_at_once(self) -> None:
+        time_source = clock.MonotonicClock()
+        queue = fair_queue.FairQueue(slots=1, time_source=time_source)
+        order: list[str] = []
+        tasks = [
+            asyncio.create_task(self._serve(queue, LONG, order))
+            for _ in range(50)
+        ]
+        await asyncio.sleep(0)
+        started = time_source.now()
+        with self.assertRaises(errors.RefusedError) as refused:
+            async with queue.slot(
+                workspace=LONG,
+                weight=1,
+                deadline=started + 0.01,
+            ):
+                self.fail('must not run')
+        self.assertLess(time_source.now() - started, 0.01)
+        self.assertGreater(refused.exception.refusal.retry_after_ms, 0)
+        await asyncio.gather(*tasks)
+
+    async def test_a_caller_that_leaves_gives_its_turn_back(self) -> None:
+        queue = fair_queue.FairQueue(
+            slots=1,
+            time_source=clock.MonotonicClock(),
+        )
+        order: list[str] = []
+        tasks = [
+            asyncio.create_task(self._serve(queue, LONG, order))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        tasks[1].cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual((len(order), queue.load), (2, 0))
--- /dev/null
+++ b/tests/routing/test_replicas.py
@@ -0,0 +1,55 @@
+import math
+import unittest
+
+from egretstep import identifiers
+from egretstep.routing import replicas
+
+HERE = identifiers.ZoneName('here')
+POSITION = identifiers.LogPosition(term=1, index=8)
+
+
+def candidate(name: str, **changes: object) -> replicas.Candidate:
+    fields: dict = {
+        'server': identifiers.ServerName(name),
+        'is_primary': False,
+        'applied': POSITION,
+        'age_bound': 0.1,
+        'load': 0,
+        'zone': HERE,
+    }
+    return replicas.Candidate(**(fields | changes))
+
+
+class SessionRouterTest(unittest.TestCase):
+    def _choose(
+        self,
+        *candidates: replicas.Candidate,
+        **needs: object,
+    ) -> replicas.Choice | None:
+        fields: dict = {'floor': POSITION, 'zone': HERE}
+        return replicas.SessionRouter().choose(
+            needs=replicas.ReadNeeds(**(fields | needs)),
+            candidates=candidates,
+        )
+
+    def test_least_loaded_replica_of_the_own_zone(self) -> None:
+        chosen = self._choose(
+            candidate('p', is_primary=True),
+            candidate('busy', load=2),
+            candidate('far', zone=identifiers.ZoneName('far')),
+            candidate('near'),
+        )
+        self.assertEqual(chosen.server, 'near')
+
+    def test_replica_behind_is_waited_for(self) -> None:
+        behind = identifiers.LogPosition(term=1, index=7)
+        chosen = self._choose(candidate('r', applied=behind))
+        self.assertEqual(chosen.wait_for, POSITION)
+
+    def test_stated_age_needs_evidence(self) -> None:
+        old = candidate('old', age_bound=math.inf)
+        start = identifiers.LOG_START
+        self.assertIsNone(self._choose(old, floor=start, longest_age=0.6))
+        young = candidate('young', age_bound=0.5)
+        chosen = self._choose(old, young, floor=start, longest_age=0.6)
+        self.assertEqual(chosen.server, 'young')
