--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := src:.
 
-.PHONY: demo fleet test check unit scenarios model bench-overhead install
+.PHONY: capacity bench-sharing bench-gaps demo fleet test check unit scenarios model bench-overhead install
 
 install: $(VENV)/installed
 
@@ -31,5 +31,17 @@
 model: install
 	$(BIN)/python -m specifications
 
+capacity: install
+	$(BIN)/python -m standins.capacity
+
+bench-sharing: install
+	$(BIN)/python -m standins.sharing
+
+bench-gaps: install
+	$(BIN)/python -m standins.gaps
+
+mutants: install
+	$(BIN)/python tests/mutants.py
+
 bench-overhead: install
 	$(BIN)/python -m standins.overhead
--- a/src/egretstep/settings/changes.py
+++ b/src/egretstep/settings/changes.py
@@ -132,9 +132,10 @@
     ) -> tuple[str, ...]:
         if fleet.witnesses:
             return tuple(fleet.witnesses)
+        everyone = (*self._table.others(), self._table.own)
         alive = [
             member
-            for member in [*self._table.others(), self._table.own]
+            for member in everyone
             if member.state is members.MemberState.ALIVE
         ]
         ranked = ranking.rank(key='witness', hosts=alive)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -149,6 +149,31 @@
         for program in PROGRAMS:
             self.start_program(host, program)
 
+    def start_only_agents(self, count: int) -> None:
+        """Start the platform and a number of agents, and nothing else."""
+        self._start_platform()
+        template = next(iter(self.hosts.values()))
+        first = template.agent_port
+        self.hosts = {}
+        for number in range(count):
+            name = f'host-{number}'
+            self.hosts[name] = template.model_copy(
+                update={
+                    'host': name,
+                    'agent_port': first + 2 * number,
+                    'operator_port': first + 2 * number + 1,
+                    'metrics_port': None,
+                    'peers': [f'{template.address}:{first}'],
+                },
+            )
+            self.start_program(name, 'agent')
+
+    async def wait_agents(self) -> None:
+        """Wait until every agent listens."""
+        await self._wait_ports(
+            [host.operator_port for host in self.hosts.values()],
+        )
+
     def start_program(self, host: str, program: str) -> None:
         """Start one program of a host."""
         path = pathlib.Path(self._directory.name) / f'{host}.yaml'
--- a/standins/gaps.py
+++ b/standins/gaps.py
@@ -109,24 +109,26 @@
 
 async def _cut(deployment: fleet.Fleet, database: str, kind: str) -> None:
     owner, primary = await _roles(deployment, database)
-    if kind == 'freeze primary':
+    if kind in {'kill pool', 'stop pool'}:
+        await _cut_pool(deployment, f'{owner}/pool', kind)
+    elif kind == 'freeze primary':
         deployment.freeze(primary)
         await asyncio.sleep(WATCH_SECONDS / 2)
         deployment.thaw(primary)
-    elif kind == 'silence primary':
+    else:
         await _silence(deployment, database, primary, 2)
         await asyncio.sleep(WATCH_SECONDS / 2)
         await _silence(deployment, database, primary, 0)
-    elif kind == 'kill pool':
-        deployment.kill(f'{owner}/pool')
-        await asyncio.sleep(WATCH_SECONDS)
-        deployment.start_program(owner, 'pool')
-        await asyncio.sleep(WATCH_SECONDS)
+
+
+async def _cut_pool(deployment: fleet.Fleet, name: str, kind: str) -> None:
+    if kind == 'kill pool':
+        deployment.kill(name)
     else:
-        deployment.terminate(f'{owner}/pool')
-        await asyncio.sleep(WATCH_SECONDS)
-        deployment.start_program(owner, 'pool')
-        await asyncio.sleep(WATCH_SECONDS)
+        deployment.terminate(name)
+    await asyncio.sleep(WATCH_SECONDS)
+    deployment.start_program(*name.split('/'))
+    await asyncio.sleep(WATCH_SECONDS)
 
 
 async def _roles(deployment: fleet.Fleet, database: str) -> tuple[str, str]:
--- a/standins/overhead.py
+++ b/standins/overhead.py
@@ -37,12 +37,12 @@
     deployment = fleet.Fleet(
         example='ausili-brambilla',
         port_offset=PORT_OFFSET,
-        change=_raise_limits,
+        change=raise_limits,
     )
     try:
         await deployment.start()
         direct = [await _connect_direct(deployment) for _ in range(PARALLEL)]
-        through = [await _connect(deployment) for _ in range(PARALLEL)]
+        through = [await connect(deployment) for _ in range(PARALLEL)]
         figures = {'direct': Figures(), 'egretstep': Figures()}
         for _ in range(ROUNDS):
             await _round(direct, figures['direct'])
@@ -54,7 +54,8 @@
     return 0
 
 
-def _raise_limits(document: dict) -> None:
+def raise_limits(document: dict) -> None:
+    """Let nothing but the processors bound the load."""
     document['defaults']['rate'] = 100_000
     document['defaults']['burst'] = 100_000
     for workspace in document['workspaces'].values():
@@ -64,7 +65,8 @@
         database['connections'] = 3 * PARALLEL
 
 
-async def _connect(deployment: fleet.Fleet) -> asyncmy.Connection:
+async def connect(deployment: fleet.Fleet) -> asyncmy.Connection:
+    """Connect a caller to the first host."""
     host = deployment.hosts['host-1']
     return await asyncmy.connect(
         host=host.address,
@@ -101,17 +103,18 @@
     connections: list[asyncmy.Connection],
     figures: Figures,
 ) -> None:
-    latencies = await _send(connections[0], SINGLE_STATEMENTS)
+    latencies = await send(connections[0], SINGLE_STATEMENTS)
     figures.medians.append(statistics.median(latencies) * 1000)
     started = time.monotonic()
     await asyncio.gather(
-        *(_send(each, PARALLEL_STATEMENTS) for each in connections),
+        *(send(each, PARALLEL_STATEMENTS) for each in connections),
     )
     took = time.monotonic() - started
     figures.throughputs.append(PARALLEL * PARALLEL_STATEMENTS / took)
 
 
-async def _send(connection: asyncmy.Connection, count: int) -> list[float]:
+async def send(connection: asyncmy.Connection, count: int) -> list[float]:
+    """Send reads one after the other and return their latencies."""
     latencies = []
     async with connection.cursor() as cursor:
         for _ in range(count):
@@ -143,7 +146,7 @@
 
 async def _report_memory(deployment: fleet.Fleet) -> None:
     before = resident_bytes(deployment.process_id('host-1/entry'))
-    idle = [await _connect(deployment) for _ in range(IDLE_CALLERS)]
+    idle = [await connect(deployment) for _ in range(IDLE_CALLERS)]
     after = resident_bytes(deployment.process_id('host-1/entry'))
     each = (after - before) / IDLE_CALLERS / KILOBYTE
     sys.stdout.write(f'an idle caller: {each:.1f} KB (aim: below 30)\n')
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,194 @@
+"""Shows that scenarios can fail: each mechanism is taken out in a copy.
+
+`make mutants` copies the project, removes one mechanism, and runs the
+scenario that is meant for it, which must then fail.
+"""
+
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+COPIED = ('src', 'standins', 'tests', 'features', 'examples')
+PORT_OFFSET = '7000'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Mutant:
+    """A mechanism taken out, and the scenario that must notice."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    feature: str
+    scenario: str
+
+
+MUTANTS = (
+    Mutant(
+        name='sessions have no floor',
+        path='src/egretstep/replication/floors.py',
+        old='        return max(known, carried)',
+        new='        return identifiers.LOG_START',
+        feature='read_your_writes',
+        scenario='A session on two hosts while replicas lag',
+    ),
+    Mutant(
+        name='age of data is not bounded',
+        path='src/egretstep/routing/replicas.py',
+        old='return candidate.age_bound <= needs.longest_age',
+        new='return True',
+        feature='read_your_writes',
+        scenario='A read of a stated age while replicas are cut off',
+    ),
+    Mutant(
+        name='withdrawn keys stay active',
+        path='src/egretstep/callers/keys.py',
+        old='return key is not None and key.state is schema.KeyState.ACTIVE',
+        new='return key is not None',
+        feature='keys',
+        scenario='A key is withdrawn',
+    ),
+    Mutant(
+        name='settings are always fresh',
+        path='src/egretstep/settings/freshness.py',
+        old='return now - confirmed_at <= FRESHNESS_LIMIT_SECONDS',
+        new='return True',
+        feature='keys',
+        scenario='A host that is cut off alone',
+    ),
+    Mutant(
+        name='a new owner starts with a full bucket',
+        path='src/egretstep/pooling/host.py',
+        old='full=not self._owned[database].had_previous_owner',
+        new='full=True',
+        feature='rate',
+        scenario='The counting owner dies',
+    ),
+    Mutant(
+        name='no rate at all',
+        path='src/egretstep/limits/bucket.py',
+        old='        if wait > longest_wait:',
+        new='        if wait > 1e9:',
+        feature='rate',
+        scenario='Ten times the rate',
+    ),
+    Mutant(
+        name='a dead entry keeps its transactions',
+        path='src/egretstep/pooling/pins.py',
+        old='            if key[0] == link:',
+        new='            if key[0] < 0:',
+        feature='transactions',
+        scenario='The entry dies',
+    ),
+    Mutant(
+        name='a refusal hides the open transaction',
+        path='src/egretstep/pooling/host.py',
+        old='pinned=serving is not None and serving.is_pinned(pin_key)',
+        new='pinned=False',
+        feature='transactions',
+        scenario='A refused statement',
+    ),
+    Mutant(
+        name='request keys are ignored',
+        path='src/egretstep/pooling/execution.py',
+        old='        if is_keyed_write:',
+        new='        if is_keyed_write and not connection:',
+        feature='outcomes',
+        scenario='A request key',
+    ),
+    Mutant(
+        name='an open commit is called not run',
+        path='src/egretstep/pooling/outcomes.py',
+        old='        outcome=identifiers.Outcome.UNKNOWN,',
+        new='        outcome=identifiers.Outcome.NOT_RUN,',
+        feature='outcomes',
+        scenario='The answer to a commit',
+    ),
+    Mutant(
+        name='zones that are out keep their owners',
+        path='src/egretstep/membership/ranking.py',
+        old='    return known is None or known.state is schema.PlaceState.IN',
+        new='    return True',
+        feature='zones',
+        scenario='A zone is taken out',
+    ),
+    Mutant(
+        name='running statements outlive their server',
+        path='src/egretstep/pooling/execution.py',
+        old='            bound.reschedule(now)',
+        new='            bound.when()',
+        feature='old_primary',
+        scenario='The primary goes silent',
+    ),
+    Mutant(
+        name='hosts have no seeds',
+        path='src/egretstep/membership/gossip.py',
+        old='            elif self._seeds:',
+        new='            elif not self._seeds:',
+        feature='settings',
+        scenario='A host restarts while the store is down',
+    ),
+)
+
+
+def main() -> int:
+    """Run every mutant and return how many were not noticed."""
+    wanted = sys.argv[1:]
+    unnoticed = 0
+    for mutant in MUTANTS:
+        if wanted and mutant.feature not in wanted:
+            continue
+        noticed = _is_noticed(mutant)
+        unnoticed += not noticed
+        state = 'noticed' if noticed else 'NOT NOTICED'
+        sys.stdout.write(f'{mutant.name}: {state}\n')
+        sys.stdout.flush()
+    return unnoticed
+
+
+def _is_noticed(mutant: Mutant) -> bool:
+    with tempfile.TemporaryDirectory(prefix='egretstep-mutant-') as name:
+        copy = pathlib.Path(name)
+        for folder in COPIED:
+            shutil.copytree(ROOT / folder, copy / folder)
+        path = copy / mutant.path
+        text = path.read_text()
+        if mutant.old not in text:
+            raise ValueError(f'{mutant.path} does not hold {mutant.old!r}')
+        path.write_text(text.replace(mutant.old, mutant.new))
+        return _fails(mutant, copy)
+
+
+def _fails(mutant: Mutant, copy: pathlib.Path) -> bool:
+    done = subprocess.run(
+        [
+            str(pathlib.Path(sys.executable).parent / 'behave'),
+            '--no-capture',
+            '--format',
+            'progress',
+            '--name',
+            mutant.scenario,
+            f'features/{mutant.feature}.feature',
+        ],
+        cwd=copy,
+        env={
+            **os.environ,
+            'PYTHONPATH': f'{copy / "src"}{os.pathsep}{copy}',
+            'EGRETSTEP_PORT_OFFSET': PORT_OFFSET,
+        },
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    # A scenario that could not even start proves nothing.
+    return done.returncode != 0 and 'ASSERT FAILED' in done.stdout
+
+
+if __name__ == '__main__':
+    sys.exit(main())
