One table of links for agents, entries and pools; pause after a lost term

Cause: three places kept links by host name, so that a host replaced under the same name kept its old address, and links to gone hosts were never closed.

--- a/src/egretstep/membership/gossip.py
+++ b/src/egretstep/membership/gossip.py
@@ -27,7 +27,6 @@
 SUSPICION_SECONDS_PER_DOUBLING = 0.15
 UPDATES_PER_PROBE = 8
 TRANSMISSIONS_PER_DOUBLING = 3
-IDLE_LINK_SECONDS = 60.0
 _logger = logbook.Logger('membership')
 
 OnVouch = typing.Callable[
@@ -70,8 +69,10 @@
         self._on_vouch = on_vouch
         self._random = random.Random(random_seed)
         self._seeds = tuple(seeds)
-        self._links: dict[identifiers.HostName, links.Link] = {}
-        self._link_used: dict[identifiers.HostName, float] = {}
+        self._links = links.LinkTable(
+            interface=schema.Agent,
+            time_source=time_source,
+        )
         self._news: collections.OrderedDict[identifiers.HostName, _News] = (
             collections.OrderedDict()
         )
@@ -84,7 +85,6 @@
             pause = PROBE_INTERVAL_SECONDS * self._random.uniform(*PROBE_JITTER)
             await asyncio.sleep(pause)
             self._bury_suspects()
-            self._close_idle_links()
             target = self._next_target()
             if target:
                 await self._probe(target)
@@ -122,17 +122,8 @@
         return await self._exchange(target)
 
     def link_to(self, member: members.Member) -> links.Link:
-        """Return the link to another agent, opening it on first use."""
-        link = self._links.get(member.host)
-        if link is None:
-            link = links.Link(
-                address=member.address,
-                port=member.agent_port,
-                interface=schema.Agent,
-            )
-            self._links[member.host] = link
-        self._link_used[member.host] = self._clock.now()
-        return link
+        """Return the link to another agent."""
+        return self._links.get(member.address, member.agent_port)
 
     def _next_target(self) -> members.Member | None:
         if not self._queue:
@@ -299,10 +290,3 @@
             transmissions_left=transmissions,
         )
         self._news.move_to_end(report.host, last=False)
-
-    def _close_idle_links(self) -> None:
-        limit = self._clock.now() - IDLE_LINK_SECONDS
-        idle = [host for host, used in self._link_used.items() if used < limit]
-        for host in idle:
-            self._link_used.pop(host)
-            self._links.pop(host).close()
--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -18,6 +18,7 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.25
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 RECONNECT_DELAY_SECONDS = 0.1
+IDLE_SECONDS = 60.0
 _DISCONNECTED = 'DISCONNECTED'
 
 Remote = typing.Any
@@ -54,6 +55,11 @@
         """Tell whether a connection to the peer stands."""
         return self._remote is not None
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call is under way."""
+        return self._outstanding == 0
+
     async def call(self, call: Call, *, timeout: float) -> typing.Any:
         """Make one call and return its answer.
 
@@ -151,6 +157,58 @@
             self.close()
 
 
+class LinkTable:
+    """Links by address, opened on use and closed when idle.
+
+    Hosts are replaced all the time, so that links to addresses that nobody
+    uses any more must go.
+    """
+
+    def __init__(
+        self,
+        *,
+        interface: typing.Any,
+        time_source: clock.Clock,
+        heartbeat: Call | None = None,
+    ) -> None:
+        self._interface = interface
+        self._clock = time_source
+        self._heartbeat = heartbeat
+        self._links: dict[tuple[str, int], Link] = {}
+        self._used_at: dict[tuple[str, int], float] = {}
+        self._swept_at = time_source.now()
+
+    def __len__(self) -> int:
+        """Return how many links are kept."""
+        return len(self._links)
+
+    def get(self, address: str, port: int) -> Link:
+        """Return the link to an address."""
+        key = (address, port)
+        link = self._links.get(key)
+        if link is None:
+            link = Link(
+                address=address,
+                port=port,
+                interface=self._interface,
+                heartbeat=self._heartbeat,
+                time_source=self._clock,
+            )
+            self._links[key] = link
+        now = self._clock.now()
+        self._used_at[key] = now
+        if now - self._swept_at > IDLE_SECONDS:
+            self._sweep(now)
+        return link
+
+    def _sweep(self, now: float) -> None:
+        self._swept_at = now
+        for key, used_at in tuple(self._used_at.items()):
+            if now - used_at > IDLE_SECONDS and self._links[key].is_idle:
+                self._used_at.pop(key)
+                self._links.pop(key).close()
+
+
 class Listener:
     """Accepts links from other programs.
 
--- a/src/egretstep/pooling/host.py
+++ b/src/egretstep/pooling/host.py
@@ -47,7 +47,10 @@
             tuple[identifiers.DatabaseName, identifiers.WorkspaceName],
             admission.Admission,
         ] = {}
-        self._links: dict[identifiers.HostName, links.Link] = {}
+        self._links = links.LinkTable(
+            interface=schema.Pool,
+            time_source=time_source,
+        )
         self._stopping = False
 
     @property
@@ -236,15 +239,7 @@
         )
 
     def _link(self, member: members.Member) -> links.Link:
-        link = self._links.get(member.host)
-        if link is None:
-            link = links.Link(
-                address=member.address,
-                port=member.pool_port,
-                interface=schema.Pool,
-            )
-            self._links[member.host] = link
-        return link
+        return self._links.get(member.address, member.pool_port)
 
     def _current_view(self) -> view.FleetView:
         return typing.cast(view.FleetView, self._feed.latest)
--- a/src/egretstep/replication/owner.py
+++ b/src/egretstep/replication/owner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import typing
 
 import logbook
@@ -15,6 +16,9 @@
 from egretstep.replication import group, lease
 
 CLAIM_PAUSE_SECONDS = 0.1
+CLAIM_JITTER = (0.5, 1.5)
+FIRST_LOSS_SECONDS = 0.1
+MOST_LOSS_SECONDS = 3.0
 POLL_SECONDS = 0.05
 PAUSE_SECONDS = 0.3
 REFRESH_SECONDS = 0.3
@@ -65,6 +69,7 @@
         self._retry_move_at = float('-inf')
         self._had_previous_owner = False
         self._is_failing = False
+        self._losses = 0
 
     @property
     def had_previous_owner(self) -> bool:
@@ -80,12 +85,22 @@
         try:
             await self._wait_servers()
             while True:
+                await self._pause_after_loss()
                 await self._wait_old_owner()
                 await self._take_over()
                 await self._serve()
         finally:
             self._group.leave()
 
+    async def _pause_after_loss(self) -> None:
+        """Let the other host be, when two claim one database in turns."""
+        if not self._group.lost.is_set():
+            self._losses = 0
+            return
+        self._losses += 1
+        longest = min(FIRST_LOSS_SECONDS * 2**self._losses, MOST_LOSS_SECONDS)
+        await asyncio.sleep(longest * random.uniform(0.5, 1))
+
     async def _wait_servers(self) -> None:
         while not all(each.was_ever_asked for each in self._group.monitors):
             await asyncio.sleep(POLL_SECONDS)
@@ -111,7 +126,9 @@
                 )
             except errors.DatabaseServerError as error:
                 self._log_failure(str(error))
-                await asyncio.sleep(CLAIM_PAUSE_SECONDS)
+                await asyncio.sleep(
+                    CLAIM_PAUSE_SECONDS * random.uniform(*CLAIM_JITTER),
+                )
                 continue
             if owner not in {'', self._host} and self._handed_over < term:
                 await self._wait_old_lease(fenced_at)
--- a/src/egretstep/routing/relay.py
+++ b/src/egretstep/routing/relay.py
@@ -70,7 +70,11 @@
         self._view = current_view
         self._clock = time_source
         self._random = random.Random(seed)
-        self._links: dict[identifiers.HostName, links.Link] = {}
+        self._links = links.LinkTable(
+            interface=schema.Pool,
+            time_source=time_source,
+            heartbeat=lambda pool: pool.heartbeat(),
+        )
         self._budget = budget.RetryBudget()
 
     async def deliver(self, delivery: Delivery) -> Relayed:
@@ -99,8 +103,11 @@
         pin_id: identifiers.PinId,
     ) -> None:
         """Tell a pool that a caller has left its transaction."""
-        link = self._links.get(host)
-        if link is None or not link.is_open:
+        member = self._find(host)
+        if member is None:
+            return
+        link = self._link(member)
+        if not link.is_open:
             return
         try:
             await link.call(
@@ -140,12 +147,13 @@
         current = self._view()
         if current is None:
             return None
-        if redirect:
-            return next(
-                (each for each in current.hosts if each.host == redirect),
-                None,
-            ) or current.owner(delivery.request.database)
-        return current.owner(delivery.request.database)
+        redirected = self._find(redirect) if redirect else None
+        return redirected or current.owner(delivery.request.database)
+
+    def _find(self, host: identifiers.HostName) -> members.Member | None:
+        current = self._view()
+        hosts = current.hosts if current else ()
+        return next((each for each in hosts if each.host == host), None)
 
     async def _attempt(
         self,
@@ -210,16 +218,7 @@
             ) from error
 
     def _link(self, member: members.Member) -> links.Link:
-        link = self._links.get(member.host)
-        if link is None:
-            link = links.Link(
-                address=member.address,
-                port=member.pool_port,
-                interface=schema.Pool,
-                heartbeat=lambda pool: pool.heartbeat(),
-            )
-            self._links[member.host] = link
-        return link
+        return self._links.get(member.address, member.pool_port)
 
 
 def _is_to_retry(delivery: Delivery, answer: messages.Answer) -> bool:
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -4,7 +4,7 @@
 
 import capnp
 
-from egretstep import errors
+from egretstep import clock, errors
 from egretstep.peers import links, schema
 
 ADDRESS = '127.0.0.1'
@@ -79,6 +79,23 @@
 
         self._run(check)
 
+    def test_table_closes_links_that_nobody_uses(self) -> None:
+        source = clock.ManualClock()
+        table = links.LinkTable(interface=schema.Pool, time_source=source)
+
+        async def check() -> None:
+            first = table.get(ADDRESS, self.port)
+            await first.call(lambda pool: pool.heartbeat(), timeout=1)
+            self.assertIs(table.get(ADDRESS, self.port), first)
+            source.advance(links.IDLE_SECONDS + 1)
+            table.get(ADDRESS, 1)
+            source.advance(links.IDLE_SECONDS + 1)
+            table.get(ADDRESS, 2)
+            self.assertFalse(first.is_open)
+            self.assertEqual(len(table), 1)
+
+        self._run(check)
+
     def test_end_of_a_link_is_told(self) -> None:
         async def check() -> None:
             link = self._link()
