--- a/src/egretstep/programs/command.py
+++ b/src/egretstep/programs/command.py
@@ -20,13 +20,14 @@
 import egretstep
 from egretstep import errors
 from egretstep.callers import keys
-from egretstep.operators import client
+from egretstep.operators import client, edits
 from egretstep.settings import loader, schema, tree
 
 EXIT_REFUSED = 1
 EXIT_WRONG = 2
 EXIT_CONFLICT = 3
 DEFAULT_AGENT = 'http://127.0.0.1:7203'
+FILE = 'file'
 _argument = cleo.helpers.argument
 _option = cleo.helpers.option
 _AGENT = _option('agent', None, 'URL of an agent', flag=False)
@@ -66,13 +67,13 @@
 
     name = 'check'
     description = 'Report every error of a settings file.'
-    arguments = [_argument('file', 'YAML file, such as fleet.yaml')]
+    arguments = [_argument(FILE, 'YAML file, such as fleet.yaml')]
     options = [_option('host', None, "The file is a host's own settings")]
     help = 'Example: <info>egretstep check fleet.yaml</info>'
 
     def handle(self) -> int:
         """Print the errors; exit 2 when there are any."""
-        path = pathlib.Path(self.argument('file'))
+        path = pathlib.Path(self.argument(FILE))
         model: type[typing.Any] = schema.FleetSettings
         if self.option('host'):
             model = schema.HostSettings
@@ -90,7 +91,7 @@
 
     name = 'apply'
     description = 'Apply a settings file to the whole fleet.'
-    arguments = [_argument('file', 'YAML file with the whole tree')]
+    arguments = [_argument(FILE, 'YAML file with the whole tree')]
     options = [
         _AGENT,
         _option('expect', None, 'Version it was made on', flag=False),
@@ -99,7 +100,7 @@
     help = 'Example: <info>egretstep apply fleet.yaml -m "add a key"</info>'
 
     async def _run(self) -> int:
-        text = _read(self.argument('file'))
+        text = _read(self.argument(FILE))
         operator = self._client()
         expected = self.option('expect')
         if expected is None:
@@ -115,6 +116,150 @@
         return 0
 
 
+class DiffCommand(_OperatorCommand):
+    """Show what a file would change."""
+
+    name = 'diff'
+    description = 'Compare a settings file with the settings in force.'
+    arguments = [_argument(FILE, 'YAML file with the whole tree')]
+    options = [_AGENT]
+    help = 'Example: <info>egretstep diff fleet.yaml</info>'
+
+    async def _run(self) -> int:
+        text = _read(self.argument(FILE))
+        record = await self._client().settings()
+        changes = edits.difference(record['text'] if record else '', text)
+        self.line(changes or 'no difference')
+        return 0
+
+
+class _EditCommand(_OperatorCommand):
+    """A command that edits the settings in force and applies them."""
+
+    def edit(self, text: str) -> str:
+        """Return the edited text."""
+        raise NotImplementedError
+
+    async def _run(self) -> int:
+        operator = self._client()
+        record = await operator.settings()
+        if record is None:
+            raise errors.SettingsError(
+                'no settings are in force; run egretstep apply first',
+            )
+        version = await operator.apply(
+            text=self.edit(record['text']),
+            expected=record['version'],
+            author=getpass.getuser(),
+            comment=self.name or '',
+        )
+        self.line(f'version {version} is accepted')
+        return 0
+
+
+class _StateCommand(_EditCommand):
+    place = ''
+    state = schema.PlaceState.IN
+    options = [_AGENT]
+
+    def edit(self, text: str) -> str:
+        """Return the text with the place in its new state."""
+        return edits.set_state(
+            text,
+            place=self.place,
+            name=self.argument('name'),
+            state=self.state,
+        )
+
+
+class ZoneOutCommand(_StateCommand):
+    """Take an availability zone out."""
+
+    name = 'zone out'
+    description = 'Give an availability zone no new work.'
+    arguments = [_argument('name', 'Availability zone')]
+    help = 'Example: <info>egretstep zone out bergamo</info>'
+    place = 'zones'
+    state = schema.PlaceState.OUT
+
+
+class ZoneBackCommand(_StateCommand):
+    """Bring an availability zone back."""
+
+    name = 'zone back'
+    description = 'Give an availability zone work again.'
+    arguments = [_argument('name', 'Availability zone')]
+    help = 'Example: <info>egretstep zone back bergamo</info>'
+    place = 'zones'
+
+
+class DatabaseDrainCommand(_StateCommand):
+    """Let a database leave."""
+
+    name = 'database drain'
+    description = 'Give a database no new work.'
+    arguments = [_argument('name', 'Database')]
+    help = 'Example: <info>egretstep database drain refunds</info>'
+    place = 'databases'
+    state = schema.PlaceState.OUT
+
+
+class DatabaseBackCommand(_StateCommand):
+    """Bring a database back."""
+
+    name = 'database back'
+    description = 'Give a database work again.'
+    arguments = [_argument('name', 'Database')]
+    help = 'Example: <info>egretstep database back refunds</info>'
+    place = 'databases'
+
+
+class KeyAddCommand(_EditCommand):
+    """Add a key; the key itself is read from standard input."""
+
+    name = 'key add'
+    description = 'Add a key of a workspace.'
+    arguments = [
+        _argument('workspace', 'Workspace'),
+        _argument('key', 'Name of the key'),
+    ]
+    options = [_AGENT]
+    help = (
+        'Example: <info>printf %s "$KEY" | egretstep key add depot '
+        'second</info>'
+    )
+
+    def edit(self, text: str) -> str:
+        """Return the text with the key's digest."""
+        return edits.add_key(
+            text,
+            workspace=self.argument('workspace'),
+            name=self.argument('key'),
+            digest=keys.make_digest(sys.stdin.read().strip()),
+        )
+
+
+class KeyWithdrawCommand(_EditCommand):
+    """Withdraw a key."""
+
+    name = 'key withdraw'
+    description = 'Withdraw a key of a workspace, on open connections too.'
+    arguments = [
+        _argument('workspace', 'Workspace'),
+        _argument('key', 'Name of the key'),
+    ]
+    options = [_AGENT]
+    help = 'Example: <info>egretstep key withdraw depot first</info>'
+
+    def edit(self, text: str) -> str:
+        """Return the text with the key withdrawn."""
+        return edits.withdraw_key(
+            text,
+            workspace=self.argument('workspace'),
+            name=self.argument('key'),
+        )
+
+
 class StatusCommand(_OperatorCommand):
     """Show hosts, databases and settings."""
 
@@ -160,7 +305,7 @@
     name = 'explain'
     description = 'Show a value in force and the level that sets it.'
     arguments = [
-        _argument('file', 'YAML file with the whole tree'),
+        _argument(FILE, 'YAML file with the whole tree'),
         _argument('value', 'Name of the value, such as rate'),
     ]
     options = [
@@ -175,7 +320,7 @@
 
     def handle(self) -> int:
         """Print the value and its level."""
-        path = pathlib.Path(self.argument('file'))
+        path = pathlib.Path(self.argument(FILE))
         checked = loader.load(path=path, model=schema.FleetSettings)
         if isinstance(checked, result.Failure):
             self.line_error(f'{path} is wrong; run egretstep check')
@@ -228,6 +373,13 @@
         ApplyCommand(),
         StatusCommand(),
         ExplainCommand(),
+        DiffCommand(),
+        ZoneOutCommand(),
+        ZoneBackCommand(),
+        DatabaseDrainCommand(),
+        DatabaseBackCommand(),
+        KeyAddCommand(),
+        KeyWithdrawCommand(),
         DigestCommand(),
     ):
         application.add(command)
