Links notice that their peer has closed them before they are used again

Cause: each return of a stopped pool cost one write an unknown outcome. The entry kept the link of the pool's earlier life, and its first call on it failed as if it might have been sent. Change: a link waits for the end of its connection and drops it; a stopping pool answers late requests for a while; refusals of a host that has left name the next owner. Ruled out: the hand-over itself (in a trial the only error came at the return, with 'Peer disconnected').

--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -49,6 +49,7 @@
         self._connecting = asyncio.Lock()
         self._failed_at = float('-inf')
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._end_task: asyncio.Task[None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -91,6 +92,9 @@
         if self._heartbeat_task:
             self._heartbeat_task.cancel()
             self._heartbeat_task = None
+        if self._end_task:
+            self._end_task.cancel()
+            self._end_task = None
         client = self._client
         stream = self._stream
         self._remote = None
@@ -129,12 +133,21 @@
             )
         self._client = capnp.TwoPartyClient(self._stream)
         self._remote = self._client.bootstrap().cast_as(self._interface)
+        self._end_task = asyncio.create_task(self._watch_end(self._client))
         if self._heartbeat:
             self._heartbeat_task = asyncio.create_task(
                 self._send_heartbeats(self._heartbeat, self._remote),
             )
         return self._remote
 
+    async def _watch_end(self, client: typing.Any) -> None:
+        """Drop a connection that the peer has closed before it is used."""
+        with contextlib.suppress(capnp.KjException):
+            await client.on_disconnect()
+        if self._client is client:
+            self._end_task = None
+            self.close()
+
     async def _send_heartbeats(self, heartbeat: Call, remote: Remote) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
--- a/src/egretstep/pooling/host.py
+++ b/src/egretstep/pooling/host.py
@@ -18,7 +18,8 @@
 HANDOVER_TIMEOUT_SECONDS = 1.0
 REPLACED_WAIT_SECONDS = 2.0
 POLL_SECONDS = 0.02
-ANSWERS_WAIT_SECONDS = 2.0
+LINGER_SECONDS = 5.0
+QUIET_SECONDS = 1.0
 _logger = logbook.Logger('pool')
 _FREE_KINDS = frozenset((
     identifiers.StatementKind.COMMIT,
@@ -54,6 +55,7 @@
         )
         self._stopping = False
         self._running = 0
+        self._asked_at = time_source.now()
 
     @property
     def databases(self) -> list[owned.OwnedDatabase]:
@@ -77,9 +79,7 @@
         for database in list(self._owned):
             self._start_leaving(database)
         await asyncio.gather(*self._leaving.values())
-        deadline = self._clock.now() + ANSWERS_WAIT_SECONDS
-        while self._running and self._clock.now() < deadline:
-            await asyncio.sleep(POLL_SECONDS)
+        await self._linger()
 
     async def execute(
         self,
@@ -88,6 +88,7 @@
     ) -> messages.Answer:
         """Run a request of an entry and return its answer."""
         self._running += 1
+        self._asked_at = self._clock.now()
         try:
             return await self._execute(request, (link, request.pin_id))
         finally:
@@ -159,9 +160,13 @@
         database: identifiers.DatabaseName,
     ) -> identifiers.HostName:
         waiting = self._owned.get(database)
-        if waiting is None or waiting.is_serving:
+        if waiting is None:
+            preferred = self._current_view().owner(database)
+            holder = preferred.host if preferred else identifiers.HostName('')
+        elif waiting.is_serving:
             return identifiers.HostName('')
-        holder = waiting.holder
+        else:
+            holder = waiting.holder
         return identifiers.HostName('') if holder == self._host else holder
 
     async def _admit_and_run(
@@ -296,6 +301,19 @@
         self._leaving[database] = task
         task.add_done_callback(lambda _task: self._leaving.pop(database, None))
 
+    async def _linger(self) -> None:
+        """Answer entries that have not heard of the new owner yet.
+
+        A link that breaks under a write leaves its outcome open, while an
+        answer of this host sends it to the new owner.
+        """
+        deadline = self._clock.now() + LINGER_SECONDS
+        while self._clock.now() < deadline:
+            silent = self._clock.now() - self._asked_at
+            if not self._running and silent > QUIET_SECONDS:
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
     async def _wait_replaced(self) -> None:
         """Wait until the fleet gives this host's databases to others."""
         deadline = self._clock.now() + REPLACED_WAIT_SECONDS
--- a/src/egretstep/replication/owner.py
+++ b/src/egretstep/replication/owner.py
@@ -23,6 +23,7 @@
 PAUSE_SECONDS = 0.3
 REFRESH_SECONDS = 0.3
 HANDOVER_WAIT_SECONDS = 9.0
+HANDOVER_POLL_SECONDS = 0.01
 MOVE_PAUSE_SECONDS = 5.0
 MOVE_WAIT_SECONDS = 2.0
 _logger = logbook.Logger('owner')
@@ -114,7 +115,7 @@
                 return
             if self._handed_over >= term:
                 return
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(HANDOVER_POLL_SECONDS)
 
     async def _take_over(self) -> None:
         started = self._clock.now()
--- a/src/egretstep/routing/relay.py
+++ b/src/egretstep/routing/relay.py
@@ -18,7 +18,7 @@
 from egretstep.routing import budget
 
 FIRST_BACKOFF_SECONDS = 0.01
-LONGEST_BACKOFF_SECONDS = 0.2
+LONGEST_BACKOFF_SECONDS = 0.1
 # The owner decides at the deadline; its answer needs time to come back.
 ANSWER_ALLOWANCE_SECONDS = 0.25
 _TRY_ELSEWHERE = frozenset((
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -25,6 +25,14 @@
         self._closed.append(1)
 
 
+async def _close_after_a_while(
+    _reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(0.1)
+    writer.close()
+
+
 class LinkTest(unittest.TestCase):
     def setUp(self) -> None:
         with socket.socket() as probe:
@@ -96,6 +104,28 @@
 
         self._run(check)
 
+    def test_closed_idle_link_is_opened_again(self) -> None:
+        async def check() -> None:
+            forwarder = await asyncio.start_server(
+                _close_after_a_while,
+                ADDRESS,
+                0,
+            )
+            port = forwarder.sockets[0].getsockname()[1]
+            link = links.Link(
+                address=ADDRESS,
+                port=port,
+                interface=schema.Pool,
+            )
+            with self.assertRaises(errors.LinkLostError):
+                await link.call(lambda pool: pool.heartbeat(), timeout=0.05)
+            self.assertTrue(link.is_open)
+            await asyncio.sleep(0.2)
+            self.assertFalse(link.is_open)
+            forwarder.close()
+
+        self._run(check)
+
     def test_end_of_a_link_is_told(self) -> None:
         async def check() -> None:
             link = self._link()
