Split the executor, the session and the models' common parts

Files grew large and two attempts stood twice: reading, running statements and jobs are modules of their own, reads and writes share one way through a slot, refusals of the entry stand together, models share their construction. No behaviour is changed.

--- a/specifications/checking.py
+++ b/specifications/checking.py
@@ -17,6 +17,58 @@
     is_broken: bool = False
 
 
+State = typing.Any
+Moves = typing.Callable[[State, typing.Any], list[tuple[str, State]]]
+Invariants = dict[str, typing.Callable[[dict[str, typing.Any]], bool]]
+
+
+def with_broken_variants(
+    *,
+    name: str,
+    initial: State,
+    moves: Moves,
+    variant: typing.Any,
+    broken: dict[str, typing.Any],
+    invariants: Invariants,
+) -> list[Specification]:
+    """Return a model and its variants that leave a mechanism out."""
+
+    whole = Specification(
+        name=name, model=_make(name, variant, initial, moves, invariants)
+    )
+    return [
+        whole,
+        *(
+            Specification(
+                name=f'{name}, {label}',
+                model=_make(label, made_of, initial, moves, invariants),
+                is_broken=True,
+            )
+            for label, made_of in broken.items()
+        ),
+    ]
+
+
+def _make(
+    name: str,
+    variant: typing.Any,
+    initial: State,
+    moves: Moves,
+    invariants: Invariants,
+) -> minicheck.Protocol:
+    return minicheck.Protocol(
+        name=name,
+        candidate=False,
+        fields=initial._fields,
+        initial=tuple(initial),
+        transitions=lambda fields: [
+            (label, tuple(state))
+            for label, state in moves(type(initial)(*fields), variant)
+        ],
+        invariants=invariants,
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
     """What the checker printed, and whether that was expected."""
--- a/specifications/failover.py
+++ b/specifications/failover.py
@@ -8,8 +8,6 @@
 
 import typing
 
-import minicheck
-
 from egretstep import clock, identifiers
 from egretstep.platform import interfaces
 from egretstep.replication import election, lease
@@ -209,23 +207,6 @@
     return (*values[:index], new, *values[index + 1 :])
 
 
-def _model(name: str, variant: Variant) -> minicheck.Protocol:
-    return minicheck.Protocol(
-        name=name,
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(State()),
-        transitions=lambda fields: [
-            (label, tuple(state))
-            for label, state in _moves(State(*fields), variant)
-        ],
-        invariants={
-            'no late acknowledgement': lambda each: not each['late'],
-            'no lost write': lambda each: not _is_lost(State(**each)),
-        },
-    )
-
-
 def specifications() -> list[checking.Specification]:
     """Return the model and its broken variants."""
     broken = {
@@ -235,17 +216,14 @@
         'nearest server chosen': Variant(chooses_furthest=False),
         'commit without quorum': Variant(commits_by_quorum=False),
     }
-    return [
-        checking.Specification(
-            name='failover',
-            model=_model('failover', Variant()),
-        ),
-        *(
-            checking.Specification(
-                name=f'failover, {name}',
-                model=_model(name, variant),
-                is_broken=True,
-            )
-            for name, variant in broken.items()
-        ),
-    ]
+    return checking.with_broken_variants(
+        name='failover',
+        initial=State(),
+        moves=_moves,
+        variant=Variant(),
+        broken=broken,
+        invariants={
+            'no late acknowledgement': lambda each: not each['late'],
+            'no lost write': lambda each: not _is_lost(State(**each)),
+        },
+    )
--- a/specifications/freshness.py
+++ b/specifications/freshness.py
@@ -8,8 +8,6 @@
 
 import typing
 
-import minicheck
-
 from egretstep import clock, identifiers
 from egretstep.settings import freshness, records
 from specifications import checking
@@ -186,22 +184,6 @@
     return (*values[:index], new, *values[index + 1 :])
 
 
-def _model(name: str, variant: Variant) -> minicheck.Protocol:
-    return minicheck.Protocol(
-        name=name,
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(State()),
-        transitions=lambda fields: [
-            (label, tuple(state))
-            for label, state in _moves(State(*fields), variant)
-        ],
-        invariants={
-            'no old settings honoured': lambda each: not _honours_old(each),
-        },
-    )
-
-
 def specifications() -> list[checking.Specification]:
     """Return the model and its broken variants."""
     broken = {
@@ -210,17 +192,13 @@
         'predecessor not finished': Variant(finishes_predecessor=False),
         'old witnesses not asked': Variant(accepts_by_old_witnesses=False),
     }
-    return [
-        checking.Specification(
-            name='freshness',
-            model=_model('freshness', Variant()),
-        ),
-        *(
-            checking.Specification(
-                name=f'freshness, {name}',
-                model=_model(name, variant),
-                is_broken=True,
-            )
-            for name, variant in broken.items()
-        ),
-    ]
+    return checking.with_broken_variants(
+        name='freshness',
+        initial=State(),
+        moves=_moves,
+        variant=Variant(),
+        broken=broken,
+        invariants={
+            'no old settings honoured': lambda each: not _honours_old(each),
+        },
+    )
--- a/src/egretstep/callers/session.py
+++ b/src/egretstep/callers/session.py
@@ -11,11 +11,10 @@
 from returns import result
 
 from egretstep import clock, errors, identifiers
-from egretstep.callers import hints, keys
+from egretstep.callers import hints, keys, refusals
 from egretstep.membership import ranking, view
 from egretstep.observability import traces
 from egretstep.peers import messages
-from egretstep.pooling import outcomes
 from egretstep.routing import relay, statements
 from egretstep.settings import freshness
 
@@ -149,17 +148,17 @@
         grant = keys.decode_grant(self.username)
         if keys.is_active(grant, current.tree.fleet):
             return None
-        return _key_withdrawn(grant)
+        return refusals.key_withdrawn(grant)
 
     def _check_grant(self) -> keys.Grant:
         current = self._shared.current_view()
         if self.username is None:
-            raise errors.RefusedError(refusal=_no_key())
+            raise errors.RefusedError(refusal=refusals.no_key())
         if current is None or not self._is_fresh(current):
-            raise errors.RefusedError(refusal=_stale_settings())
+            raise errors.RefusedError(refusal=refusals.stale_settings())
         grant = keys.decode_grant(self.username)
         if not keys.is_active(grant, current.tree.fleet):
-            raise errors.RefusedError(refusal=_key_withdrawn(grant))
+            raise errors.RefusedError(refusal=refusals.key_withdrawn(grant))
         return grant
 
     async def _wait_fresh(self) -> None:
@@ -306,21 +305,23 @@
         if not name and len(allowed) == 1:
             name = allowed[0]
         if not name:
-            raise errors.RefusedError(refusal=_no_database(allowed))
+            raise errors.RefusedError(refusal=refusals.no_database(allowed))
         route = fleet.routes.get(name)
         target = route.database if route else name
         if target in allowed or (route and route.open):
             return identifiers.DatabaseName(target)
-        raise errors.RefusedError(refusal=_database_denied(name, grant))
+        raise errors.RefusedError(refusal=refusals.database_denied(name, grant))
 
     def _check_place(self, grant: keys.Grant) -> None:
         if self.is_pinned:
             return
         current = typing.cast(view.FleetView, self._shared.current_view())
         if self._shared.is_stopping():
-            raise errors.RefusedError(refusal=_stopping())
+            raise errors.RefusedError(refusal=refusals.stopping())
         if not ranking.is_zone_in(self._shared.zone, current.tree.fleet):
-            raise errors.RefusedError(refusal=_zone_out(self._shared.zone))
+            raise errors.RefusedError(
+                refusal=refusals.zone_out(self._shared.zone)
+            )
 
     def _follow_pin(
         self,
@@ -370,65 +371,3 @@
         columns=(column,),
         rows=[(str(insert_id).encode(),)],
     )
-
-
-def _no_key() -> errors.Refusal:
-    return errors.Refusal(
-        kind=errors.RefusalKind.ACCESS_DENIED,
-        message='no key was accepted on this connection; connect again',
-    )
-
-
-def _stale_settings() -> errors.Refusal:
-    return errors.Refusal(
-        kind=errors.RefusalKind.SETTINGS_STALE,
-        message=(
-            'this host can not tell whether your key still works; '
-            'connect to another host'
-        ),
-        retry_after_ms=outcomes.RETRY_AFTER_MS,
-    )
-
-
-def _key_withdrawn(grant: keys.Grant) -> errors.Refusal:
-    return errors.Refusal(
-        kind=errors.RefusalKind.KEY_WITHDRAWN,
-        message=(
-            f'the key {grant.key_name!r} of workspace {grant.workspace} was '
-            'withdrawn; ask the operators for a new one'
-        ),
-    )
-
-
-def _no_database(allowed: list[str]) -> errors.Refusal:
-    return errors.Refusal(
-        kind=errors.RefusalKind.NO_DATABASE,
-        message=f'no database is chosen; USE one of {sorted(allowed)}',
-    )
-
-
-def _database_denied(name: str, grant: keys.Grant) -> errors.Refusal:
-    return errors.Refusal(
-        kind=errors.RefusalKind.DATABASE_DENIED,
-        message=(
-            f'workspace {grant.workspace} may not use {name!r}; '
-            'ask the operators for a route'
-        ),
-    )
-
-
-def _zone_out(zone: identifiers.ZoneName) -> errors.Refusal:
-    return errors.Refusal(
-        kind=errors.RefusalKind.ZONE_OUT,
-        message=(
-            f'availability zone {zone} takes no new work; '
-            'connect again to reach another one'
-        ),
-    )
-
-
-def _stopping() -> errors.Refusal:
-    return errors.Refusal(
-        kind=errors.RefusalKind.STOPPING,
-        message='this host is stopping; connect again to reach another one',
-    )
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import contextlib
-import dataclasses
 import typing
 
 from egretstep import clock, errors, identifiers
@@ -18,17 +16,17 @@
     connections,
     gate,
     idempotency,
+    jobs,
     outcomes,
     pins,
+    reading,
+    running,
     servers,
 )
 from egretstep.replication import group
-from egretstep.routing import replicas
-from egretstep.settings import tree
 
 RETRY_PAUSE_SECONDS = 0.02
 LEASE_POLL_SECONDS = 0.01
-DEADLINE_MARGIN_SECONDS = 0.05
 _NO_EFFECT = frozenset((identifiers.StatementKind.READ,))
 
 
@@ -36,18 +34,8 @@
     """A server or term changed before the statement ran; try again."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Job:
-    """A request with what its execution needs."""
-
-    request: messages.StatementRequest
-    effective: tree.Effective
-    deadline: float
-    pin_key: pins.PinKey
-
-
 Attempt = typing.Callable[
-    [Job, group.Tenure],
+    [jobs.Job, group.Tenure],
     typing.Awaitable[messages.Answer],
 ]
 
@@ -60,29 +48,21 @@
         *,
         database_group: group.DatabaseGroup,
         pools: servers.ServerPools,
-        zone_of: typing.Callable[
-            [identifiers.ServerName],
-            identifiers.ZoneName,
-        ],
-        is_zone_in: typing.Callable[[identifiers.ZoneName], bool],
+        reads: reading.ReadPlanner,
         time_source: clock.Clock,
     ) -> None:
         self._group = database_group
         self._pools = pools
-        self._zone_of = zone_of
-        self._is_zone_in = is_zone_in
+        self._reads = reads
         self._clock = time_source
         self.pins = pins.PinTable()
-        self._running: dict[
-            identifiers.ServerName,
-            set[asyncio.Timeout],
-        ] = {}
+        self._running = running.RunningStatements(time_source=time_source)
         self.gate = gate.WriteGate(
             pinned=lambda: len(self.pins),
             time_source=time_source,
         )
 
-    async def run(self, job: Job) -> messages.Answer:
+    async def run(self, job: jobs.Job) -> messages.Answer:
         """Run a request and return its answer.
 
         Raises `errors.RefusedError`; its outcome tells what is known.
@@ -115,7 +95,7 @@
 
     async def _pass_gate(
         self,
-        job: Job,
+        job: jobs.Job,
         attempt: Attempt,
     ) -> messages.Answer:
         try:
@@ -128,7 +108,7 @@
 
     async def _repeat(
         self,
-        job: Job,
+        job: jobs.Job,
         attempt: Attempt,
     ) -> messages.Answer:
         reason = 'no primary'
@@ -145,33 +125,27 @@
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
         raise errors.RefusedError(refusal=outcomes.unavailable(reason))
 
-    async def _read(self, job: Job, tenure: group.Tenure) -> messages.Answer:
-        needs = self._needs(job)
-        choice = replicas.make_router(job.effective.read_policy).choose(
-            needs=needs,
-            candidates=self._candidates(tenure),
-        )
-        server = tenure.primary
-        if choice and await self._reaches(choice, job, tenure):
-            server = choice.server
-        pool = self._pools[server]
-        async with pool.queue.slot(
-            workspace=job.request.workspace,
-            weight=job.effective.weight,
-            deadline=job.deadline,
-        ):
-            connection = await self._acquire(job, pool.connections, tenure)
-            try:
-                done = await self._hand_over(job, connection)
-            finally:
-                await pool.connections.release(connection)
-        await self._check_lease(job, tenure)
-        role = 'primary' if server == tenure.primary else 'replica'
+    async def _read(
+        self, job: jobs.Job, tenure: group.Tenure
+    ) -> messages.Answer:
+        server = await self._reads.choose(job, tenure)
+        answer = await self._run_in_slot(job, tenure, server)
+        role = 'primary' if answer.primary else 'replica'
         metrics.reads.inc(self._group.database, role)
-        return self._answer(job, done, tenure, server)
+        return answer
+
+    async def _write(
+        self, job: jobs.Job, tenure: group.Tenure
+    ) -> messages.Answer:
+        return await self._run_in_slot(job, tenure, tenure.primary)
 
-    async def _write(self, job: Job, tenure: group.Tenure) -> messages.Answer:
-        pool = self._pools[tenure.primary]
+    async def _run_in_slot(
+        self,
+        job: jobs.Job,
+        tenure: group.Tenure,
+        server: identifiers.ServerName,
+    ) -> messages.Answer:
+        pool = self._pools[server]
         async with pool.queue.slot(
             workspace=job.request.workspace,
             weight=job.effective.weight,
@@ -183,9 +157,11 @@
             finally:
                 await pool.connections.release(connection)
         await self._check_lease(job, tenure)
-        return self._answer(job, done, tenure, tenure.primary)
+        return self._answer(job, done, tenure, server)
 
-    async def _pin(self, job: Job, tenure: group.Tenure) -> messages.Answer:
+    async def _pin(
+        self, job: jobs.Job, tenure: group.Tenure
+    ) -> messages.Answer:
         source = self._pools[tenure.primary].connections
         connection = await self._acquire(job, source, tenure)
         pin = pins.Pin(
@@ -199,7 +175,7 @@
 
     async def _run_pinned(
         self,
-        job: Job,
+        job: jobs.Job,
         pin: pins.Pin,
     ) -> messages.Answer:
         tenure = self._group.tenure
@@ -224,7 +200,7 @@
 
     async def _run_on_pin(
         self,
-        job: Job,
+        job: jobs.Job,
         pin: pins.Pin,
         tenure: group.Tenure,
     ) -> messages.Answer:
@@ -240,15 +216,15 @@
 
     async def _acquire(
         self,
-        job: Job,
+        job: jobs.Job,
         source: connections.ServerConnections,
         tenure: group.Tenure,
     ) -> database.ServerConnection:
         try:
-            async with self._abortable(source.server, job):
+            async with self._running.bounded(source.server, job.deadline):
                 return await source.acquire(tenure.term)
         except TimeoutError as error:
-            if self._is_early(job):
+            if self._running.is_early(job.deadline):
                 raise errors.NotSentError(
                     f'{source.server} is down; start it',
                 ) from error
@@ -258,12 +234,12 @@
 
     async def _hand_over(
         self,
-        job: Job,
+        job: jobs.Job,
         connection: database.ServerConnection,
     ) -> database.StatementResult:
         """Run the statement; from here on a write may have taken effect."""
         try:
-            async with self._abortable(connection.server, job):
+            async with self._running.bounded(connection.server, job.deadline):
                 return await self._run(job, connection)
         except TimeoutError as error:
             raise self._given_up(job, connection) from error
@@ -278,41 +254,20 @@
             self._raise_refusal(error)
             raise
 
-    @contextlib.asynccontextmanager
-    async def _abortable(
-        self,
-        server: identifiers.ServerName,
-        job: Job,
-    ) -> typing.AsyncGenerator[None, None]:
-        bound = asyncio.timeout(job.deadline - self._clock.now())
-        running = self._running.setdefault(server, set())
-        running.add(bound)
-        try:
-            async with bound:
-                yield
-        finally:
-            running.discard(bound)
-
-    def _is_early(self, job: Job) -> bool:
-        """Tell whether a timeout came from `abort`, before the deadline."""
-        return self._clock.now() < job.deadline - DEADLINE_MARGIN_SECONDS
-
     def abort(self, server: identifiers.ServerName) -> None:
         """Give up on what runs on a server that was found down.
 
         Reads go to another server; of writes the caller hears at once that
         their outcome is unknown.
         """
-        now = asyncio.get_running_loop().time()
-        for bound in list(self._running.get(server, ())):
-            bound.reschedule(now)
+        self._running.abort(server)
 
     def _given_up(
         self,
-        job: Job,
+        job: jobs.Job,
         connection: database.ServerConnection,
     ) -> Exception:
-        if not self._is_early(job):
+        if not self._running.is_early(job.deadline):
             return errors.RefusedError(
                 refusal=outcomes.deadline(job.request.kind),
             )
@@ -331,7 +286,7 @@
 
     async def _run(
         self,
-        job: Job,
+        job: jobs.Job,
         connection: database.ServerConnection,
     ) -> database.StatementResult:
         request = job.request
@@ -351,7 +306,7 @@
 
     def _has_no_effect(
         self,
-        job: Job,
+        job: jobs.Job,
         connection: database.ServerConnection,
     ) -> bool:
         """Tell whether a broken connection means that nothing happened.
@@ -367,91 +322,23 @@
             identifiers.StatementKind.SESSION,
         }
 
-    async def _check_lease(self, job: Job, tenure: group.Tenure) -> None:
+    async def _check_lease(self, job: jobs.Job, tenure: group.Tenure) -> None:
         while not tenure.lease.is_held():
             is_over = self._group.tenure is not tenure
             if is_over or self._clock.now() > job.deadline:
                 raise self._lease_lost(job)
             await asyncio.sleep(LEASE_POLL_SECONDS)
 
-    def _lease_lost(self, job: Job) -> Exception:
+    def _lease_lost(self, job: jobs.Job) -> Exception:
         if job.request.kind in _NO_EFFECT and not job.request.expect_pin:
             return _StaleError('the term ended before the answer')
         return errors.RefusedError(
             refusal=outcomes.unknown('the term ended before the answer'),
         )
 
-    async def _reaches(
-        self,
-        choice: replicas.Choice,
-        job: Job,
-        tenure: group.Tenure,
-    ) -> bool:
-        """Wait until a replica is at the floor; false sends to the primary."""
-        floor = choice.wait_for
-        if floor is None:
-            return True
-        source = self._pools[choice.server].connections
-        if source.free_count <= 0:
-            return False
-        wait_seconds = min(
-            clock.to_seconds(job.effective.replica_wait_ms),
-            (job.deadline - self._clock.now()) / 2,
-        )
-        try:
-            connection = await source.acquire(tenure.term)
-        except errors.DatabaseServerError:
-            return False
-        try:
-            async with asyncio.timeout(2 * wait_seconds):
-                answer = await connection.run(
-                    f'CALL group_wait({floor.term}, {floor.offset}, '
-                    f'{wait_seconds:.3f})',
-                )
-        except (
-            TimeoutError,
-            errors.DatabaseServerError,
-            database.ServerRefusalError,
-        ):
-            return False
-        finally:
-            await source.release(connection)
-        return answer.rows[0][0] == b'1'
-
-    def _needs(self, job: Job) -> replicas.ReadNeeds:
-        request = job.request
-        longest_age = None
-        if request.max_staleness_ms is not None:
-            longest_age = clock.to_seconds(request.max_staleness_ms)
-        floor = self._group.floors.floor(
-            session_id=request.session_id,
-            carried=request.floor,
-        )
-        return replicas.ReadNeeds(
-            floor=floor,
-            longest_age=longest_age,
-            zone=request.zone,
-        )
-
-    def _candidates(self, tenure: group.Tenure) -> list[replicas.Candidate]:
-        return [
-            replicas.Candidate(
-                server=watched.name,
-                is_primary=watched.name == tenure.primary,
-                applied=watched.applied,
-                age_bound=self._group.evidence.age_bound(watched.applied),
-                load=self._pools[watched.name].queue.load,
-                zone=self._zone_of(watched.name),
-            )
-            for watched in self._group.monitors
-            if watched.is_up
-            and self._group.may_serve(watched.name)
-            and self._is_zone_in(self._zone_of(watched.name))
-        ]
-
     def _answer(
         self,
-        job: Job,
+        job: jobs.Job,
         done: database.StatementResult,
         tenure: group.Tenure,
         server: identifiers.ServerName,
--- a/src/egretstep/pooling/owned.py
+++ b/src/egretstep/pooling/owned.py
@@ -9,7 +9,14 @@
 from egretstep.membership import ranking, view
 from egretstep.peers import messages
 from egretstep.platform import database as database_module
-from egretstep.pooling import execution, outcomes, pins, servers
+from egretstep.pooling import (
+    execution,
+    jobs,
+    outcomes,
+    pins,
+    reading,
+    servers,
+)
 from egretstep.replication import group, owner
 from egretstep.settings import schema
 from egretstep.supervision import supervisor
@@ -61,8 +68,13 @@
         self._executor = execution.Executor(
             database_group=self._group,
             pools=self._pools,
-            zone_of=self._zone_of,
-            is_zone_in=self._is_zone_in,
+            reads=reading.ReadPlanner(
+                database_group=self._group,
+                pools=self._pools,
+                zone_of=self._zone_of,
+                is_zone_in=self._is_zone_in,
+                time_source=time_source,
+            ),
             time_source=time_source,
         )
         self._owner = owner.DatabaseOwner(
@@ -173,7 +185,7 @@
             zone=request.zone or None,
         )
         deadline = self._clock.now() + clock.to_seconds(request.timeout_ms)
-        job = execution.Job(
+        job = jobs.Job(
             request=request,
             effective=effective,
             deadline=deadline,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -120,7 +120,7 @@
     ),
     Mutant(
         name='running statements outlive their server',
-        path='src/egretstep/pooling/execution.py',
+        path='src/egretstep/pooling/running.py',
         old='            bound.reschedule(now)',
         new='            bound.when()',
         feature='old_primary',
--- a/tests/pooling/test_execution.py
+++ b/tests/pooling/test_execution.py
@@ -6,7 +6,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.peers import messages
 from egretstep.platform import database
-from egretstep.pooling import execution, outcomes, pins
+from egretstep.pooling import execution, jobs, outcomes, pins, reading
 from egretstep.replication import floors, group, lease
 from egretstep.settings import schema, tree
 
@@ -75,8 +75,13 @@
         return execution.Executor(
             database_group=self.group,
             pools={PRIMARY: pool},
-            zone_of=lambda _server: identifiers.ZoneName('z'),
-            is_zone_in=lambda _zone: True,
+            reads=reading.ReadPlanner(
+                database_group=self.group,
+                pools={PRIMARY: pool},
+                zone_of=lambda _server: identifiers.ZoneName('z'),
+                is_zone_in=lambda _zone: True,
+                time_source=self.clock,
+            ),
             time_source=self.clock,
         )
 
@@ -86,8 +91,8 @@
         *,
         seconds: float = 0.3,
         expect_pin: bool = False,
-    ) -> execution.Job:
-        return execution.Job(
+    ) -> jobs.Job:
+        return jobs.Job(
             request=messages.StatementRequest(
                 request_id=identifiers.RequestId(1),
                 workspace=identifiers.WorkspaceName('w'),
@@ -113,7 +118,7 @@
     async def _refusal(
         self,
         executor: execution.Executor,
-        job: execution.Job,
+        job: jobs.Job,
     ) -> errors.Refusal:
         with self.assertRaises(errors.RefusedError) as refused:
             await executor.run(job)
