--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -9,12 +9,12 @@
 import orjson
 
 from egretstep import clock, errors, identifiers
-from egretstep.membership import gossip, members
+from egretstep.membership import gossip, members, pool_watch
 from egretstep.observability import metrics
 from egretstep.operators import endpoint
 from egretstep.peers import links, schema
 from egretstep.platform import client, interfaces
-from egretstep.programs import runner
+from egretstep.programs import agent_link, runner
 from egretstep.settings import changes, distribution, freshness
 from egretstep.settings import schema as settings_schema
 from egretstep.supervision import supervisor
@@ -26,126 +26,10 @@
 # JSON has no infinity; this age stands for 'never confirmed'.
 LONGEST_AGE_SECONDS = 1e9
 LEAVE_SECONDS = 15.0
-POOL_SILENT_SECONDS = 0.6
 PROGRAM_POLL_SECONDS = 0.1
-_POOL_STATES = {
-    'pool': members.PoolState.UP,
-    'pool-leaving': members.PoolState.LEAVING,
-}
 _logger = logbook.Logger('agent')
 
 
-class AgentServer(schema.Agent.Server):
-    """One link to the agent, from a program of its host or another agent."""
-
-    def __init__(self, *, agent: 'Agent') -> None:
-        self._agent = agent
-        self._program = ''
-        self._told_confirmed_at = freshness.NEVER
-
-    async def watch(
-        self,
-        settingsVersion: int,
-        membersRevision: int,
-        program: str,
-        _context: typing.Any,
-        **_kwargs: typing.Any,
-    ) -> None:
-        """Answer when there is news, or after a short while."""
-        if program != self._program:
-            self._agent.forget_name(self._program)
-        self._program = program
-        self._agent.note_program(program, up=True)
-        self._agent.pool_watch.begin(program)
-        await self._agent.wait_news(
-            settingsVersion,
-            membersRevision,
-            self._told_confirmed_at,
-        )
-        self._told_confirmed_at = self._agent.keeper.confirmed_at
-        self._agent.fill_view(
-            _context.results.init('view'),
-            settingsVersion,
-            membersRevision,
-        )
-        self._agent.pool_watch.end(program)
-
-    async def probe(
-        self,
-        gossip: typing.Any,
-        _context: typing.Any,
-        **_kwargs: typing.Any,
-    ) -> None:
-        """Answer another agent's probe."""
-        _context.results.gossip = self._agent.gossip.answer(gossip)
-
-    async def probeFor(self, host: str, **_kwargs: typing.Any) -> bool:
-        """Probe a host for an agent that can't reach it."""
-        return await self._agent.gossip.probe_for_other(
-            identifiers.HostName(host),
-        )
-
-    async def fetchSettings(
-        self,
-        knownVersion: int,
-        _context: typing.Any,
-        **_kwargs: typing.Any,
-    ) -> None:
-        """Give the record when it is later than the known one."""
-        keeper = self._agent.keeper
-        versioned = _context.results.init('versioned')
-        versioned.version = keeper.version
-        if keeper.version > knownVersion:
-            versioned.record = keeper.encoded
-
-    async def pushSettings(
-        self,
-        versioned: typing.Any,
-        **_kwargs: typing.Any,
-    ) -> int:
-        """Take a record in and return the version held."""
-        self._agent.keeper.adopt(bytes(versioned.record))
-        return self._agent.keeper.version
-
-    async def witnessVersion(self, **_kwargs: typing.Any) -> int:
-        """Return the version held, for other witnesses."""
-        return self._agent.keeper.version
-
-    async def statusJson(self, **_kwargs: typing.Any) -> str:
-        """Return nothing yet; operators use the HTTP endpoint."""
-        return '{}'
-
-    async def link_closed(self) -> None:
-        """Note that a program of this host has ended."""
-        if self._program:
-            self._agent.note_program(self._program, up=False)
-
-
-class PoolWatch:
-    """Notices a pool that is frozen: it has stopped asking for news."""
-
-    def __init__(self, *, time_source: clock.Clock) -> None:
-        self._clock = time_source
-        self._answered_at: float | None = None
-
-    @property
-    def is_silent(self) -> bool:
-        """Tell whether the pool should have asked again by now."""
-        if self._answered_at is None:
-            return False
-        return self._clock.now() - self._answered_at > POOL_SILENT_SECONDS
-
-    def begin(self, program: str) -> None:
-        """Note that a program has asked for news."""
-        if program in _POOL_STATES:
-            self._answered_at = None
-
-    def end(self, program: str) -> None:
-        """Note that a program was answered."""
-        if program in _POOL_STATES:
-            self._answered_at = self._clock.now()
-
-
 class Agent:
     """Wires the parts of the agent together."""
 
@@ -160,7 +44,7 @@
         self._platform = client.PlatformClient(url=settings.platform_url)
         self.keeper = freshness.SettingsKeeper(time_source=self._clock)
         self._programs: set[str] = set()
-        self.pool_watch = PoolWatch(time_source=self._clock)
+        self.pool_watch = pool_watch.PoolWatch(time_source=self._clock)
         self._table = members.MemberTable(
             own=_own_member(settings),
             time_source=self._clock,
@@ -191,7 +75,7 @@
         listener = links.Listener(
             address=self._settings.address,
             port=self._settings.agent_port,
-            make_server=lambda: AgentServer(agent=self),
+            make_server=lambda: agent_link.AgentServer(agent=self),
         )
         metrics_endpoint = metrics.MetricsEndpoint(
             address=self._settings.address,
@@ -230,7 +114,7 @@
             self._programs.add(program)
         else:
             self._programs.discard(program)
-        state = _POOL_STATES.get(program)
+        state = pool_watch.POOL_STATES.get(program)
         if state is None:
             return
         if not up:
--- /dev/null
+++ b/src/egretstep/programs/command_base.py
@@ -0,0 +1,51 @@
+"""What the commands of the operators' command line share."""
+
+import asyncio
+import os
+
+import cleo.commands.command
+import cleo.helpers
+
+from egretstep import errors
+from egretstep.operators import client
+
+EXIT_REFUSED = 1
+EXIT_WRONG = 2
+EXIT_CONFLICT = 3
+DEFAULTAGENT = 'http://127.0.0.1:7203'
+FILE = 'file'
+argument = cleo.helpers.argument
+option = cleo.helpers.option
+AGENT = option('agent', None, 'URL of an agent', flag=False)
+JSON = option('json', None, 'Print JSON for other programs')
+
+
+Command = cleo.commands.command.Command
+
+
+class OperatorCommand(Command):
+    """A command that talks to an agent."""
+
+    def _client(self) -> client.OperatorClient:
+        url = self.option('agent') or os.environ.get('EGRETSTEPAGENT')
+        return client.OperatorClient(
+            url=url or DEFAULTAGENT,
+            token=os.environ.get('EGRETSTEP_TOKEN', ''),
+        )
+
+    def handle(self) -> int:
+        """Run the command and turn errors into exit codes."""
+        try:
+            return asyncio.run(self._run())
+        except errors.ConflictError as error:
+            self.line_error(f'<error>{error}</error>')
+            return EXIT_CONFLICT
+        except errors.SettingsError as error:
+            self.line_error(f'<error>{error}</error>')
+            return EXIT_WRONG
+        except errors.EgretstepError as error:
+            self.line_error(f'<error>{error}</error>')
+            return EXIT_REFUSED
+
+    async def _run(self) -> int:
+        raise NotImplementedError
