--- /dev/null
+++ b/src/egretstep/programs/bench.py
@@ -0,0 +1,69 @@
+"""The load program: sends a workload and reports what callers saw.
+
+Exit codes: 0 no promise was broken, 1 one was, 2 the workload is wrong.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import typing
+
+import orjson
+from returns import result
+
+from egretstep.bench import load, measures, workload
+from egretstep.settings import loader
+
+EXIT_BROKEN = 1
+EXIT_WRONG = 2
+
+
+async def _run(
+    model: workload.Workload,
+    addresses: list[workload.Address],
+) -> dict[str, typing.Any]:
+    running = load.Load(model=model, addresses=addresses)
+    await running.run()
+    return {
+        'groups': {
+            name: measures.summary(group)
+            for name, group in running.groups.items()
+        },
+        'violations': {
+            promise.value: count
+            for promise, count in running.violations.counts.items()
+        },
+        'examples': running.violations.examples,
+    }
+
+
+def _address(text: str) -> workload.Address:
+    address, _separator, port = text.rpartition(':')
+    return workload.Address(host=text, address=address, port=int(port))
+
+
+def main() -> None:
+    """Start the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('workload', type=pathlib.Path, help='YAML file')
+    parser.add_argument(
+        'address',
+        nargs='+',
+        type=_address,
+        help='IP number and port of an entry',
+    )
+    options = parser.parse_args()
+    checked = loader.load(path=options.workload, model=workload.Workload)
+    if isinstance(checked, result.Failure):
+        for problem in checked.failure():
+            sys.stderr.write(f'{options.workload}: {problem}\n')
+        sys.exit(EXIT_WRONG)
+    report = asyncio.run(_run(checked.unwrap(), options.address))
+    sys.stdout.write(orjson.dumps(report, option=orjson.OPT_INDENT_2).decode())
+    sys.stdout.write('\n')
+    sys.exit(EXIT_BROKEN if report['violations'] else 0)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/egretstep/programs/command_base.py
+++ b/src/egretstep/programs/command_base.py
@@ -27,7 +27,7 @@
     """A command that talks to an agent."""
 
     def _client(self) -> client.OperatorClient:
-        url = self.option('agent') or os.environ.get('EGRETSTEPAGENT')
+        url = self.option('agent') or os.environ.get('EGRETSTEP_AGENT')
         return client.OperatorClient(
             url=url or DEFAULTAGENT,
             token=os.environ.get('EGRETSTEP_TOKEN', ''),
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,39 @@
+import pathlib
+import unittest
+
+from egretstep.bench import checks, measures, workload
+from egretstep.settings import loader
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / 'examples'
+
+
+class ChecksTest(unittest.TestCase):
+    def _violations(self, *, stored: int) -> dict[checks.Promise, int]:
+        violations = checks.Violations()
+        checks.check_total(
+            violations=violations,
+            name='row',
+            ledger=checks.Ledger(acknowledged=5, unknown=1),
+            stored=stored,
+        )
+        return dict(violations.counts)
+
+    def test_totals_between_acknowledged_and_unknown_are_right(self) -> None:
+        self.assertEqual(self._violations(stored=5), {})
+        self.assertEqual(self._violations(stored=6), {})
+
+    def test_lost_and_doubled_writes_are_found(self) -> None:
+        lost = self._violations(stored=4)
+        doubled = self._violations(stored=7)
+        self.assertEqual(list(lost), [checks.Promise.NO_LOST_WRITE])
+        self.assertEqual(list(doubled), [checks.Promise.WRITE_ONCE])
+
+    def test_longest_gap(self) -> None:
+        group = measures.GroupMeasures()
+        for now in (1, 1.5, 4, 4.1):
+            group.success(now=now, seconds=0.001)
+        self.assertEqual(group.longest_gap(), 2.5)
+
+    def test_example_workloads_are_right(self) -> None:
+        for path in EXAMPLES.glob('*/workload.yaml'):
+            loader.load(path=path, model=workload.Workload).unwrap()
