Agents keep the settings' record unparsed

Cause: parsed settings of 2,300 databases take 14.9 MB, which with an idle agent's 56 MB passes the budget of 64 MB; the agent needs versions and witnesses only.

--- a/src/egretstep/settings/freshness.py
+++ b/src/egretstep/settings/freshness.py
@@ -74,7 +74,6 @@
         record = records.decode(data)
         if record.version <= self.version:
             return False
-        record.fleet()
         self._record = record
         self._data = data
         return True
