--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := src:.
 
-.PHONY: capacity bench-sharing bench-gaps demo fleet test check unit scenarios model bench-overhead install
+.PHONY: bench-reads mutants capacity bench-sharing bench-gaps demo fleet test check unit scenarios model bench-overhead install
 
 install: $(VENV)/installed
 
@@ -43,5 +43,8 @@
 mutants: install
 	$(BIN)/python tests/mutants.py
 
+bench-reads: install
+	$(BIN)/python -m standins.reads
+
 bench-overhead: install
 	$(BIN)/python -m standins.overhead
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -171,7 +171,7 @@
             str(pathlib.Path(sys.executable).parent / 'behave'),
             '--no-capture',
             '--format',
-            'progress',
+            'progress2',
             '--name',
             mutant.scenario,
             f'features/{mutant.feature}.feature',
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -43,7 +43,7 @@
             str(BEHAVE),
             '--no-capture',
             '--format',
-            'progress',
+            'progress2',
             *(str(path.relative_to(ROOT)) for path in files),
         ],
         cwd=ROOT,
