Count anew after another host has counted; tokens in a module of their own

Cause: found by reading. A host that lost a database to another one and claimed it again kept its bucket, and a bucket made after a second change of its own started full, so that the burst could be given twice. Change: the owner keeps since when it counts; a bucket was empty at that time and has earned its rate since; one of an earlier time is dropped. Ruled out: resetting at every term, which would refuse callers within their rate after each change of primary by the same owner.

--- a/src/egretstep/limits/admission.py
+++ b/src/egretstep/limits/admission.py
@@ -58,16 +58,22 @@
         workspace: identifiers.WorkspaceName,
         effective: tree.Effective,
         time_source: clock.Clock,
-        full: bool,
+        earning_since: float,
     ) -> None:
         self._workspace = workspace
+        self._earning_since = earning_since
         self._bucket = bucket.TokenBucket(
             rate=effective.rate,
             burst=effective.burst,
             time_source=time_source,
-            full=full,
+            earning_since=earning_since,
         )
 
+    @property
+    def earning_since(self) -> float:
+        """Return the time at which the bucket was empty."""
+        return self._earning_since
+
     async def admit(self, *, longest_wait: float) -> None:
         """Wait for a token or refuse."""
         shaping = min(longest_wait, LONGEST_SHAPING_SECONDS)
--- a/src/egretstep/limits/bucket.py
+++ b/src/egretstep/limits/bucket.py
@@ -2,6 +2,8 @@
 
 from egretstep import clock
 
+ALWAYS = float('-inf')
+
 
 class TokenBucket:
     """Tokens that come at a rate, up to a burst.
@@ -9,7 +11,8 @@
     A request that finds no token may reserve the next one and wait for it,
     so that callers within the rate are not refused because two of them came
     at once. In any window of `t` seconds no more than `burst + rate * t`
-    requests pass.
+    requests pass. The bucket was empty at `earning_since`, a monotonic time;
+    by default that was so long ago that it is full.
 
     >>> source = clock.ManualClock()
     >>> bucket = TokenBucket(rate=10, burst=1, time_source=source)
@@ -27,13 +30,14 @@
         rate: float,
         burst: float,
         time_source: clock.Clock,
-        full: bool = True,
+        earning_since: float = ALWAYS,
     ) -> None:
         self._rate = rate
         self._burst = burst
         self._clock = time_source
-        self._tokens = float(burst) if full else 0.0
-        self._refilled_at = time_source.now()
+        self._tokens = 0.0
+        self._refilled_at = earning_since
+        self._refill()
 
     @property
     def tokens(self) -> float:
--- a/src/egretstep/pooling/host.py
+++ b/src/egretstep/pooling/host.py
@@ -11,10 +11,9 @@
 from egretstep.limits import admission
 from egretstep.membership import members, view
 from egretstep.peers import links, messages, schema
-from egretstep.pooling import outcomes, owned, pins
+from egretstep.pooling import outcomes, owned, pins, tokens
 from egretstep.supervision import supervisor
 
-TOKEN_TIMEOUT_SECONDS = 0.3
 HANDOVER_TIMEOUT_SECONDS = 1.0
 REPLACED_WAIT_SECONDS = 2.0
 POLL_SECONDS = 0.02
@@ -45,14 +44,17 @@
         self._owned: dict[identifiers.DatabaseName, owned.OwnedDatabase] = {}
         self._leaving: dict[identifiers.DatabaseName, asyncio.Task[None]] = {}
         self._supervisor = supervisor.Supervisor(name='databases')
-        self._admissions: dict[
-            tuple[identifiers.DatabaseName, identifiers.WorkspaceName],
-            admission.Admission,
-        ] = {}
         self._links = links.LinkTable(
             interface=schema.Pool,
             time_source=time_source,
         )
+        self._tokens = tokens.TokenDesk(
+            host=host,
+            serving=self._owned,
+            current_view=self._current_view,
+            pool_links=self._links,
+            time_source=time_source,
+        )
         self._stopping = False
         self._running = 0
         self._asked_at = time_source.now()
@@ -146,14 +148,7 @@
         wanted: int,
     ) -> admission.Lot | None:
         """Give tokens of a workspace that is counted here, or none."""
-        home = self._home_of(workspace)
-        serving = self._owned.get(home) if home else None
-        if home is None or serving is None or not serving.is_serving:
-            return None
-        counting = self._admission(home, workspace)
-        if not isinstance(counting, admission.CountingAdmission):
-            return None
-        return counting.take(wanted)
+        return self._tokens.take(workspace, wanted)
 
     def _redirect(
         self,
@@ -177,87 +172,15 @@
     ) -> messages.Answer:
         if request.kind in _FREE_KINDS:
             return await serving.execute(request, pin_key)
-        gatekeeper = self._admission(request.database, request.workspace)
+        gatekeeper = self._tokens.gatekeeper(
+            request.database,
+            request.workspace,
+        )
         await gatekeeper.admit(
             longest_wait=clock.to_seconds(request.timeout_ms) / 2,
         )
         return await serving.execute(request, pin_key)
 
-    def _admission(
-        self,
-        database: identifiers.DatabaseName,
-        workspace: identifiers.WorkspaceName,
-    ) -> admission.Admission:
-        key = (database, workspace)
-        known = self._admissions.get(key)
-        if known is None:
-            known = self._make_admission(database, workspace)
-            self._admissions[key] = known
-        return known
-
-    def _make_admission(
-        self,
-        database: identifiers.DatabaseName,
-        workspace: identifiers.WorkspaceName,
-    ) -> admission.Admission:
-        home = self._home_of(workspace)
-        if home in {None, database}:
-            effective = self._current_view().tree.effective(
-                workspace=workspace,
-                database=database,
-            )
-            return admission.CountingAdmission(
-                workspace=workspace,
-                effective=effective,
-                time_source=self._clock,
-                full=not self._owned[database].had_previous_owner,
-            )
-        return admission.BorrowingAdmission(
-            workspace=workspace,
-            take_tokens=self._borrow,
-            time_source=self._clock,
-        )
-
-    def _home_of(
-        self,
-        workspace: identifiers.WorkspaceName,
-    ) -> identifiers.DatabaseName | None:
-        known = self._current_view().tree.fleet.workspaces.get(workspace)
-        if known is None:
-            return None
-        return identifiers.DatabaseName(known.databases[0])
-
-    async def _borrow(
-        self,
-        workspace: identifiers.WorkspaceName,
-        wanted: int,
-    ) -> admission.Lot:
-        own_lot = self.take_tokens(workspace, wanted)
-        if own_lot is not None:
-            return own_lot
-        home = self._home_of(workspace)
-        counting = self._current_view().owner(home) if home else None
-        if counting is None or counting.host == self._host:
-            return admission.Lot(granted=0, retry_after=TOKEN_TIMEOUT_SECONDS)
-        try:
-            answer = await self._link(counting).call(
-                lambda pool: pool.takeTokens(
-                    workspace=workspace,
-                    wanted=wanted,
-                    term=0,
-                ),
-                timeout=TOKEN_TIMEOUT_SECONDS,
-            )
-        except (errors.LinkError, errors.LinkLostError):
-            return admission.Lot(
-                granted=0,
-                retry_after=links.RECONNECT_DELAY_SECONDS,
-            )
-        return admission.Lot(
-            granted=answer.granted,
-            retry_after=clock.to_seconds(answer.retryAfterMs),
-        )
-
     def _link(self, member: members.Member) -> links.Link:
         return self._links.get(member.address, member.pool_port)
 
@@ -273,10 +196,7 @@
                 self._start_owning(database)
             elif preferred is not None and database in self._owned:
                 self._start_leaving(database)
-        for (database, workspace), gatekeeper in self._admissions.items():
-            gatekeeper.change(
-                current.tree.effective(workspace=workspace, database=database),
-            )
+        self._tokens.follow(current)
 
     def _start_owning(self, database: identifiers.DatabaseName) -> None:
         is_known = database in self._owned or database in self._leaving
@@ -330,15 +250,10 @@
         leaving = self._owned[database]
         term = await leaving.hand_over()
         self._owned.pop(database)
-        self._forget_admissions(database)
+        self._tokens.forget(database)
         await self._tell_next_owner(database, term)
         await self._supervisor.stop_child(database)
 
-    def _forget_admissions(self, database: identifiers.DatabaseName) -> None:
-        for key in tuple(self._admissions):
-            if key[0] == database:
-                self._admissions.pop(key)
-
     async def _tell_next_owner(
         self,
         database: identifiers.DatabaseName,
--- a/src/egretstep/pooling/owned.py
+++ b/src/egretstep/pooling/owned.py
@@ -112,9 +112,9 @@
         return self._group.tenure is not None
 
     @property
-    def had_previous_owner(self) -> bool:
-        """Tell whether another owner served before this one."""
-        return self._owner.had_previous_owner
+    def counting_since(self) -> float:
+        """Return since when this host has counted rates; see the owner."""
+        return self._owner.counting_since
 
     @property
     def holder(self) -> identifiers.HostName:
--- a/src/egretstep/replication/owner.py
+++ b/src/egretstep/replication/owner.py
@@ -68,14 +68,19 @@
         self._clock = time_source
         self._handed_over = identifiers.NO_TERM
         self._retry_move_at = float('-inf')
-        self._had_previous_owner = False
+        self._counting_since = float('-inf')
         self._is_failing = False
         self._losses = 0
 
     @property
-    def had_previous_owner(self) -> bool:
-        """Tell whether another owner served before this one."""
-        return self._had_previous_owner
+    def counting_since(self) -> float:
+        """Return when this host took over from another one.
+
+        Tokens that another host gave before then are not known here, so that
+        buckets are empty at that monotonic time. It is minus infinity for
+        the first owner of all.
+        """
+        return self._counting_since
 
     def accept_handover(self, term: identifiers.Term) -> None:
         """Note that the old owner has released a term."""
@@ -133,7 +138,8 @@
                 continue
             if owner not in {'', self._host} and self._handed_over < term:
                 await self._wait_old_lease(fenced_at)
-            self._had_previous_owner = owner not in {'', self._host}
+            if owner not in {'', self._host}:
+                self._counting_since = self._clock.now()
             break
         self._is_failing = False
         self._group.enter(tenure)
--- a/tests/limits/test_bucket.py
+++ b/tests/limits/test_bucket.py
@@ -8,7 +8,7 @@
     def setUp(self) -> None:
         self.clock = clock.ManualClock()
 
-    def _bucket(self, **options: bool) -> bucket.TokenBucket:
+    def _bucket(self, **options: float) -> bucket.TokenBucket:
         return bucket.TokenBucket(
             rate=10,
             burst=3,
@@ -24,13 +24,20 @@
         self.assertEqual(tokens.reserve(longest_wait=0), 0)
 
     def test_reservations_queue_up(self) -> None:
-        tokens = self._bucket(full=False)
+        tokens = self._bucket(earning_since=self.clock.now())
         waits = [tokens.reserve(longest_wait=0.25) for _ in range(3)]
         self.assertEqual([round(wait, 3) for wait in waits[:2]], [0.1, 0.2])
         self.assertIsNone(waits[2])
 
     def test_new_owner_starts_empty(self) -> None:
-        self.assertEqual(self._bucket(full=False).take(5), 0)
+        self.assertEqual(
+            self._bucket(earning_since=self.clock.now()).take(5), 0
+        )
+
+    def test_tokens_earned_since_the_takeover(self) -> None:
+        self.clock.advance(7)
+        tokens = self._bucket(earning_since=6.85)
+        self.assertEqual(tokens.take(5), 1)
 
     def test_lower_burst_takes_tokens_away(self) -> None:
         tokens = self._bucket()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -64,9 +64,9 @@
     ),
     Mutant(
         name='a new owner starts with a full bucket',
-        path='src/egretstep/pooling/host.py',
-        old='full=not self._owned[database].had_previous_owner',
-        new='full=True',
+        path='src/egretstep/replication/owner.py',
+        old='                self._counting_since = self._clock.now()',
+        new='                self._counting_since = float("-inf")',
         feature='rate',
         scenario='The counting owner dies',
     ),
