--- a/specifications/checking.py
+++ b/specifications/checking.py
@@ -17,6 +17,15 @@
     is_broken: bool = False
 
 
+def put(
+    values: tuple[typing.Any, ...],
+    index: int,
+    new: typing.Any,
+) -> tuple[typing.Any, ...]:
+    """Return a tuple with one of its values replaced."""
+    return (*values[:index], new, *values[index + 1 :])
+
+
 State = typing.Any
 Moves = typing.Callable[[State, typing.Any], list[tuple[str, State]]]
 Invariants = dict[str, typing.Callable[[dict[str, typing.Any]], bool]]
--- a/specifications/failover.py
+++ b/specifications/failover.py
@@ -76,13 +76,13 @@
             state.promised[server] == OLD
             and state.confirmed[server] < state.now
         ):
-            confirmed = _put(state.confirmed, server, state.now)
+            confirmed = checking.put(state.confirmed, server, state.now)
             moves.append((
                 f'A renews at s{server}',
                 state._replace(confirmed=confirmed),
             ))
     if state.promised[0] == OLD and len(state.logs[0]) < MOST_WRITES:
-        logs = _put(state.logs, 0, (*state.logs[0], OLD))
+        logs = checking.put(state.logs, 0, (*state.logs[0], OLD))
         moves.append(('A writes', state._replace(logs=logs)))
     committed = _committed(state, variant)
     if state.answered < committed:
@@ -126,7 +126,7 @@
     for server in range(1, SERVERS):
         is_behind = len(state.logs[server]) < len(state.logs[0])
         if state.promised[server] == state.promised[0] == OLD and is_behind:
-            logs = _put(
+            logs = checking.put(
                 state.logs,
                 server,
                 state.logs[0][: len(state.logs[server]) + 1],
@@ -140,7 +140,7 @@
     if state.primary < 0:
         for server in range(SERVERS):
             if state.promised[server] == OLD:
-                promised = _put(state.promised, server, NEW)
+                promised = checking.put(state.promised, server, NEW)
                 moves.append((
                     f'B fences s{server}',
                     state._replace(promised=promised),
@@ -186,7 +186,7 @@
         primary=chosen,
         fenced_at=state.now,
         lost=state.lost or len(log) < state.acknowledged,
-        logs=_put(state.logs, chosen, (*log, NEW)),
+        logs=checking.put(state.logs, chosen, (*log, NEW)),
     )
 
 
@@ -203,10 +203,6 @@
     return kept.count(OLD) < state.acknowledged
 
 
-def _put(values: tuple, index: int, new: typing.Any) -> tuple:
-    return (*values[:index], new, *values[index + 1 :])
-
-
 def specifications() -> list[checking.Specification]:
     """Return the model and its broken variants."""
     broken = {
--- a/specifications/freshness.py
+++ b/specifications/freshness.py
@@ -89,7 +89,7 @@
         moves.append(('change', state._replace(stored=state.stored + 1)))
     for index, witness in enumerate(EVERYONE):
         if state.held[index] < state.stored and witness in _reached(state):
-            held = _put(state.held, index, state.stored)
+            held = checking.put(state.held, index, state.stored)
             moves.append((f'push to {witness}', state._replace(held=held)))
     if state.accepted < state.stored and _is_accepted(state, variant):
         moves.append((
@@ -133,7 +133,7 @@
     for index, witness in enumerate(EVERYONE):
         is_asked = witness in RECORDS[state.host].witnesses
         if is_asked and not state.answers[index] and state.held[index]:
-            answers = _put(state.answers, index, state.held[index])
+            answers = checking.put(state.answers, index, state.held[index])
             moves.append((
                 f'{witness} answers',
                 state._replace(answers=answers),
@@ -180,10 +180,6 @@
     )
 
 
-def _put(values: tuple, index: int, new: typing.Any) -> tuple:
-    return (*values[:index], new, *values[index + 1 :])
-
-
 def specifications() -> list[checking.Specification]:
     """Return the model and its broken variants."""
     broken = {
