Move the MySQL client and the product's ports out of platform/

Cause: platform/ is to hold only what translates between the users' platform and the product. Change: the MySQL connection goes to backends/, the table service and its client to storage/.

--- a/specifications/failover.py
+++ b/specifications/failover.py
@@ -9,7 +9,7 @@
 import typing
 
 from egretstep import clock, identifiers
-from egretstep.platform import interfaces
+from egretstep.storage import interfaces
 from egretstep.replication import election, lease
 from specifications import checking
 
--- a/src/egretstep/platform/database.py
+++ b/src/egretstep/backends/mysql.py
@@ -8,7 +8,7 @@
 
 from egretstep import errors, identifiers
 from egretstep.peers import messages
-from egretstep.platform import interfaces
+from egretstep.storage import interfaces
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 CONTROL_TIMEOUT_SECONDS = 0.25
--- a/src/egretstep/platform/__init__.py
+++ b/src/egretstep/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: table service, host list, database control."""
+"""Adapter to the users' platform: translation between its words and ours."""
--- a/src/egretstep/pooling/connections.py
+++ b/src/egretstep/pooling/connections.py
@@ -11,7 +11,7 @@
 import logbook
 
 from egretstep import errors, identifiers
-from egretstep.platform import database
+from egretstep.backends import mysql as database
 
 RESERVED_FOR_CONTROL = 2
 RESET_SECONDS = 0.3
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -9,9 +9,9 @@
 import typing
 
 from egretstep import clock, errors, identifiers
+from egretstep.backends import mysql as database
 from egretstep.observability import metrics
 from egretstep.peers import messages
-from egretstep.platform import database
 from egretstep.pooling import (
     connections,
     gate,
--- a/src/egretstep/pooling/idempotency.py
+++ b/src/egretstep/pooling/idempotency.py
@@ -5,7 +5,7 @@
 """
 
 from egretstep import identifiers
-from egretstep.platform import database
+from egretstep.backends import mysql as database
 
 TABLE = 'egretstep_requests'
 CODE_DUPLICATE = 1062
--- a/src/egretstep/pooling/outcomes.py
+++ b/src/egretstep/pooling/outcomes.py
@@ -5,7 +5,7 @@
 """
 
 from egretstep import errors, identifiers
-from egretstep.platform import database
+from egretstep.backends import mysql as database
 
 CODE_STALE_TERM = 1290
 CODE_READ_ONLY = 1792
--- a/src/egretstep/pooling/owned.py
+++ b/src/egretstep/pooling/owned.py
@@ -6,9 +6,9 @@
 import logbook
 
 from egretstep import clock, errors, identifiers
+from egretstep.backends import mysql as database_module
 from egretstep.membership import ranking, view
 from egretstep.peers import messages
-from egretstep.platform import database as database_module
 from egretstep.pooling import (
     execution,
     jobs,
--- a/src/egretstep/pooling/pins.py
+++ b/src/egretstep/pooling/pins.py
@@ -4,7 +4,7 @@
 import typing
 
 from egretstep import identifiers
-from egretstep.platform import database
+from egretstep.backends import mysql as database
 from egretstep.pooling import connections
 
 LinkId = typing.NewType('LinkId', int)
--- a/src/egretstep/pooling/reading.py
+++ b/src/egretstep/pooling/reading.py
@@ -4,7 +4,7 @@
 import typing
 
 from egretstep import clock, errors, identifiers
-from egretstep.platform import database
+from egretstep.backends import mysql as database
 from egretstep.pooling import jobs, servers
 from egretstep.replication import group
 from egretstep.routing import replicas
--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -13,10 +13,10 @@
 from egretstep.observability import metrics
 from egretstep.operators import endpoint
 from egretstep.peers import links, schema
-from egretstep.platform import client, interfaces
 from egretstep.programs import agent_link, runner
 from egretstep.settings import changes, distribution, freshness
 from egretstep.settings import schema as settings_schema
+from egretstep.storage import client, interfaces
 from egretstep.supervision import supervisor
 
 HOST_LIST_SECONDS = 10.0
--- a/src/egretstep/replication/election.py
+++ b/src/egretstep/replication/election.py
@@ -3,7 +3,7 @@
 import typing
 
 from egretstep import identifiers
-from egretstep.platform import interfaces
+from egretstep.storage import interfaces
 
 
 def next_term(
--- a/src/egretstep/replication/group.py
+++ b/src/egretstep/replication/group.py
@@ -7,10 +7,10 @@
 import logbook
 
 from egretstep import clock, errors, identifiers
-from egretstep.platform import database as database_module
-from egretstep.platform import interfaces
+from egretstep.backends import mysql as database_module
 from egretstep.replication import election, floors, lease, monitor, staleness
 from egretstep.settings import schema
+from egretstep.storage import interfaces
 from egretstep.supervision import supervisor
 
 GRACE_SECONDS = 0.03
--- a/src/egretstep/replication/monitor.py
+++ b/src/egretstep/replication/monitor.py
@@ -10,7 +10,7 @@
 import logbook
 
 from egretstep import clock, errors, identifiers
-from egretstep.platform import interfaces
+from egretstep.storage import interfaces
 
 HEARTBEAT_SECONDS = 0.1
 DOWN_SECONDS = 0.5
--- a/src/egretstep/settings/changes.py
+++ b/src/egretstep/settings/changes.py
@@ -13,9 +13,9 @@
 
 from egretstep import errors, identifiers
 from egretstep.membership import members, ranking
-from egretstep.platform import interfaces
 from egretstep.settings import distribution as distribution_module
 from egretstep.settings import freshness, loader, records, schema
+from egretstep.storage import interfaces
 
 WITNESS_COUNT = 7
 READ_BACK_TRIES = 5
--- a/src/egretstep/settings/distribution.py
+++ b/src/egretstep/settings/distribution.py
@@ -13,8 +13,8 @@
 from egretstep import clock, errors, identifiers
 from egretstep.membership import gossip as gossip_module
 from egretstep.membership import members
-from egretstep.platform import interfaces
 from egretstep.settings import freshness, records
+from egretstep.storage import interfaces
 
 SETTINGS_KEY = 'egretstep/settings'
 POLL_SECONDS = 0.5
--- a/src/egretstep/platform/client.py
+++ b/src/egretstep/storage/client.py
@@ -8,7 +8,7 @@
 import orjson
 
 from egretstep import errors
-from egretstep.platform import interfaces
+from egretstep.storage import interfaces
 
 CALL_TIMEOUT_SECONDS = 1.0
 _CONFLICT = 409
--- a/tests/pooling/test_execution.py
+++ b/tests/pooling/test_execution.py
@@ -4,8 +4,8 @@
 import unittest.mock
 
 from egretstep import clock, errors, identifiers
+from egretstep.backends import mysql as database
 from egretstep.peers import messages
-from egretstep.platform import database
 from egretstep.pooling import execution, jobs, outcomes, pins, reading
 from egretstep.replication import floors, group, lease
 from egretstep.settings import schema, tree
--- a/tests/pooling/test_outcomes.py
+++ b/tests/pooling/test_outcomes.py
@@ -1,7 +1,7 @@
 import unittest
 
 from egretstep import identifiers
-from egretstep.platform import database
+from egretstep.backends import mysql as database
 from egretstep.pooling import outcomes
 
 
