--- /dev/null
+++ b/src/egretstep/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to database servers, and what their answers mean."""
--- /dev/null
+++ b/src/egretstep/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The platform table service and object store, as the product uses them."""
