--- a/src/egretstep/clock.py
+++ b/src/egretstep/clock.py
@@ -21,6 +21,17 @@
         return time.monotonic()
 
 
+class BootClock:
+    """Seconds since the host started, which also count while it is paused.
+
+    A lease must run out while its holder does not run.
+    """
+
+    def now(self) -> float:
+        """Return the seconds since the host started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that moves only when told to, for tests.
 
--- /dev/null
+++ b/src/egretstep/limits/grants.py
@@ -0,0 +1,187 @@
+"""Rate and burst of workspaces, counted once for the whole fleet.
+
+One host holds the task of counting. It gives tokens in small lots to the
+hosts that admit operations, so that most operations need no message.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import logbook
+
+from egretstep import clock, identifiers
+from egretstep.limits import bucket
+from egretstep.settings import deployment
+
+LOT_SECONDS = 0.4
+LOT_LIFETIME_SECONDS = 1.5
+LONGEST_WAIT_SECONDS = 0.3
+REFUSED_PAUSE_SECONDS = 0.1
+UNCOUNTED_SHARE = 0.5
+DEMAND_MEMORY_SECONDS = 2.0
+_logger = logbook.Logger('grants')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """Tokens of one workspace, or when there will be one, in seconds."""
+
+    granted: int
+    retry_after: float = 0
+
+
+Workspace = identifiers.WorkspaceName
+Ask = typing.Callable[[Workspace, int], typing.Awaitable[Grant | None]]
+
+
+class Counter:
+    """Buckets of all workspaces at the host that counts."""
+
+    def __init__(
+        self,
+        *,
+        current: typing.Callable[[], deployment.Deployment],
+        time_source: clock.Clock,
+        is_full: bool,
+    ) -> None:
+        self._current = current
+        self._clock = time_source
+        self._earning_since = bucket.ALWAYS if is_full else time_source.now()
+        self._buckets: dict[Workspace, bucket.TokenBucket] = {}
+        self._limits: dict[Workspace, tuple[float, float]] = {}
+
+    def take(self, workspace: Workspace, wanted: int) -> Grant:
+        """Give up to a number of tokens."""
+        settings = self._current().workspaces.get(workspace)
+        if settings is None or settings.rate <= 0:
+            return Grant(granted=0, retry_after=1)
+        tokens = self._bucket(settings)
+        granted = tokens.take(wanted)
+        if granted:
+            return Grant(granted=granted)
+        return Grant(granted=0, retry_after=tokens.retry_after())
+
+    def _bucket(self, settings: deployment.Workspace) -> bucket.TokenBucket:
+        limits = (settings.rate, settings.burst)
+        tokens = self._buckets.get(settings.name)
+        if tokens is None:
+            tokens = bucket.TokenBucket(
+                rate=settings.rate,
+                burst=settings.burst,
+                time_source=self._clock,
+                earning_since=self._earning_since,
+            )
+            self._buckets[settings.name] = tokens
+        elif self._limits[settings.name] != limits:
+            tokens.change(rate=settings.rate, burst=settings.burst)
+        self._limits[settings.name] = limits
+        return tokens
+
+
+class _Purse:
+    """Tokens of one workspace on this host, and how fast they are used."""
+
+    def __init__(self, *, now: float) -> None:
+        self.tokens = 0
+        self.expires_at = 0.0
+        self.refused_until = 0.0
+        self.demand = 0.0
+        self.seen_at = now
+        self.waiting = 0
+        self.asking: asyncio.Task[None] | None = None
+
+    def note_demand(self, now: float) -> None:
+        """Count an operation into the decaying demand."""
+        elapsed = now - self.seen_at
+        self.seen_at = now
+        kept = max(0.0, 1 - elapsed / DEMAND_MEMORY_SECONDS)
+        self.demand = self.demand * kept + 1
+
+    def lot_size(self) -> int:
+        """Return how many tokens are worth asking for."""
+        rate = self.demand / DEMAND_MEMORY_SECONDS
+        return max(1, self.waiting, round(rate * LOT_SECONDS))
+
+
+class Admitter:
+    """Admits the operations of callers on this host."""
+
+    def __init__(
+        self,
+        *,
+        ask: Ask,
+        uncounted_rate: typing.Callable[[Workspace], float],
+        time_source: clock.Clock,
+    ) -> None:
+        self._ask = ask
+        self._uncounted_rate = uncounted_rate
+        self._clock = time_source
+        self._purses: dict[Workspace, _Purse] = {}
+        self._alone: dict[Workspace, bucket.TokenBucket] = {}
+
+    async def admit(self, workspace: Workspace) -> float | None:
+        """Take a token; returns the seconds to wait if there is none."""
+        now = self._clock.now()
+        purse = self._purses.get(workspace)
+        if purse is None:
+            purse = _Purse(now=now)
+            self._purses[workspace] = purse
+        purse.note_demand(now)
+        deadline = now + LONGEST_WAIT_SECONDS
+        while True:
+            now = self._clock.now()
+            if purse.expires_at < now:
+                purse.tokens = 0
+            if purse.tokens > 0:
+                purse.tokens -= 1
+                return None
+            if purse.refused_until > deadline or now >= deadline:
+                return max(purse.refused_until - now, REFUSED_PAUSE_SECONDS)
+            await self._replenish(workspace, purse)
+
+    async def _replenish(self, workspace: Workspace, purse: _Purse) -> None:
+        purse.waiting += 1
+        try:
+            if purse.asking is None or purse.asking.done():
+                purse.asking = asyncio.ensure_future(
+                    self._ask_for(workspace, purse),
+                )
+            await asyncio.shield(purse.asking)
+        finally:
+            purse.waiting -= 1
+
+    async def _ask_for(self, workspace: Workspace, purse: _Purse) -> None:
+        pause = purse.refused_until - self._clock.now()
+        if pause > 0:
+            await asyncio.sleep(pause)
+        grant = await self._ask(workspace, purse.lot_size())
+        if grant is None:
+            grant = self._grant_alone(workspace)
+        now = self._clock.now()
+        if grant.granted:
+            purse.tokens += grant.granted
+            purse.expires_at = now + LOT_LIFETIME_SECONDS
+        else:
+            purse.refused_until = now + grant.retry_after
+
+    def _grant_alone(self, workspace: Workspace) -> Grant:
+        """Give a small share while nobody counts.
+
+        All hosts together then give less than the rate.
+        """
+        rate = self._uncounted_rate(workspace) * UNCOUNTED_SHARE
+        if rate <= 0:
+            return Grant(granted=0, retry_after=1)
+        tokens = self._alone.get(workspace)
+        if tokens is None:
+            tokens = bucket.TokenBucket(
+                rate=rate,
+                burst=1,
+                time_source=self._clock,
+            )
+            self._alone[workspace] = tokens
+        tokens.change(rate=rate, burst=1)
+        if tokens.take(1):
+            return Grant(granted=1)
+        return Grant(granted=0, retry_after=tokens.retry_after())
--- /dev/null
+++ b/src/egretstep/membership/claiming.py
@@ -0,0 +1,140 @@
+"""Decides which tasks this host should take over.
+
+The hosts of a task are ranked in the same order everywhere. The first one
+takes a task that nobody holds. Each of the next ones watches the holder and
+takes over when it does not answer, the later in rank the later.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import logbook
+
+from egretstep import clock, identifiers
+from egretstep.membership import directory, leases
+
+WATCH_SECONDS = 0.3
+DETECTION_SECONDS = 1.0
+RANK_DELAY_SECONDS = 1.0
+WATCHERS = 3
+RETRY_SECONDS = 0.5
+SETTLE_SECONDS = 1.0
+_logger = logbook.Logger('claiming')
+
+
+class Prober(typing.Protocol):
+    """Finds out whether hosts answer."""
+
+    async def reaches(self, host: identifiers.HostName) -> bool:
+        """Tell whether this host gets an answer from another one."""
+
+    async def others_reach(self, host: identifiers.HostName) -> bool:
+        """Tell whether most of the other hosts get an answer from it."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Task:
+    """A task that one host must do, best one of a zone."""
+
+    name: leases.TaskName
+    zone: identifiers.ZoneName
+
+
+class Claimant:
+    """Watches the tasks of the fleet and starts those of this host.
+
+    `wanted` lists the tasks that there are now; `start` is called with each
+    claim that this host has won.
+    """
+
+    def __init__(
+        self,
+        *,
+        keeper: leases.LeaseKeeper,
+        hosts: directory.Directory,
+        prober: Prober,
+        wanted: typing.Callable[[], typing.Sequence[Task]],
+        start: typing.Callable[[leases.Claim], None],
+        time_source: clock.Clock,
+    ) -> None:
+        self._keeper = keeper
+        self._hosts = hosts
+        self._prober = prober
+        self._wanted = wanted
+        self._start = start
+        self._clock = time_source
+        self._silent_since: dict[identifiers.HostName, float] = {}
+        self._started_at = time_source.now()
+        self._is_leaving = False
+        self._busy: set[leases.TaskName] = set()
+
+    def leave(self) -> None:
+        """Claim nothing more, since this host is stopping."""
+        self._is_leaving = True
+
+    async def run(self) -> None:
+        """Look at the tasks until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            if not self._keeper.is_synced or self._is_leaving:
+                continue
+            for task in self._wanted():
+                if task.name not in self._busy:
+                    self._busy.add(task.name)
+                    asyncio.ensure_future(self._look_at(task))
+
+    async def _look_at(self, task: Task) -> None:
+        try:
+            await self._consider(task)
+        except Exception:
+            _logger.exception('task {} could not be looked at', task.name)
+        finally:
+            self._busy.discard(task.name)
+
+    async def _consider(self, task: Task) -> None:
+        claim = self._keeper.claims.get(task.name)
+        if claim is not None and claim.host == self._hosts.own.host:
+            if not self._keeper.is_renewing(task.name):
+                await self._take(task, 'this host held it or got it')
+            return
+        rank = self._rank(task, claim)
+        if rank is None:
+            return
+        if claim is None or claim.host not in self._hosts.hosts:
+            delay = SETTLE_SECONDS + rank * RANK_DELAY_SECONDS
+            if self._clock.now() - self._started_at > delay:
+                await self._take(task, 'nobody holds it')
+        elif await self._is_lost(claim, rank):
+            await self._take(task, f'{claim.host} does not answer')
+
+    def _rank(self, task: Task, claim: leases.Claim | None) -> int | None:
+        """Return this host's place among those that may take over."""
+        ranked = [
+            host.host
+            for host in self._hosts.preferred(task.name, task.zone)
+            if claim is None or host.host != claim.host
+        ]
+        own = self._hosts.own.host
+        if own not in ranked[:WATCHERS]:
+            return None
+        return ranked.index(own)
+
+    async def _is_lost(self, claim: leases.Claim, rank: int) -> bool:
+        now = self._clock.now()
+        if await self._prober.reaches(claim.host):
+            self._silent_since.pop(claim.host, None)
+            return False
+        since = self._silent_since.setdefault(claim.host, now)
+        delay = DETECTION_SECONDS + rank * RANK_DELAY_SECONDS
+        if now - since < delay:
+            return False
+        return not await self._prober.others_reach(claim.host)
+
+    async def _take(self, task: Task, reason: str) -> None:
+        _logger.info('claiming task {}: {}', task.name, reason)
+        taken = await self._keeper.claim(task.name)
+        if taken is None:
+            await asyncio.sleep(RETRY_SECONDS)
+        else:
+            self._start(taken)
--- /dev/null
+++ b/src/egretstep/membership/directory.py
@@ -0,0 +1,206 @@
+"""Hosts of the fleet as they register themselves in the store.
+
+A host writes its row when it starts and when it begins to leave. Whether it
+answers is found out by those who call it.
+"""
+
+import dataclasses
+import enum
+import typing
+
+import logbook
+import orjson
+
+from egretstep import clock, errors, identifiers
+from egretstep.membership import ranking
+from egretstep.settings import node
+from egretstep.storage import tables
+
+TABLE = 'fleet'
+PREFIX = 'host/'
+SUSPECT_SECONDS = 1.0
+_logger = logbook.Logger('directory')
+
+
+class HostState(enum.Enum):
+    """Whether a host takes new work."""
+
+    UP = 'up'
+    LEAVING = 'leaving'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Host:
+    """A host as it registered itself.
+
+    `boot` grows with each start of its process. `processor` is in cores.
+    """
+
+    host: identifiers.HostName
+    zone: identifiers.ZoneName
+    address: node.Address
+    boot: int
+    processor: float
+    state: HostState = HostState.UP
+
+
+def encode(host: Host) -> bytes:
+    """Write a host as the content of its row."""
+    return orjson.dumps({
+        'host': host.host,
+        'zone': host.zone,
+        'address': host.address.host,
+        'port': host.address.port,
+        'boot': host.boot,
+        'processor': host.processor,
+        'state': host.state.value,
+    })
+
+
+def decode(content: bytes) -> Host | None:
+    """Read the content of a row; none if it can't be read."""
+    try:
+        fields = orjson.loads(content)
+        return Host(
+            host=identifiers.HostName(fields['host']),
+            zone=identifiers.ZoneName(fields['zone']),
+            address=node.Address(host=fields['address'], port=fields['port']),
+            boot=fields['boot'],
+            processor=fields['processor'],
+            state=HostState(fields['state']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        _logger.warning('unreadable host row {!r}: {!r}', content, error)
+        return None
+
+
+class Directory:
+    """The hosts of the fleet, and which of them do not answer."""
+
+    def __init__(
+        self,
+        *,
+        own: Host,
+        time_source: clock.Clock,
+    ) -> None:
+        self._clock = time_source
+        self._hosts: dict[identifiers.HostName, Host] = {own.host: own}
+        self._suspected_until: dict[identifiers.HostName, float] = {}
+        self.own = own
+
+    @property
+    def hosts(self) -> typing.Mapping[identifiers.HostName, Host]:
+        """Return all registered hosts by name."""
+        return self._hosts
+
+    def follow(self, rows: typing.Mapping[str, tables.Row]) -> None:
+        """Take over the rows of the store."""
+        hosts = {self.own.host: self.own}
+        for key, row in rows.items():
+            if not key.startswith(PREFIX):
+                continue
+            host = decode(row.content)
+            if host is not None and host.host != self.own.host:
+                self._welcome(host)
+                hosts[host.host] = host
+        self._hosts = hosts
+
+    def suspect(self, host: identifiers.HostName, reason: str) -> None:
+        """Avoid a host for a while, since it did not answer."""
+        if not self.is_suspected(host):
+            _logger.info('host {} is avoided: {}', host, reason)
+        self._suspected_until[host] = self._clock.now() + SUSPECT_SECONDS
+
+    def is_suspected(self, host: identifiers.HostName) -> bool:
+        """Tell whether a host failed to answer lately."""
+        until = self._suspected_until.get(host)
+        return until is not None and until > self._clock.now()
+
+    def is_usable(self, name: identifiers.HostName) -> bool:
+        """Tell whether a host takes new work and answers."""
+        host = self._hosts.get(name)
+        if host is None or host.state is not HostState.UP:
+            return False
+        return not self.is_suspected(name)
+
+    def preferred(
+        self,
+        key: str,
+        zone: identifiers.ZoneName,
+    ) -> list[Host]:
+        """Rank the usable hosts for a task, those of a zone first."""
+        usable = [
+            host for host in self._hosts.values() if self.is_usable(host.host)
+        ]
+        return sorted(
+            usable,
+            key=lambda host: (
+                host.zone != zone,
+                -ranking.score(key=key, host=host.host),
+            ),
+        )
+
+    def _welcome(self, host: Host) -> None:
+        known = self._hosts.get(host.host)
+        if known is not None and known.boot != host.boot:
+            self._suspected_until.pop(host.host, None)
+
+
+class Registration:
+    """Keeps this host's own row in the store."""
+
+    def __init__(self, *, store: tables.Tables, own: Host) -> None:
+        self._store = store
+        self._own = own
+
+    async def write(self, state: HostState) -> None:
+        """Write the row, whatever stands there.
+
+        Raises `errors.PlatformError` when the store does not take it.
+        """
+        key = PREFIX + self._own.host
+        content = encode(dataclasses.replace(self._own, state=state))
+        snapshot = await self._store.read(TABLE, key)
+        versions = [row.version for row in snapshot.rows if row.key == key]
+        await self._store.swap(
+            TABLE,
+            key,
+            expected=versions[0] if versions else tables.ABSENT,
+            content=content,
+        )
+
+
+async def register(
+    store: tables.Tables,
+    *,
+    host: identifiers.HostName,
+    zone: identifiers.ZoneName,
+    address: node.Address,
+    processor: float,
+) -> Host:
+    """Write the row of a host that has just started.
+
+    Its boot number is one above that of its last start. Raises
+    `errors.PlatformError` or `errors.ConflictError`.
+    """
+    key = PREFIX + host
+    snapshot = await store.read(TABLE, key)
+    rows = [row for row in snapshot.rows if row.key == key]
+    former = decode(rows[0].content) if rows else None
+    own = Host(
+        host=host,
+        zone=zone,
+        address=address,
+        boot=(former.boot if former else 0) + 1,
+        processor=processor,
+    )
+    await store.swap(
+        TABLE,
+        key,
+        expected=rows[0].version if rows else tables.ABSENT,
+        content=encode(own),
+    )
+    return own
+
+
+WRITE_FAILURES = (errors.PlatformError, errors.ConflictError)
--- /dev/null
+++ b/src/egretstep/membership/fleet_links.py
@@ -0,0 +1,165 @@
+"""Calls from this host to the other hosts of the fleet."""
+
+import asyncio
+import typing
+
+from egretstep import clock, errors, identifiers
+from egretstep.backends import answers
+from egretstep.membership import directory, leases
+from egretstep.peers import fleet_messages, fleet_schema, links
+from egretstep.pooling import work as work_module
+from egretstep.settings import deployment
+
+CONTROL_SECONDS = 0.4
+ANSWER_ALLOWANCE_SECONDS = 0.2
+_LINK_ERRORS = (errors.LinkError, errors.LinkLostError)
+
+
+class FleetLinks:
+    """Links to all other hosts, opened on use."""
+
+    def __init__(
+        self,
+        *,
+        hosts: directory.Directory,
+        time_source: clock.Clock,
+    ) -> None:
+        self._hosts = hosts
+        self._table = links.LinkTable(
+            interface=fleet_schema.Host,
+            time_source=time_source,
+            heartbeat=lambda host: host.heartbeat(),
+        )
+
+    async def call(
+        self,
+        host: identifiers.HostName,
+        call: links.Call,
+        *,
+        timeout: float = CONTROL_SECONDS,
+    ) -> typing.Any:
+        """Call a host; raises `errors.LinkError` or `errors.LinkLostError`.
+
+        A host that does not answer is avoided for a while.
+        """
+        known = self._hosts.hosts.get(host)
+        if known is None:
+            raise errors.LinkError(f'{host} is not registered')
+        link = self._table.get(known.address.host, known.address.port)
+        try:
+            return await link.call(call, timeout=timeout)
+        except _LINK_ERRORS as error:
+            self._hosts.suspect(host, str(error))
+            raise
+
+    async def execute(
+        self,
+        host: identifiers.HostName,
+        work: work_module.Work,
+    ) -> answers.Answer:
+        """Run a statement on another host."""
+        fields = fleet_messages.encode_work(work)
+        reply = await self.call(
+            host,
+            lambda remote: remote.execute(work=fields),
+            timeout=work.timeout + ANSWER_ALLOWANCE_SECONDS,
+        )
+        return fleet_messages.decode_answer(reply.result)
+
+    async def release(
+        self,
+        host: identifiers.HostName,
+        pin_id: identifiers.PinId,
+    ) -> None:
+        """Roll back a transaction; a host that is gone has done so."""
+        try:
+            await self.call(
+                host,
+                lambda remote: remote.release(pinId=pin_id),
+            )
+        except _LINK_ERRORS:
+            return
+
+    async def acknowledged(
+        self,
+        host: identifiers.HostName,
+        service: deployment.ServiceName,
+    ) -> tuple[int, identifiers.LogPosition] | None:
+        """Return the owner's epoch and acknowledged position."""
+        try:
+            reply = await self.call(
+                host,
+                lambda remote: remote.acknowledged(service=service),
+            )
+        except _LINK_ERRORS:
+            return None
+        if not reply.serving:
+            return None
+        return reply.epoch, fleet_messages.decode_position(reply.position)
+
+    async def reaches(self, host: identifiers.HostName) -> bool:
+        """Tell whether this host gets an answer from another one."""
+        try:
+            await self.call(host, lambda remote: remote.heartbeat())
+        except _LINK_ERRORS:
+            return False
+        return True
+
+    async def others_reach(self, host: identifiers.HostName) -> bool:
+        """Tell whether most of the other hosts get an answer from it."""
+        asked = [each for each in self._others() if each != host]
+        replies = await asyncio.gather(
+            *(self._ask_reaches(each, host) for each in asked)
+        )
+        known = [reply for reply in replies if reply is not None]
+        return sum(known) * 2 > len(known)
+
+    async def confirm(
+        self,
+        claims: typing.Sequence[leases.Claim],
+    ) -> list[typing.Sequence[leases.Claim]]:
+        """Return, for each host that answered, the later claims it knows."""
+        fields = [fleet_messages.encode_claim(claim) for claim in claims]
+        replies = await asyncio.gather(
+            *(self._ask_confirm(each, fields) for each in self._others())
+        )
+        return [reply for reply in replies if reply is not None]
+
+    def majority(self) -> int:
+        """Return how many other hosts make a majority with this one."""
+        return len(self._hosts.hosts) // 2
+
+    def _others(self) -> list[identifiers.HostName]:
+        own = self._hosts.own.host
+        return [each for each in self._hosts.hosts if each != own]
+
+    async def _ask_confirm(
+        self,
+        host: identifiers.HostName,
+        fields: list[dict[str, typing.Any]],
+    ) -> typing.Sequence[leases.Claim] | None:
+        try:
+            reply = await self.call(
+                host,
+                lambda remote: remote.confirm(claims=fields),
+            )
+        except _LINK_ERRORS:
+            return None
+        if not reply.confirmed:
+            return None
+        return [fleet_messages.decode_claim(each) for each in reply.newer]
+
+    async def _ask_reaches(
+        self,
+        host: identifiers.HostName,
+        other: identifiers.HostName,
+    ) -> bool | None:
+        try:
+            reply = await self.call(
+                host,
+                lambda remote: remote.reaches(host=other),
+                timeout=CONTROL_SECONDS * 2,
+            )
+        except _LINK_ERRORS:
+            return None
+        return reply.reached
--- /dev/null
+++ b/src/egretstep/membership/leases.py
@@ -0,0 +1,355 @@
+"""Leases on tasks that one host does at a time.
+
+The store holds one row for each task, with the holder and an epoch that
+grows with each change of holder. A lease is valid for `LEASE_SECONDS` from
+the start of a question to which the store, or a majority of the hosts,
+answered that it knows no later epoch. A host that takes a task over writes
+the row, tells a majority, and waits until older answers have run out.
+`specifications/leases.py` is the model of this rule.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import logbook
+import orjson
+
+from egretstep import clock, errors, identifiers
+from egretstep.membership import directory
+from egretstep.storage import tables
+
+LEASE_SECONDS = 2.0
+RENEWAL_SECONDS = 0.7
+STORE_ANSWER_SECONDS = 0.5
+PREFIX = 'task/'
+_logger = logbook.Logger('leases')
+
+TaskName = typing.NewType('TaskName', str)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Claim:
+    """Who holds a task.
+
+    `is_released` says that the former holder let go, and `is_settled` that
+    the lease of every former holder has run out.
+    """
+
+    task: TaskName
+    host: identifiers.HostName
+    boot: int
+    epoch: int
+    is_released: bool = False
+    is_settled: bool = False
+
+
+class Confirmers(typing.Protocol):
+    """Asks the other hosts about claims."""
+
+    async def confirm(
+        self,
+        claims: typing.Sequence[Claim],
+    ) -> list[typing.Sequence[Claim]]:
+        """Return, for each host that answered, the later claims it knows."""
+
+    def majority(self) -> int:
+        """Return how many other hosts make a majority with this one."""
+
+
+def encode(claim: Claim) -> bytes:
+    """Write a claim as the content of its row."""
+    return orjson.dumps(dataclasses.asdict(claim))
+
+
+def decode(content: bytes) -> Claim | None:
+    """Read the content of a row; none if it can't be read."""
+    try:
+        return Claim(**orjson.loads(content))
+    except (TypeError, ValueError) as error:
+        _logger.warning('unreadable claim {!r}: {!r}', content, error)
+        return None
+
+
+class LeaseKeeper:
+    """The leases of this host, and what it knows of others'."""
+
+    def __init__(
+        self,
+        *,
+        store: tables.Tables,
+        hosts: directory.Directory,
+        confirmers: Confirmers,
+        time_source: clock.Clock,
+    ) -> None:
+        self._store = store
+        self._hosts = hosts
+        self._confirmers = confirmers
+        self._clock = time_source
+        self._claims: dict[TaskName, Claim] = {}
+        self._valid_until: dict[TaskName, float] = {}
+        self._store_answers = True
+        self.is_synced = False
+
+    @property
+    def claims(self) -> typing.Mapping[TaskName, Claim]:
+        """Return the latest known claim of each task."""
+        return self._claims
+
+    def follow(self, rows: typing.Mapping[str, tables.Row]) -> None:
+        """Take over the rows of the store."""
+        for key, row in rows.items():
+            if key.startswith(PREFIX):
+                claim = decode(row.content)
+                if claim is not None:
+                    self.note(claim)
+
+    def note(self, claim: Claim) -> bool:
+        """Learn of a claim; returns whether no later one is known."""
+        known = self._claims.get(claim.task)
+        if known is not None and known.epoch > claim.epoch:
+            return False
+        if known != claim:
+            self._claims[claim.task] = claim
+            if known is None or known.epoch != claim.epoch:
+                self._log_change(claim, known)
+        return True
+
+    def is_renewing(self, task: TaskName) -> bool:
+        """Tell whether this host does a task and renews its lease."""
+        return task in self._valid_until
+
+    def later(self, asked: typing.Sequence[Claim]) -> list[Claim]:
+        """Learn of claims; returns the later ones that are known here."""
+        return [
+            self._claims[claim.task] for claim in asked if not self.note(claim)
+        ]
+
+    def _log_change(self, claim: Claim, known: Claim | None) -> None:
+        if not self.is_mine(claim):
+            self._valid_until.pop(claim.task, None)
+        _logger.info(
+            'task {} is held by {} in epoch {} (before: {})',
+            claim.task,
+            claim.host,
+            claim.epoch,
+            known.epoch if known else 'none',
+        )
+
+    def is_mine(self, claim: Claim) -> bool:
+        """Tell whether a claim is of this very process."""
+        own = self._hosts.own
+        return claim.host == own.host and claim.boot == own.boot
+
+    def is_held(self, task: TaskName, epoch: int) -> bool:
+        """Tell whether this host holds a task in an epoch right now."""
+        claim = self._claims.get(task)
+        if claim is None or claim.epoch != epoch or claim.is_released:
+            return False
+        if not self.is_mine(claim):
+            return False
+        return self._valid_until.get(task, 0) > self._clock.now()
+
+    async def claim(self, task: TaskName) -> Claim | None:
+        """Take a task over and wait until its former lease has run out.
+
+        Returns none when another host was faster, the store gave no answer,
+        or no majority of the hosts could be told.
+        """
+        asked_at = self._clock.now()
+        try:
+            taken = await self._write_claim(task)
+        except (errors.PlatformError, errors.ConflictError) as error:
+            _logger.info('task {} is not claimed: {}', task, error)
+            return None
+        if taken is None:
+            return None
+        self.note(taken)
+        if taken.is_settled:
+            asyncio.ensure_future(self._confirmers.confirm([taken]))
+        else:
+            if not await self._tell_majority(taken):
+                return None
+            await asyncio.sleep(LEASE_SECONDS)
+            asked_at = self._clock.now()
+            asyncio.ensure_future(self._settle(taken))
+        if self._claims[task].epoch != taken.epoch:
+            return None
+        self._valid_until[task] = asked_at + LEASE_SECONDS
+        return taken
+
+    async def release(
+        self,
+        task: TaskName,
+        successor: directory.Host,
+    ) -> bool:
+        """Hand a task to another host; nothing of it may run any more."""
+        self._valid_until.pop(task, None)
+        claim = self._claims[task]
+        following = Claim(
+            task=task,
+            host=successor.host,
+            boot=successor.boot,
+            epoch=claim.epoch + 1,
+            is_released=True,
+        )
+        try:
+            row = await self._read(task)
+            stored = decode(row.content) if row else None
+            if row is None or stored is None or stored.epoch != claim.epoch:
+                return False
+            await self._swap(task, row.version, following)
+        except (errors.PlatformError, errors.ConflictError) as error:
+            _logger.warning('task {} is not handed over: {}', task, error)
+            return False
+        self.note(following)
+        await self._confirmers.confirm([following])
+        return True
+
+    async def run(self) -> None:
+        """Renew the leases of this host until cancelled."""
+        while True:
+            await asyncio.sleep(RENEWAL_SECONDS)
+            mine = [
+                claim
+                for claim in self._claims.values()
+                if self.is_mine(claim) and claim.task in self._valid_until
+            ]
+            if mine:
+                await self._renew(mine)
+
+    async def _renew(self, mine: list[Claim]) -> None:
+        asked_at = self._clock.now()
+        if not self._store_answers:
+            await asyncio.gather(
+                self._renew_at_store(asked_at),
+                self._renew_at_hosts(mine, asked_at),
+            )
+        elif not await self._renew_at_store(asked_at):
+            await self._renew_at_hosts(mine, self._clock.now())
+
+    async def _renew_at_store(self, asked_at: float) -> bool:
+        try:
+            async with asyncio.timeout(STORE_ANSWER_SECONDS):
+                snapshot = await self._store.read(directory.TABLE, PREFIX)
+        except (errors.PlatformError, TimeoutError) as error:
+            if self._store_answers:
+                _logger.warning(
+                    'leases: the store does not answer: {!r}', error
+                )
+            self._store_answers = False
+            return False
+        if not self._store_answers:
+            _logger.info('leases: the store answers again')
+        self._store_answers = True
+        stored = {row.key: row for row in snapshot.rows}
+        self.follow(stored)
+        for claim in stored.values():
+            held = decode(claim.content)
+            if held is not None and self.is_mine(held):
+                self._extend(held, asked_at)
+        return True
+
+    async def _renew_at_hosts(
+        self,
+        mine: list[Claim],
+        asked_at: float,
+    ) -> None:
+        replies = await self._confirmers.confirm(mine)
+        for later in replies:
+            for claim in later:
+                self.note(claim)
+        if len(replies) < self._confirmers.majority():
+            return
+        for claim in mine:
+            if all(claim.task not in _tasks(later) for later in replies):
+                self._extend(claim, asked_at)
+
+    def _extend(self, claim: Claim, asked_at: float) -> None:
+        task = claim.task
+        known = self._claims.get(task)
+        if known is None or known.epoch != claim.epoch:
+            return
+        if task not in self._valid_until:
+            return
+        self._valid_until[task] = max(
+            self._valid_until[task],
+            asked_at + LEASE_SECONDS,
+        )
+
+    def _is_over(self, former: Claim) -> bool:
+        """Tell whether the holder of a claim surely does nothing any more."""
+        if former.is_released:
+            return True
+        if not former.is_settled:
+            return False
+        if former.host == self._hosts.own.host:
+            return True
+        host = self._hosts.hosts.get(former.host)
+        return host is not None and host.boot > former.boot
+
+    async def _tell_majority(self, taken: Claim) -> bool:
+        replies = await self._confirmers.confirm([taken])
+        for later in replies:
+            for claim in later:
+                self.note(claim)
+        if len(replies) >= self._confirmers.majority():
+            return True
+        _logger.warning(
+            'task {}: only {} other hosts heard of epoch {}, {} must',
+            taken.task,
+            len(replies),
+            taken.epoch,
+            self._confirmers.majority(),
+        )
+        return False
+
+    async def _write_claim(self, task: TaskName) -> Claim | None:
+        """Write the next epoch, unless the task has changed its holder."""
+        row = await self._read(task)
+        former = decode(row.content) if row else None
+        known = self._claims.get(task)
+        if former is not None and known is not None:
+            is_news = former.epoch > known.epoch
+            self.note(former)
+            if is_news and not self.is_mine(former):
+                return None
+        own = self._hosts.own
+        taken = Claim(
+            task=task,
+            host=own.host,
+            boot=own.boot,
+            epoch=(former.epoch if former else 0) + 1,
+            is_settled=former is None or self._is_over(former),
+        )
+        await self._swap(task, row.version if row else tables.ABSENT, taken)
+        return taken
+
+    async def _settle(self, taken: Claim) -> None:
+        """Record that no wait is needed after this claim any more."""
+        try:
+            row = await self._read(taken.task)
+            if row is not None and decode(row.content) == taken:
+                settled = dataclasses.replace(taken, is_settled=True)
+                await self._swap(taken.task, row.version, settled)
+        except (errors.PlatformError, errors.ConflictError) as error:
+            # The next holder then waits without need, which is safe.
+            _logger.info('task {} stays unsettled: {}', taken.task, error)
+
+    async def _read(self, task: TaskName) -> tables.Row | None:
+        key = PREFIX + task
+        snapshot = await self._store.read(directory.TABLE, key)
+        rows = [row for row in snapshot.rows if row.key == key]
+        return rows[0] if rows else None
+
+    async def _swap(self, task: TaskName, version: int, claim: Claim) -> None:
+        await self._store.swap(
+            directory.TABLE,
+            PREFIX + task,
+            expected=version,
+            content=encode(claim),
+        )
+
+
+def _tasks(claims: typing.Sequence[Claim]) -> set[TaskName]:
+    return {claim.task for claim in claims}
--- /dev/null
+++ b/src/egretstep/membership/registry.py
@@ -0,0 +1,84 @@
+"""Backend servers as they register themselves."""
+
+import logbook
+
+from egretstep import clock, identifiers
+from egretstep.backends import connection
+from egretstep.settings import deployment
+
+MISSING_SECONDS = 2.2
+_logger = logbook.Logger('registry')
+
+Known = dict[connection.ServerId, connection.BackendServer]
+
+
+class ServerRegistry:
+    """The servers that may be used.
+
+    A server whose entry is missing stays for `MISSING_SECONDS`, since
+    entries that lapsed while the store was away come back after it.
+    """
+
+    def __init__(self, *, time_source: clock.Clock) -> None:
+        self._clock = time_source
+        self._servers: Known = {}
+        self._missing_since: dict[connection.ServerId, float] = {}
+        self._zones_out: frozenset[identifiers.ZoneName] = frozenset()
+
+    def follow(self, current: Known) -> None:
+        """Take over the entries as they are now."""
+        now = self._clock.now()
+        for missing in self._servers.keys() - current.keys():
+            if self._missing_since.setdefault(missing, now) == now:
+                _logger.info('server {} has no entry any more', missing)
+        for name, server in current.items():
+            self._missing_since.pop(name, None)
+            if self._servers.get(name) != server:
+                _logger.info('server {}', server)
+        self._servers = {**self._servers, **current}
+
+    def follow_zones(self, zones: frozenset[identifiers.ZoneName]) -> None:
+        """Take over which availability zones are taken out."""
+        self._zones_out = zones
+
+    def of_service(
+        self,
+        service: deployment.ServiceName,
+    ) -> list[connection.BackendServer]:
+        """Return the servers of a service."""
+        self._forget_missing()
+        return [
+            server
+            for server in self._servers.values()
+            if server.service == service
+        ]
+
+    def find(
+        self,
+        server: connection.ServerId,
+    ) -> connection.BackendServer | None:
+        """Return a server, or none if it is gone."""
+        self._forget_missing()
+        return self._servers.get(server)
+
+    def takes_work(self, server: connection.BackendServer) -> bool:
+        """Tell whether a server is to get new work."""
+        return not server.is_draining and server.zone not in self._zones_out
+
+    def primary_zone(
+        self,
+        service: deployment.ServiceName,
+    ) -> identifiers.ZoneName | None:
+        """Return the zone of the server that says it is primary."""
+        for server in self.of_service(service):
+            if server.role is connection.Role.PRIMARY:
+                return server.zone
+        return None
+
+    def _forget_missing(self) -> None:
+        limit = self._clock.now() - MISSING_SECONDS
+        for server, since in list(self._missing_since.items()):
+            if since < limit:
+                _logger.info('server {} is gone', server)
+                del self._missing_since[server]
+                self._servers.pop(server, None)
--- a/src/egretstep/observability/logs.py
+++ b/src/egretstep/observability/logs.py
@@ -27,9 +27,17 @@
         return orjson.dumps(fields).decode()
 
 
-def set_up(*, log_format: typing.Literal['text', 'json'] = 'text') -> None:
-    """Send all log records to the standard error stream."""
-    handler = logbook.StreamHandler(sys.stderr, level='INFO')
+STANDARD_OUTPUT = sys.stdout
+STANDARD_ERROR = sys.stderr
+
+
+def set_up(
+    *,
+    log_format: typing.Literal['text', 'json'] = 'text',
+    stream: typing.TextIO = STANDARD_ERROR,
+) -> None:
+    """Send all log records to a stream."""
+    handler = logbook.StreamHandler(stream, level='INFO')
     if log_format == 'json':
         handler.formatter = JsonFormatter()
     handler.push_application()
--- /dev/null
+++ b/src/egretstep/peers/fleet.capnp
@@ -0,0 +1,52 @@
+@0xb7c25d0e9a1f4463;
+
+struct Position { term @0 :UInt64; offset @1 :UInt64; }
+struct SessionValue { name @0 :Data; content @1 :Data; }
+
+struct Work {
+  statementId @0 :Data;
+  text @1 :Data;
+  action @2 :UInt8;
+  argument @3 :Data;
+  shape @4 :Data;
+  shapeWrites @5 :Bool;
+  workspace @6 :Text;
+  service @7 :Text;
+  server @8 :Text;
+  values @9 :List(SessionValue);
+  floor @10 :Position;
+  stalenessMs @11 :Int32 = -1;
+  pinId @12 :UInt64;
+  opens @13 :UInt8;
+  isPinned @14 :Bool;
+  timeoutMs @15 :UInt32;
+  priority @16 :UInt8;
+}
+
+struct Result {
+  code @0 :Text;
+  message @1 :Text;
+  rows @2 :List(Data);
+  proof @3 :Data;
+  state @4 :UInt8;
+  position @5 :Position;
+  hasPosition @6 :Bool;
+  retryAfterMs @7 :UInt32;
+  isPinned @8 :Bool;
+  wasSent @9 :Bool;
+}
+
+struct Claim { resource @0 :Text; host @1 :Text; boot @2 :UInt64; epoch @3 :UInt64; isReleased @4 :Bool; isSettled @5 :Bool; }
+struct Demand { workspace @0 :Text; wanted @1 :UInt32; }
+struct Lot { workspace @0 :Text; granted @1 :UInt32; retryAfterMs @2 :UInt32; }
+
+interface Host {
+  execute @0 (work :Work) -> (result :Result);
+  release @1 (pinId :UInt64) -> ();
+  heartbeat @2 () -> ();
+  acknowledged @3 (service :Text) -> (serving :Bool, epoch :UInt64, position :Position);
+  confirm @4 (claims :List(Claim)) -> (confirmed :Bool, newer :List(Claim));
+  reaches @5 (host :Text) -> (reached :Bool);
+  takeTokens @6 (demands :List(Demand)) -> (serving :Bool, lots :List(Lot));
+  configuration @7 (known :UInt64) -> (version :UInt64, content :Data);
+}
--- /dev/null
+++ b/src/egretstep/peers/fleet_messages.py
@@ -0,0 +1,145 @@
+"""Translation between the schema's structs and the types of the product."""
+
+import typing
+
+from egretstep import clock, identifiers
+from egretstep.backends import answers, commands, connection
+from egretstep.membership import leases
+from egretstep.pooling import work as work_module
+from egretstep.settings import deployment
+
+NO_STALENESS = -1
+
+Struct = typing.Any
+
+
+def encode_work(work: work_module.Work) -> dict[str, typing.Any]:
+    """Write a statement as the fields of the schema's struct."""
+    command = work.command
+    fields: dict[str, typing.Any] = {
+        'statementId': work.statement_id,
+        'text': command.text,
+        'action': command.action.value,
+        'argument': command.argument,
+        'workspace': work.workspace,
+        'service': work.service,
+        'server': work.server,
+        'floor': _encode_position(work.floor),
+        'pinId': work.pin_id,
+        'opens': work.opens.value,
+        'isPinned': work.is_pinned,
+        'timeoutMs': clock.to_milliseconds(work.timeout),
+        'priority': work.priority,
+    }
+    if work.max_staleness is not None:
+        fields['stalenessMs'] = clock.to_milliseconds(work.max_staleness)
+    if command.prepared is not None:
+        fields['shape'] = command.prepared.shape
+        fields['shapeWrites'] = command.prepared.is_write
+    if work.values:
+        fields['values'] = [
+            {'name': name, 'content': content} for name, content in work.values
+        ]
+    return fields
+
+
+def decode_work(fields: Struct) -> work_module.Work:
+    """Read the schema's struct of a statement."""
+    shape = bytes(fields.shape)
+    prepared = (
+        commands.Prepared(shape=shape, is_write=fields.shapeWrites)
+        if shape
+        else None
+    )
+    staleness = fields.stalenessMs
+    return work_module.Work(
+        statement_id=bytes(fields.statementId),
+        command=commands.Command(
+            action=commands.Action(fields.action),
+            text=bytes(fields.text),
+            argument=bytes(fields.argument),
+            prepared=prepared,
+        ),
+        workspace=identifiers.WorkspaceName(fields.workspace),
+        service=deployment.ServiceName(fields.service),
+        server=connection.ServerId(fields.server),
+        values=tuple(
+            (bytes(each.name), bytes(each.content)) for each in fields.values
+        ),
+        floor=decode_position(fields.floor),
+        max_staleness=(
+            None if staleness == NO_STALENESS else clock.to_seconds(staleness)
+        ),
+        pin_id=identifiers.PinId(fields.pinId),
+        opens=work_module.Opens(fields.opens),
+        is_pinned=fields.isPinned,
+        timeout=clock.to_seconds(fields.timeoutMs),
+        priority=fields.priority,
+    )
+
+
+def encode_answer(answer: answers.Answer) -> dict[str, typing.Any]:
+    """Write an answer as the fields of the schema's struct."""
+    fields: dict[str, typing.Any] = {
+        'code': answer.code.value,
+        'message': answer.message,
+        'rows': list(answer.rows),
+        'proof': answer.proof,
+        'state': answer.state.value,
+        'retryAfterMs': answer.retry_after_ms,
+        'isPinned': answer.is_pinned,
+        'wasSent': answer.was_sent,
+    }
+    if answer.position is not None:
+        fields['position'] = _encode_position(answer.position)
+        fields['hasPosition'] = True
+    return fields
+
+
+def decode_answer(fields: Struct) -> answers.Answer:
+    """Read the schema's struct of an answer."""
+    position = decode_position(fields.position) if fields.hasPosition else None
+    return answers.Answer(
+        code=answers.Code(fields.code),
+        message=fields.message,
+        rows=tuple(bytes(row) for row in fields.rows),
+        proof=bytes(fields.proof),
+        state=answers.TransactionState(fields.state),
+        position=position,
+        retry_after_ms=fields.retryAfterMs,
+        is_pinned=fields.isPinned,
+        was_sent=fields.wasSent,
+    )
+
+
+def decode_position(fields: Struct) -> identifiers.LogPosition:
+    """Read the schema's struct of a position."""
+    return identifiers.LogPosition(term=fields.term, offset=fields.offset)
+
+
+def _encode_position(position: identifiers.LogPosition) -> dict[str, int]:
+    return {'term': position.term, 'offset': position.offset}
+
+
+def encode_claim(claim: leases.Claim) -> dict[str, typing.Any]:
+    """Write a claim as the fields of the schema's struct."""
+    return {
+        'resource': claim.task,
+        'host': claim.host,
+        'boot': claim.boot,
+        'epoch': claim.epoch,
+        'isReleased': claim.is_released,
+        'isSettled': claim.is_settled,
+    }
+
+
+def decode_claim(fields: Struct) -> leases.Claim:
+    """Read the schema's struct of a claim."""
+    return leases.Claim(
+        task=leases.TaskName(fields.resource),
+        host=identifiers.HostName(fields.host),
+        boot=fields.boot,
+        epoch=fields.epoch,
+        is_released=fields.isReleased,
+        is_settled=fields.isSettled,
+    )
--- /dev/null
+++ b/src/egretstep/platform/backend.py
@@ -0,0 +1,219 @@
+"""Connections to the platform's database servers."""
+
+import asyncio
+import socket
+
+import xxhash
+
+from egretstep import identifiers
+from egretstep.backends import answers, commands, connection
+from egretstep.platform import wire
+
+CONNECT_SECONDS = 1.0
+UNACKNOWLEDGED_MS = 1500
+KEEPALIVE_IDLE_SECONDS = 2
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+OWN_STATEMENT = b'-'
+_STATUS_FIELDS = 3
+
+
+def watch_silence(stream: socket.socket) -> None:
+    """Make the kernel end a connection whose other end has gone silent."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    level = socket.IPPROTO_TCP
+    stream.setsockopt(level, socket.TCP_NODELAY, 1)
+    stream.setsockopt(level, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    stream.setsockopt(level, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    stream.setsockopt(level, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    stream.setsockopt(level, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def _prepared_name(prepared: commands.Prepared) -> bytes:
+    """Name a shape the same for every caller of a connection."""
+    kind = b'w' if prepared.is_write else b'r'
+    return kind + xxhash.xxh3_64_hexdigest(prepared.shape).encode()
+
+
+class PlatformConnection:
+    """A connection to one server under the name of one workspace."""
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._is_closed = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether another statement can be sent."""
+        return not self._is_closed and not self._reader.at_eof()
+
+    async def run(
+        self,
+        statement_id: bytes,
+        command: commands.Command,
+        floor: identifiers.LogPosition | None = None,
+    ) -> answers.Answer:
+        """Run a statement, on a log that has at least the floor."""
+        text = command.text
+        if command.prepared is not None:
+            name = _prepared_name(command.prepared)
+            text = b'EXECUTE %s %s' % (name, command.argument)
+        if floor is not None:
+            position = wire.format_position(floor)
+            text = b'SYNCPOS %s %s' % (position, text)
+        return await self._query(statement_id, text)
+
+    async def reset(self) -> answers.Answer:
+        """Drop values and prepared statements of the session."""
+        return await self._query(OWN_STATEMENT, b'RESET')
+
+    async def set_value(self, name: bytes, content: bytes) -> answers.Answer:
+        """Set a session value."""
+        return await self._query(OWN_STATEMENT, b'SET %s %s' % (name, content))
+
+    async def prepare(self, prepared: commands.Prepared) -> answers.Answer:
+        """Prepare a shape so that EXECUTE can refer to it."""
+        kind = b'WRITE' if prepared.is_write else b'READ'
+        name = _prepared_name(prepared)
+        text = b'PREPARE %s %s %s' % (name, kind, prepared.shape)
+        return await self._query(OWN_STATEMENT, text)
+
+    async def status(self) -> connection.ServerStatus:
+        """Ask for role, term and log position."""
+        return self._status(await self._query(OWN_STATEMENT, b'STATUS'))
+
+    async def step_down(
+        self,
+        term: identifiers.Term,
+    ) -> connection.ServerStatus:
+        """Make a primary of a lower term a replica."""
+        text = b'STEPDOWN %d' % term
+        return self._status(await self._query(OWN_STATEMENT, text))
+
+    def close(self) -> None:
+        """Close at once; an open transaction is rolled back."""
+        self._is_closed = True
+        self._writer.close()
+
+    async def _query(self, statement_id: bytes, text: bytes) -> answers.Answer:
+        try:
+            self._writer.write(b'QUERY %s %s\r\n' % (statement_id, text))
+            return await self._read_answer()
+        except (OSError, wire.MalformedError) as error:
+            self.close()
+            raise connection.BrokenError(str(error)) from error
+        except asyncio.CancelledError:
+            # The answer may still come; it must not meet the next statement.
+            self.close()
+            raise
+
+    async def _read_answer(self) -> answers.Answer:
+        rows = []
+        code = answers.Code.OK
+        message = ''
+        proof = b''
+        while True:
+            line = await wire.read_line(self._reader)
+            if line is None:
+                raise wire.MalformedError('the server closed the connection')
+            word, _, rest = line.partition(b' ')
+            if word == b'ROW':
+                rows.append(rest)
+            elif word == b'COMPLETE':
+                proof = rest
+            elif word == b'ERROR':
+                label, _, explanation = rest.decode().partition(' ')
+                code = wire.parse_code(label)
+                message = explanation
+            elif word == b'READY':
+                state, _, position = rest.partition(b' ')
+                return answers.Answer(
+                    code=code,
+                    message=message,
+                    rows=tuple(rows),
+                    proof=proof,
+                    state=wire.parse_state(state),
+                    position=wire.parse_position(position),
+                    was_sent=True,
+                )
+            else:
+                raise wire.MalformedError(f'unknown message {word!r}')
+
+    def _status(self, answer: answers.Answer) -> connection.ServerStatus:
+        if not answer.is_ok or not answer.rows:
+            raise connection.BrokenError(
+                f'no status: {answer.code.value} {answer.message}',
+            )
+        fields = answer.rows[0].split(b' ')
+        received = (
+            wire.parse_position(fields[2])
+            if len(fields) >= _STATUS_FIELDS
+            else None
+        )
+        if received is None or not fields[1].isdigit():
+            raise connection.BrokenError(f'odd status {answer.rows[0]!r}')
+        return connection.ServerStatus(
+            role=connection.Role(fields[0].decode()),
+            term=identifiers.Term(int(fields[1])),
+            received=received,
+        )
+
+
+class PlatformOpener:
+    """Opens connections to the platform's database servers."""
+
+    async def open(
+        self,
+        server: connection.BackendServer,
+        workspace: identifiers.WorkspaceName,
+    ) -> connection.ServerConnection:
+        """Open a connection under the name of a workspace."""
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                return await self._open(server, workspace)
+        except (OSError, TimeoutError, wire.MalformedError) as error:
+            raise connection.BrokenError(
+                f'can not connect to {server.server} at {server.address}: '
+                f'{error!r}',
+            ) from error
+
+    async def _open(
+        self,
+        server: connection.BackendServer,
+        workspace: identifiers.WorkspaceName,
+    ) -> connection.ServerConnection:
+        reader, writer = await asyncio.open_connection(
+            server.address.host,
+            server.address.port,
+            limit=wire.LONGEST_MESSAGE_BYTES,
+        )
+        try:
+            watch_silence(writer.get_extra_info('socket'))
+            start = f'START {server.service} {workspace} {server.server}\r\n'
+            writer.write(start.encode())
+            await _await_ready(reader)
+        except BaseException:
+            writer.close()
+            raise
+        return PlatformConnection(reader=reader, writer=writer)
+
+
+async def _await_ready(reader: asyncio.StreamReader) -> None:
+    line = await wire.read_line(reader)
+    if line is None:
+        raise wire.MalformedError('closed before it was ready')
+    word, _, rest = line.partition(b' ')
+    if word == b'ERROR':
+        label, _, message = rest.decode().partition(' ')
+        raise connection.RefusedConnectionError(
+            code=wire.parse_code(label),
+            message=f'{label} {message}',
+        )
+    if word != b'READY':
+        raise wire.MalformedError(f'unknown message {word!r}')
--- /dev/null
+++ b/src/egretstep/platform/http.py
@@ -0,0 +1,147 @@
+"""HTTP calls to the platform, one connection for each caller of them."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from egretstep import errors
+from egretstep.platform import backend
+from egretstep.settings import node
+
+CONNECT_SECONDS = 1.0
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Response:
+    """Status and body of a response."""
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """One call; `target` is the path with its query."""
+
+    method: str
+    target: str
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class HttpClient:
+    """Keeps one connection to a server and calls on it in turn.
+
+    A connection on which a call failed or timed out is never used again.
+    """
+
+    def __init__(self, *, address: node.Address) -> None:
+        self._address = address
+        self._lock = asyncio.Lock()
+        self._streams: _Streams | None = None
+
+    async def call(self, request: Request, *, timeout: float) -> Response:
+        """Make one call within a number of seconds.
+
+        Raises `errors.PlatformError` when no whole response comes; the call
+        may have taken effect.
+        """
+        async with self._lock:
+            try:
+                async with asyncio.timeout(timeout):
+                    return await self._call(request)
+            except (OSError, TimeoutError, h11.ProtocolError) as error:
+                raise errors.PlatformError(
+                    f'no answer from {self._address} to {request.method} '
+                    f'{request.target}: {error!r}',
+                ) from error
+
+    def close(self) -> None:
+        """Close the connection; a later call opens a new one."""
+        if self._streams:
+            self._streams.writer.close()
+            self._streams = None
+
+    async def _call(self, request: Request) -> Response:
+        streams = self._streams or await self._connect()
+        self._streams = None
+        try:
+            response = await streams.exchange(request, str(self._address))
+        except BaseException:
+            streams.writer.close()
+            raise
+        if streams.is_reusable():
+            self._streams = streams
+        else:
+            streams.writer.close()
+        return response
+
+    async def _connect(self) -> '_Streams':
+        async with asyncio.timeout(CONNECT_SECONDS):
+            reader, writer = await asyncio.open_connection(
+                self._address.host,
+                self._address.port,
+            )
+        backend.watch_silence(writer.get_extra_info('socket'))
+        return _Streams(
+            reader=reader,
+            writer=writer,
+            protocol=h11.Connection(h11.CLIENT),
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Streams:
+    """An open connection with the state of its protocol."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    protocol: h11.Connection
+
+    async def exchange(self, request: Request, host: str) -> Response:
+        """Send a request and read its response."""
+        self._send(request, host)
+        status = 0
+        body = bytearray()
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                self.protocol.receive_data(await self.reader.read(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return Response(status=status, body=bytes(body))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError('closed before the response')
+
+    def is_reusable(self) -> bool:
+        """Make ready for the next request, if the server allows one."""
+        if self.protocol.our_state is not h11.DONE:
+            return False
+        if self.protocol.their_state is not h11.DONE:
+            return False
+        self.protocol.start_next_cycle()
+        return True
+
+    def _send(self, request: Request, host: str) -> None:
+        headers = [
+            ('Host', host),
+            ('Content-Length', str(len(request.body))),
+            *request.headers,
+        ]
+        if request.body:
+            headers.append(('Content-Type', 'application/json'))
+        message = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+        )
+        parts = [self.protocol.send(message)]
+        if request.body:
+            parts.append(self.protocol.send(h11.Data(data=request.body)))
+        parts.append(self.protocol.send(h11.EndOfMessage()))
+        self.writer.write(b''.join(part for part in parts if part))
--- /dev/null
+++ b/src/egretstep/platform/ingress.py
@@ -0,0 +1,171 @@
+"""Serves callers that speak the platform's line protocol."""
+
+import asyncio
+
+import logbook
+
+from egretstep import identifiers
+from egretstep.backends import answers
+from egretstep.callers import dialogue
+from egretstep.platform import backend, wire
+from egretstep.settings import node
+
+START_SECONDS = 10.0
+_logger = logbook.Logger('ingress')
+
+
+class Ingress:
+    """Accepts callers on the address that the balancer forwards to."""
+
+    def __init__(
+        self,
+        *,
+        address: node.Address,
+        services: dialogue.Services,
+    ) -> None:
+        self._address = address
+        self._services = services
+        self._sessions: set[_Session] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def session_count(self) -> int:
+        """Return how many callers are connected."""
+        return len(self._sessions)
+
+    async def run(self) -> None:
+        """Accept callers until cancelled."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            self._address.host,
+            self._address.port,
+            limit=wire.LONGEST_MESSAGE_BYTES,
+            backlog=512,
+        )
+        async with self._server:
+            await self._server.serve_forever()
+
+    def close_idle(self) -> int:
+        """Close sessions between requests; return how many go on."""
+        for session in list(self._sessions):
+            if session.is_idle:
+                session.close()
+        return len(self._sessions)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        session = _Session(
+            reader=reader,
+            writer=writer,
+            services=self._services,
+        )
+        self._sessions.add(session)
+        try:
+            await session.run()
+        except (OSError, wire.MalformedError) as error:
+            _logger.debug('a caller is gone: {}', error)
+        finally:
+            self._sessions.discard(session)
+            writer.close()
+
+
+class _Session:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        services: dialogue.Services,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._services = services
+        self._dialogue: dialogue.Dialogue | None = None
+        self._is_answering = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request runs and no transaction is open."""
+        if self._is_answering:
+            return False
+        return self._dialogue is None or self._dialogue.is_outside
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    async def run(self) -> None:
+        """Serve the caller until it leaves."""
+        backend.watch_silence(self._writer.get_extra_info('socket'))
+        async with asyncio.timeout(START_SECONDS):
+            line = await wire.read_line(self._reader)
+        started = self._start(line or b'')
+        if started is None:
+            await self._writer.drain()
+            return
+        self._dialogue = started
+        try:
+            while await self._serve_one(started):
+                await self._writer.drain()
+        finally:
+            await started.close()
+
+    def _start(self, line: bytes) -> dialogue.Dialogue | None:
+        fields = line.decode(errors='replace').split(' ')
+        if len(fields) != 3 or fields[0] != 'START':
+            self._refuse(
+                answers.refusal(
+                    answers.Code.MALFORMED,
+                    'a session begins with START database key',
+                ),
+            )
+            return None
+        started = dialogue.Dialogue(
+            database=identifiers.DatabaseName(fields[1]),
+            key=fields[2],
+            services=self._services,
+            parse_prepared=wire.parse_prepared,
+        )
+        try:
+            started.check()
+        except dialogue.SessionRefusedError as error:
+            self._refuse(error.answer)
+            return None
+        self._writer.write(b'READY I -\r\n')
+        return started
+
+    async def _serve_one(self, session: dialogue.Dialogue) -> bool:
+        line = await wire.read_line(self._reader)
+        if line is None or line == b'BYE':
+            return False
+        word, _, rest = line.partition(b' ')
+        statement_id, _, text = rest.partition(b' ')
+        if word != b'QUERY' or not text:
+            self._refuse(
+                answers.refusal(
+                    answers.Code.MALFORMED,
+                    'a statement is sent as QUERY id text',
+                ),
+            )
+            return False
+        self._is_answering = True
+        try:
+            answer = await session.handle(
+                statement_id,
+                wire.parse_command(text),
+            )
+        except dialogue.SessionRefusedError as error:
+            self._refuse(error.answer)
+            return False
+        finally:
+            self._is_answering = False
+        self._writer.write(wire.format_answer(answer))
+        return not (self._services.is_stopping() and session.is_outside)
+
+    def _refuse(self, answer: answers.Answer) -> None:
+        self._writer.write(wire.format_refused_start(answer))
--- /dev/null
+++ b/src/egretstep/platform/operator_settings.py
@@ -0,0 +1,100 @@
+"""Reads the configuration that the operator keeps in the store."""
+
+import typing
+
+import orjson
+
+from egretstep import clock, errors, identifiers
+from egretstep.settings import deployment, following
+from egretstep.storage import tables
+
+TABLE = 'op'
+CONFIGURATION_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'
+_CONSISTENCY = {
+    'primary': deployment.Consistency.PRIMARY,
+    'bounded_staleness': deployment.Consistency.BOUNDED,
+    'read_your_writes': deployment.Consistency.SESSION,
+}
+DEFAULT_TRANSACTION_IDLE_MS = 3000
+
+
+def zones_out(
+    rows: typing.Mapping[str, tables.Row],
+) -> frozenset[identifiers.ZoneName]:
+    """Read which availability zones the operator takes out."""
+    return frozenset(
+        identifiers.ZoneName(key.removeprefix(EVACUATION_PREFIX))
+        for key in rows
+        if key.startswith(EVACUATION_PREFIX)
+    )
+
+
+def decode_configuration(content: bytes) -> deployment.Deployment:
+    """Read one version of the configuration."""
+    try:
+        return _decode(orjson.loads(content))
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.SettingsError(
+            f'unreadable configuration: {error!r}',
+        ) from error
+
+
+FORMAT = following.Format(
+    key=CONFIGURATION_KEY,
+    decode=decode_configuration,
+    zones_out=zones_out,
+)
+
+
+def _decode(fields: dict[str, typing.Any]) -> deployment.Deployment:
+    routes = (_route(each) for each in fields['routes'])
+    services = (_service(each) for each in fields['services'])
+    workspaces = [_workspace(each) for each in fields.get('tenants', ())]
+    idle_ms = fields.get('limits', {}).get(
+        'tx_idle_ms',
+        DEFAULT_TRANSACTION_IDLE_MS,
+    )
+    return deployment.Deployment(
+        version=identifiers.SettingsVersion(int(fields['version'])),
+        routes={route.database: route for route in routes},
+        services={service.name: service for service in services},
+        workspaces={each.name: each for each in workspaces},
+        owners_of_keys={
+            key: each.name for each in workspaces for key in each.keys
+        },
+        transaction_idle=clock.to_seconds(idle_ms),
+    )
+
+
+def _route(fields: dict[str, typing.Any]) -> deployment.Route:
+    staleness = fields.get('max_staleness_ms')
+    return deployment.Route(
+        database=identifiers.DatabaseName(fields['database']),
+        service=deployment.ServiceName(fields['service']),
+        consistency=_CONSISTENCY[fields['route_type']],
+        timeout=clock.to_seconds(fields['timeout_ms']),
+        target=clock.to_seconds(fields.get('target_latency_ms', 0)),
+        priority=fields.get('priority', 1),
+        max_staleness=None
+        if staleness is None
+        else clock.to_seconds(staleness),
+        is_open=bool(fields.get('auth_exempt')),
+    )
+
+
+def _service(fields: dict[str, typing.Any]) -> deployment.Service:
+    return deployment.Service(
+        name=deployment.ServiceName(fields['name']),
+        connection_limit=fields['max_conns'],
+        has_synchronous_replica=bool(fields.get('sync_replicas')),
+    )
+
+
+def _workspace(fields: dict[str, typing.Any]) -> deployment.Workspace:
+    return deployment.Workspace(
+        name=identifiers.WorkspaceName(fields['name']),
+        rate=float(fields['rate_per_s']),
+        burst=float(fields['burst']),
+        keys=frozenset(fields.get('api_keys', ())),
+    )
--- /dev/null
+++ b/src/egretstep/platform/process_settings.py
@@ -0,0 +1,68 @@
+"""Reads the settings file that the platform writes for a process."""
+
+import os
+import pathlib
+import typing
+
+import orjson
+
+from egretstep import clock, errors, identifiers
+from egretstep.settings import node
+
+PATH_VARIABLE = 'EGRETSTEP_CONFIG'
+DEFAULT_PATH = '/etc/egretstep/node.json'
+
+
+def path() -> pathlib.Path:
+    """Return where the platform has put the settings."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def load(source: pathlib.Path) -> node.NodeSettings:
+    """Read the settings.
+
+    Raises `errors.SettingsError` naming the field that is missing or odd.
+    """
+    try:
+        return _decode(orjson.loads(source.read_bytes()))
+    except OSError as error:
+        raise errors.SettingsError(f'can not read {source}: {error}') from error
+    except KeyError as error:
+        raise errors.SettingsError(
+            f'{source}: field {error} is missing; the platform writes it',
+        ) from error
+    except (TypeError, ValueError, IndexError) as error:
+        raise errors.SettingsError(f'{source}: {error}') from error
+
+
+def _decode(fields: dict[str, typing.Any]) -> node.NodeSettings:
+    bound = fields['bind_addrs']
+    first_port, _ = fields['internal_ports']
+    ip = fields['ip']
+    return node.NodeSettings(
+        host=identifiers.HostName(fields['node_name']),
+        ip=ip,
+        zone=identifiers.ZoneName(fields['zone']),
+        callers=parse_address(bound['front']),
+        readiness=parse_address(bound['ready']),
+        peers=node.Address(host=ip, port=first_port),
+        metrics=node.Address(host=ip, port=first_port + 1),
+        store=parse_address(fields['platform']['address']),
+        promotions=parse_address(fields['cloud_api']['address']),
+        is_first_start=bool(fields['bootstrap']),
+        # `cpu_share` is of one core that runs `cores` times as fast.
+        processor=fields['limits']['cpu_share'] * fields['limits']['cores'],
+        link=fields['limits']['link_mbps'],
+        grace=float(fields['bounds']['grace_s']),
+        row_bytes=fields['platform']['row_bytes'],
+        history=float(fields['platform']['history_s']),
+        report_interval=clock.to_seconds(fields['heartbeat_ms']),
+    )
+
+
+def parse_address(text: str) -> node.Address:
+    """Read IP:PORT."""
+    host, colon, port = text.rpartition(':')
+    if not colon or not port.isdigit():
+        raise ValueError(f'{text!r} is no address; write IP:PORT')
+    return node.Address(host=host, port=int(port))
--- /dev/null
+++ b/src/egretstep/platform/store.py
@@ -0,0 +1,133 @@
+"""The platform's metadata store as tables of the product."""
+
+import base64
+import typing
+import urllib.parse
+
+import orjson
+
+from egretstep import errors
+from egretstep.platform import http
+from egretstep.settings import node
+from egretstep.storage import tables
+
+CALL_SECONDS = 1.0
+WATCH_MS = 20_000
+WATCH_SECONDS = 22.0
+_OK = 200
+_GONE = 410
+_PRECONDITION_FAILED = 412
+# The key after the last one that begins with a prefix.
+_AFTER_PREFIX = '\U0010ffff'
+
+
+class PlatformStore:
+    """Client of the store; each watcher of a table has its own connection."""
+
+    def __init__(self, *, address: node.Address) -> None:
+        self._address = address
+        self._client = http.HttpClient(address=address)
+        self._watchers: dict[str, http.HttpClient] = {}
+
+    async def read(self, table: str, prefix: str = '') -> tables.Snapshot:
+        """Return all rows whose keys begin with a prefix."""
+        query = {'table': table, 'part': ''}
+        if prefix:
+            query['from'] = prefix
+            query['to'] = prefix + _AFTER_PREFIX
+        rows: list[tables.Row] = []
+        while True:
+            body = await self._get('rows-get', query)
+            rows.extend(_decode_row(row) for row in body['rows'])
+            if not body['has_more']:
+                return tables.Snapshot(rows=tuple(rows), version=body['ver'])
+            query['from'] = rows[-1].key + '\0'
+
+    async def changes(self, table: str, after: int) -> tables.Snapshot:
+        """Wait for rows that changed after a version."""
+        client = self._watchers.get(table)
+        if client is None:
+            client = http.HttpClient(address=self._address)
+            self._watchers[table] = client
+        query = {'table': table, 'after': after, 'wait_ms': WATCH_MS}
+        body = await self._get('rows-feed', query, client, WATCH_SECONDS)
+        rows = tuple(_decode_row(row) for row in body['rows'])
+        return tables.Snapshot(rows=rows, version=body['ver'])
+
+    async def swap(
+        self,
+        table: str,
+        key: str,
+        *,
+        expected: int,
+        content: bytes | None,
+    ) -> int:
+        """Replace a row of a version, or delete it; return the new version."""
+        place = {'table': table, 'part': '', 'key': key}
+        transaction: dict[str, typing.Any] = {
+            'expected_rev': [{**place, 'ver': expected}],
+            'puts': [],
+            'delete': [],
+        }
+        if content is None:
+            transaction['delete'] = [place]
+        else:
+            encoded = base64.b64encode(content).decode()
+            transaction['puts'] = [{**place, 'value': encoded}]
+        request = http.Request(
+            method='POST',
+            target='/v1/rows-tx',
+            body=orjson.dumps(transaction),
+        )
+        response = await self._client.call(request, timeout=CALL_SECONDS)
+        if response.status == _PRECONDITION_FAILED:
+            raise errors.ConflictError(
+                f'{table}/{key} is no longer at version {expected}',
+            )
+        return _decode_body(response, request)['ver']
+
+    async def _get(
+        self,
+        call: str,
+        query: dict[str, typing.Any],
+        client: http.HttpClient | None = None,
+        timeout: float = CALL_SECONDS,
+    ) -> dict[str, typing.Any]:
+        request = http.Request(
+            method='GET',
+            target=f'/v1/{call}?{urllib.parse.urlencode(query)}',
+        )
+        used = client or self._client
+        response = await used.call(request, timeout=timeout)
+        return _decode_body(response, request)
+
+
+def _decode_body(
+    response: http.Response,
+    request: http.Request,
+) -> dict[str, typing.Any]:
+    if response.status == _GONE:
+        raise tables.HistoryGoneError(f'history is gone: {request.target}')
+    if response.status != _OK:
+        raise errors.PlatformError(
+            f'the store answered {response.status} to {request.method} '
+            f'{request.target}; try again later',
+        )
+    try:
+        return orjson.loads(response.body)
+    except orjson.JSONDecodeError as error:
+        raise errors.PlatformError(
+            f'unreadable answer to {request.target}: {error}',
+        ) from error
+
+
+def _decode_row(row: dict[str, typing.Any]) -> tables.Row:
+    # A dropped row is called a tombstone on the wire.
+    is_deleted = bool(row.get('tombstone'))
+    encoded = '' if is_deleted else row.get('value') or ''
+    return tables.Row(
+        key=row['key'],
+        content=base64.b64decode(encoded),
+        version=row['ver'],
+        is_deleted=is_deleted,
+    )
--- /dev/null
+++ b/src/egretstep/pooling/broker.py
@@ -0,0 +1,316 @@
+"""All work of this host at one backend server.
+
+The broker holds the connections and the fair queue for the server's slots,
+keeps open transactions on their connection, and says of each answer what it
+means for the caller.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing
+
+import logbook
+
+from egretstep import clock, errors, identifiers
+from egretstep.backends import answers, connection
+from egretstep.pooling import fair_queue, verdicts, workspace_connections
+from egretstep.pooling import work as work_module
+
+REFUSED_RETRY_MS = 100
+_logger = logbook.Logger('broker')
+
+PinKey = tuple[work_module.LinkId, identifiers.PinId]
+Held = workspace_connections.SessionConnection
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Pin:
+    """A connection with the open transaction of one caller."""
+
+    held: Held
+    is_read_only: bool
+    used_at: float
+    is_busy: bool = False
+    has_written: bool = False
+
+
+class Broker:
+    """Runs statements at one server."""
+
+    def __init__(
+        self,
+        *,
+        server: connection.BackendServer,
+        opener: connection.Opener,
+        connection_limit: int,
+        time_source: clock.Clock,
+    ) -> None:
+        self._clock = time_source
+        self._queue = fair_queue.FairQueue(
+            slots=server.slots,
+            time_source=time_source,
+        )
+        self._pins: dict[PinKey, Pin] = {}
+        self._running: dict[int, float] = {}
+        self._sequence = 0
+        self.server = server
+        self.connections = workspace_connections.WorkspaceConnections(
+            server=server,
+            opener=opener,
+            limit=connection_limit,
+            time_source=time_source,
+        )
+        self.answered_at = time_source.now()
+        self.failures = 0
+        self.used_at = time_source.now()
+
+    @property
+    def pinned_count(self) -> int:
+        """Return how many transactions are open."""
+        return len(self._pins)
+
+    @property
+    def load(self) -> float:
+        """Return running and waiting statements for each slot."""
+        return self._queue.load
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing runs and no transaction is open."""
+        return not self._running and not self._pins
+
+    @property
+    def silent_seconds(self) -> float:
+        """Return for how long statements run without any answer."""
+        if not self._running:
+            return 0
+        oldest = min(self._running.values())
+        return self._clock.now() - max(oldest, self.answered_at)
+
+    async def execute(
+        self,
+        work: work_module.Work,
+        link: work_module.LinkId,
+        floor: identifiers.LogPosition | None = None,
+    ) -> answers.Answer:
+        """Run a statement and return its final answer."""
+        self.used_at = self._clock.now()
+        deadline = self.used_at + work.timeout
+        key = (link, work.pin_id)
+        if work.is_pinned:
+            return await self._execute_pinned(work, key, deadline)
+        try:
+            async with self._queue.slot(
+                workspace=work.workspace,
+                weight=1,
+                deadline=deadline,
+            ):
+                return await self._execute_free(work, key, deadline, floor)
+        except errors.RefusedError as error:
+            return answers.refusal(
+                answers.Code.OVERLOADED,
+                error.refusal.message,
+                retry_after_ms=error.refusal.retry_after_ms,
+            )
+
+    def release_pin(self, key: PinKey) -> None:
+        """Roll back the transaction of a caller that has left."""
+        pin = self._pins.pop(key, None)
+        if pin is not None:
+            self.connections.discard(pin.held)
+
+    def release_link(self, link: work_module.LinkId) -> None:
+        """Roll back the transactions of a host that is gone."""
+        for key in [key for key in self._pins if key[0] == link]:
+            self.release_pin(key)
+
+    def release_all(self) -> None:
+        """Roll back every transaction."""
+        for key in list(self._pins):
+            self.release_pin(key)
+
+    def end_idle_transactions(self, longest: float) -> None:
+        """Roll back transactions that have rested for too many seconds."""
+        limit = self._clock.now() - longest
+        for key, pin in list(self._pins.items()):
+            if not pin.is_busy and pin.used_at < limit:
+                self.release_pin(key)
+
+    def close(self) -> None:
+        """End transactions and close the connections that rest."""
+        self.release_all()
+        self.connections.close_idle()
+
+    async def _execute_free(
+        self,
+        work: work_module.Work,
+        key: PinKey,
+        deadline: float,
+        floor: identifiers.LogPosition | None,
+    ) -> answers.Answer:
+        held: Held | None = None
+        sent = False
+        try:
+            async with asyncio.timeout(deadline - self._clock.now()):
+                held = await self._ready_connection(work)
+                opened = await self._open_transaction(work, held, floor)
+                if opened is not None and not opened.is_ok:
+                    self._settle(held, key, work, opened)
+                    return opened
+                sent = True
+                answer = await self._run(
+                    work, held, floor if opened is None else None
+                )
+        except TimeoutError:
+            self._drop(held)
+            return verdicts.timed_out(work, was_sent=sent)
+        except connection.RefusedConnectionError as error:
+            self.failures += 1
+            return answers.refusal(
+                error.code,
+                str(error),
+                retry_after_ms=REFUSED_RETRY_MS,
+            )
+        except connection.BrokenError as error:
+            self.failures += 1
+            self._drop(held)
+            return verdicts.broken(work, str(error), was_sent=sent)
+        except BaseException:
+            self._drop(held)
+            raise
+        return self._settle(held, key, work, answer)
+
+    async def _ready_connection(self, work: work_module.Work) -> Held:
+        """Return a connection that holds the session's state.
+
+        One that rested may have broken meanwhile; then another is taken.
+        """
+        while True:
+            held = await self.connections.acquire(work.workspace)
+            is_new = held.used_at == 0
+            try:
+                await held.adopt(work.values, work.command.prepared)
+            except workspace_connections.UnsentError:
+                self.connections.discard(held)
+                if is_new:
+                    raise
+            except BaseException:
+                self.connections.discard(held)
+                raise
+            else:
+                return held
+
+    async def _open_transaction(
+        self,
+        work: work_module.Work,
+        held: Held,
+        floor: identifiers.LogPosition | None,
+    ) -> answers.Answer | None:
+        if work.opens is work_module.Opens.NOTHING:
+            return None
+        return await held.begin(work.opens, floor)
+
+    async def _run(
+        self,
+        work: work_module.Work,
+        held: Held,
+        floor: identifiers.LogPosition | None,
+    ) -> answers.Answer:
+        with self._tracked():
+            answer = await held.raw.run(
+                work.statement_id,
+                work.command,
+                floor,
+            )
+        self.answered_at = self._clock.now()
+        self.failures = 0
+        return answer
+
+    @contextlib.contextmanager
+    def _tracked(self) -> typing.Generator[None, None, None]:
+        self._sequence += 1
+        number = self._sequence
+        self._running[number] = self._clock.now()
+        try:
+            yield
+        finally:
+            del self._running[number]
+
+    def _settle(
+        self,
+        held: Held,
+        key: PinKey,
+        work: work_module.Work,
+        answer: answers.Answer,
+    ) -> answers.Answer:
+        """Keep the connection for its transaction or give it back."""
+        if answer.state is answers.TransactionState.OUTSIDE:
+            self.connections.release(held)
+            return answer
+        self._pins[key] = Pin(
+            held=held,
+            is_read_only=work.opens is work_module.Opens.READ_TRANSACTION,
+            used_at=self._clock.now(),
+            has_written=work.command.is_write,
+        )
+        return dataclasses.replace(answer, is_pinned=True)
+
+    async def _execute_pinned(
+        self,
+        work: work_module.Work,
+        key: PinKey,
+        deadline: float,
+    ) -> answers.Answer:
+        pin = self._pins.get(key)
+        if pin is None or pin.is_busy:
+            return answers.refusal(
+                answers.Code.ABORTED,
+                'the transaction was rolled back; start it again',
+            )
+        pin.is_busy = True
+        sent = False
+        try:
+            async with asyncio.timeout(deadline - self._clock.now()):
+                await pin.held.adopt(work.values, work.command.prepared)
+                sent = True
+                with self._queue.charged(workspace=work.workspace, weight=1):
+                    answer = await self._run(work, pin.held, None)
+        except TimeoutError:
+            self.release_pin(key)
+            return verdicts.pinned_failed(
+                work, pin.has_written, sent, 'no answer in time'
+            )
+        except connection.BrokenError as error:
+            self.failures += 1
+            self.release_pin(key)
+            return verdicts.pinned_failed(
+                work, pin.has_written, sent, str(error)
+            )
+        except BaseException:
+            self.release_pin(key)
+            raise
+        finally:
+            pin.is_busy = False
+            pin.used_at = self._clock.now()
+        pin.has_written = pin.has_written or work.command.is_write
+        return self._settle_pinned(key, pin, answer)
+
+    def _settle_pinned(
+        self,
+        key: PinKey,
+        pin: Pin,
+        answer: answers.Answer,
+    ) -> answers.Answer:
+        if key not in self._pins:
+            # Released while the statement ran; the connection is closed.
+            return answer
+        if answer.state is answers.TransactionState.OUTSIDE:
+            self._pins.pop(key)
+            self.connections.release(pin.held)
+            return answer
+        return dataclasses.replace(answer, is_pinned=True)
+
+    def _drop(self, held: Held | None) -> None:
+        if held is not None:
+            self.connections.discard(held)
--- /dev/null
+++ b/src/egretstep/pooling/verdicts.py
@@ -0,0 +1,80 @@
+"""What a caller is told when a server gave no whole answer.
+
+"Nothing was kept" is said only when that is certain: the statement was not
+sent, it only read, or it belongs to a transaction whose connection is
+closed before its commit was sent.
+"""
+
+from egretstep.backends import answers, commands
+from egretstep.pooling import work as work_module
+
+BROKEN_RETRY_MS = 100
+
+
+def timed_out(work: work_module.Work, *, was_sent: bool) -> answers.Answer:
+    """Answer for a statement whose time ran out."""
+    if not was_sent:
+        return answers.refusal(
+            answers.Code.OVERLOADED,
+            'no connection to the server in time',
+            retry_after_ms=BROKEN_RETRY_MS,
+        )
+    if work.is_read_only or _is_inside(work):
+        return answers.Answer(
+            code=answers.Code.TIMED_OUT,
+            message='the server did not answer in time',
+            was_sent=True,
+        )
+    return unknown('the server did not answer in time')
+
+
+def broken(
+    work: work_module.Work,
+    reason: str,
+    *,
+    was_sent: bool,
+) -> answers.Answer:
+    """Answer for a statement whose connection broke."""
+    if was_sent and not work.is_read_only and not _is_inside(work):
+        return unknown(reason)
+    return answers.Answer(
+        code=answers.Code.ABORTED,
+        message=f'the connection broke: {reason}',
+        retry_after_ms=BROKEN_RETRY_MS,
+        was_sent=was_sent,
+    )
+
+
+def pinned_failed(
+    work: work_module.Work,
+    has_written: bool,
+    was_sent: bool,
+    reason: str,
+) -> answers.Answer:
+    """Answer for a statement of a transaction that was lost."""
+    is_commit = work.command.action is commands.Action.COMMIT
+    if is_commit and has_written and was_sent:
+        return unknown(reason)
+    return answers.Answer(
+        code=answers.Code.ABORTED,
+        message=f'the transaction was rolled back: {reason}',
+        retry_after_ms=BROKEN_RETRY_MS,
+        was_sent=was_sent,
+    )
+
+
+def unknown(reason: str) -> answers.Answer:
+    """Answer for a statement that may have run."""
+    return answers.Answer(
+        code=answers.Code.UNKNOWN_OUTCOME,
+        message=f'it may have run: {reason}',
+        was_sent=True,
+    )
+
+
+def _is_inside(work: work_module.Work) -> bool:
+    """Tell whether the statement runs in a transaction that stays open."""
+    return (
+        work.opens is not work_module.Opens.NOTHING
+        and work.command.action is not commands.Action.COMMIT
+    )
--- /dev/null
+++ b/src/egretstep/programs/host_endpoint.py
@@ -0,0 +1,153 @@
+"""Answers the calls of the other hosts of the fleet."""
+
+import typing
+
+from egretstep import clock, identifiers
+from egretstep.limits import grants
+from egretstep.membership import fleet_links, leases
+from egretstep.peers import fleet_messages, fleet_schema
+from egretstep.pooling import brokers, local_host
+from egretstep.pooling import work as work_module
+from egretstep.replication import primary
+from egretstep.settings import deployment
+
+
+class Tasks(typing.Protocol):
+    """The tasks that this host does for the fleet."""
+
+    def owner(
+        self,
+        service: deployment.ServiceName,
+    ) -> primary.PrimaryOwner | None:
+        """Return the owner of a service, if it is this host."""
+
+    def take_tokens(
+        self,
+        workspace: identifiers.WorkspaceName,
+        wanted: int,
+    ) -> grants.Grant | None:
+        """Give tokens of a workspace, if this host counts."""
+
+
+class Configuration(typing.Protocol):
+    """The configuration as this host has it."""
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+
+    @property
+    def content(self) -> bytes:
+        """Return the configuration as the store keeps it."""
+
+
+class HostEndpoint(fleet_schema.Host.Server):
+    """One link from another host."""
+
+    def __init__(
+        self,
+        *,
+        link: work_module.LinkId,
+        local: local_host.LocalHost,
+        broker_table: brokers.BrokerTable,
+        keeper: leases.LeaseKeeper,
+        peers: fleet_links.FleetLinks,
+        tasks: Tasks,
+        configuration: Configuration,
+    ) -> None:
+        self._link = link
+        self._local = local
+        self._brokers = broker_table
+        self._keeper = keeper
+        self._peers = peers
+        self._tasks = tasks
+        self._configuration = configuration
+
+    async def execute(
+        self,
+        work: typing.Any,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Run a statement."""
+        decoded = fleet_messages.decode_work(work)
+        answer = await self._local.execute(decoded, self._link)
+        _context.results.result = fleet_messages.encode_answer(answer)
+
+    async def release(self, pinId: int, **_kwargs: typing.Any) -> None:
+        """Roll back a transaction."""
+        self._brokers.release(self._link, identifiers.PinId(pinId))
+
+    async def heartbeat(self, **_kwargs: typing.Any) -> None:
+        """Answer, to show that this host runs."""
+
+    async def acknowledged(
+        self,
+        service: str,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Tell the acknowledged position of a service owned here."""
+        owner = self._tasks.owner(deployment.ServiceName(service))
+        known = owner.acknowledged() if owner else None
+        _context.results.serving = known is not None
+        if known is not None:
+            epoch, position = known
+            _context.results.epoch = epoch
+            _context.results.position.term = position.term
+            _context.results.position.offset = position.offset
+
+    async def confirm(
+        self,
+        claims: typing.Any,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Learn of claims and tell of later ones."""
+        decoded = [fleet_messages.decode_claim(each) for each in claims]
+        later = self._keeper.later(decoded)
+        _context.results.confirmed = self._keeper.is_synced
+        _context.results.newer = [
+            fleet_messages.encode_claim(claim) for claim in later
+        ]
+
+    async def reaches(self, host: str, **_kwargs: typing.Any) -> bool:
+        """Tell whether another host answers this one."""
+        return await self._peers.reaches(identifiers.HostName(host))
+
+    async def takeTokens(
+        self,
+        demands: typing.Any,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Give tokens of workspaces that are counted here."""
+        lots = []
+        for demand in demands:
+            workspace = identifiers.WorkspaceName(demand.workspace)
+            grant = self._tasks.take_tokens(workspace, demand.wanted)
+            if grant is None:
+                _context.results.serving = False
+                return
+            lots.append({
+                'workspace': workspace,
+                'granted': grant.granted,
+                'retryAfterMs': clock.to_milliseconds(grant.retry_after),
+            })
+        _context.results.serving = True
+        _context.results.lots = lots
+
+    async def configuration(
+        self,
+        known: int,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Give the configuration if it is later than the known one."""
+        _context.results.version = self._configuration.version
+        if self._configuration.version > known:
+            _context.results.content = self._configuration.content
+
+    async def link_closed(self) -> None:
+        """Roll back what the host's callers had open."""
+        self._brokers.release_link(self._link)
--- /dev/null
+++ b/src/egretstep/programs/tasks.py
@@ -0,0 +1,154 @@
+"""The tasks that this host does for the fleet: owning and counting."""
+
+import asyncio
+import typing
+
+import logbook
+
+from egretstep import clock, identifiers
+from egretstep.backends import connection
+from egretstep.limits import grants
+from egretstep.membership import claiming, directory, leases, registry
+from egretstep.pooling import brokers
+from egretstep.replication import primary, succession
+from egretstep.routing import dispatcher
+from egretstep.settings import deployment
+from egretstep.supervision import supervisor
+
+COUNTING = leases.TaskName('counting')
+HAND_OVER_SECONDS = 2.0
+_logger = logbook.Logger('tasks')
+
+
+class FleetTasks:
+    """Starts what this host has claimed, and hands it over at the end."""
+
+    def __init__(
+        self,
+        *,
+        keeper: leases.LeaseKeeper,
+        hosts: directory.Directory,
+        servers: registry.ServerRegistry,
+        broker_table: brokers.BrokerTable,
+        opener: connection.Opener,
+        promotions: succession.Promotions,
+        current: typing.Callable[[], deployment.Deployment],
+        time_source: clock.Clock,
+        is_first_start: bool,
+    ) -> None:
+        self._keeper = keeper
+        self._hosts = hosts
+        self._servers = servers
+        self._brokers = broker_table
+        self._opener = opener
+        self._promotions = promotions
+        self._current = current
+        self._clock = time_source
+        self._is_first_start = is_first_start
+        self._owners: dict[deployment.ServiceName, primary.PrimaryOwner] = {}
+        self._counter: grants.Counter | None = None
+        self._counting_claim: leases.Claim | None = None
+        self._supervisor = supervisor.Supervisor(name='owners')
+
+    def wanted(self) -> list[claiming.Task]:
+        """Return the tasks that the configuration asks for."""
+        current = self._current()
+        tasks = []
+        for service in current.services:
+            zone = self._servers.primary_zone(service)
+            if zone is not None:
+                name = dispatcher.task_of(service)
+                tasks.append(claiming.Task(name=name, zone=zone))
+        if current.workspaces:
+            tasks.append(claiming.Task(name=COUNTING, zone=_ANY_ZONE))
+        return tasks
+
+    def start(self, claim: leases.Claim) -> None:
+        """Begin a task that this host has claimed."""
+        if claim.task == COUNTING:
+            is_full = self._is_first_start and claim.epoch == 1
+            self._counting_claim = claim
+            self._counter = grants.Counter(
+                current=self._current,
+                time_source=self._clock,
+                is_full=is_full,
+            )
+            return
+        service = deployment.ServiceName(
+            claim.task.removeprefix(dispatcher.TASK_PREFIX),
+        )
+        owner = primary.PrimaryOwner(
+            service=service,
+            claim=claim,
+            keeper=self._keeper,
+            brokers=self._brokers,
+            successions=succession.Succession(
+                servers=self._servers,
+                opener=self._opener,
+                promotions=self._promotions,
+                time_source=self._clock,
+            ),
+            time_source=self._clock,
+        )
+        asyncio.ensure_future(self._replace_owner(service, owner))
+
+    def owner(
+        self,
+        service: deployment.ServiceName,
+    ) -> primary.PrimaryOwner | None:
+        """Return the owner of a service, if it is this host."""
+        return self._owners.get(service)
+
+    def take_tokens(
+        self,
+        workspace: identifiers.WorkspaceName,
+        wanted: int,
+    ) -> grants.Grant | None:
+        """Give tokens of a workspace, if this host counts."""
+        claim = self._counting_claim
+        if claim is None or self._counter is None:
+            return None
+        if not self._keeper.is_held(COUNTING, claim.epoch):
+            return None
+        return self._counter.take(workspace, wanted)
+
+    async def hand_over(self) -> None:
+        """Give all tasks to other hosts."""
+        mine = [
+            claim
+            for claim in self._keeper.claims.values()
+            if self._keeper.is_mine(claim)
+        ]
+        await asyncio.gather(*(self._hand_over(claim) for claim in mine))
+
+    async def _hand_over(self, claim: leases.Claim) -> None:
+        zone = _ANY_ZONE
+        if claim.task != COUNTING:
+            service = deployment.ServiceName(
+                claim.task.removeprefix(dispatcher.TASK_PREFIX),
+            )
+            zone = self._servers.primary_zone(service) or _ANY_ZONE
+            owner = self._owners.get(service)
+            if owner is not None:
+                await owner.stop(longest_wait=HAND_OVER_SECONDS)
+        ranked = [
+            host
+            for host in self._hosts.preferred(claim.task, zone)
+            if host.host != self._hosts.own.host
+        ]
+        if ranked:
+            await self._keeper.release(claim.task, ranked[0])
+
+    async def _replace_owner(
+        self,
+        service: deployment.ServiceName,
+        owner: primary.PrimaryOwner,
+    ) -> None:
+        await self._supervisor.stop_child(service)
+        self._owners[service] = owner
+        self._supervisor.start(
+            supervisor.Child(name=service, run=owner.run),
+        )
+
+
+_ANY_ZONE = identifiers.ZoneName('')
--- /dev/null
+++ b/src/egretstep/replication/primary.py
@@ -0,0 +1,277 @@
+"""The owner of a service: who is primary, and what it acknowledged.
+
+One host owns a service at a time, under a lease. It alone sends writes and
+reads of the primary, and it alone orders promotions. Whatever the primary
+answers goes out only while the lease holds.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import logbook
+
+from egretstep import clock, errors, identifiers
+from egretstep.backends import answers, commands, connection
+from egretstep.membership import leases
+from egretstep.pooling import broker as broker_module
+from egretstep.pooling import gate, verdicts
+from egretstep.pooling import work as work_module
+from egretstep.replication import succession
+from egretstep.settings import deployment
+
+WATCH_SECONDS = 0.1
+LEASE_POLL_SECONDS = 0.02
+PLANNED_WAIT_SECONDS = 1.5
+SILENCE_SECONDS = 0.4
+_logger = logbook.Logger('primary')
+
+
+class Brokers(typing.Protocol):
+    """The brokers of this host."""
+
+    def get(
+        self,
+        server: connection.BackendServer,
+    ) -> broker_module.Broker:
+        """Return the broker of a server, made on first use."""
+
+
+class PrimaryOwner:
+    """Serves the primary of one service for the whole fleet."""
+
+    def __init__(
+        self,
+        *,
+        service: deployment.ServiceName,
+        claim: leases.Claim,
+        keeper: leases.LeaseKeeper,
+        brokers: Brokers,
+        successions: succession.Succession,
+        time_source: clock.Clock,
+    ) -> None:
+        self._service = service
+        self._claim = claim
+        self._keeper = keeper
+        self._brokers = brokers
+        self._succession = successions
+        self._clock = time_source
+        self._gate = gate.WriteGate(
+            pinned=self._pinned_count,
+            time_source=time_source,
+        )
+        self._primary: connection.BackendServer | None = None
+        self._acknowledged: identifiers.LogPosition | None = None
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the lease."""
+        return self._claim.epoch
+
+    @property
+    def primary(self) -> connection.BackendServer | None:
+        """Return the server that is primary, once it is known."""
+        return self._primary
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether the lease holds right now."""
+        return self._keeper.is_held(self._claim.task, self._claim.epoch)
+
+    def acknowledged(self) -> tuple[int, identifiers.LogPosition] | None:
+        """Return the epoch and a position with all acknowledged commits.
+
+        None is returned when another owner may have acknowledged more.
+        """
+        if self._acknowledged is None or not self.is_held:
+            return None
+        return self.epoch, self._acknowledged
+
+    async def run(self) -> None:
+        """Find the primary and watch it until cancelled."""
+        while True:
+            if self.is_held:
+                await self._look()
+            await asyncio.sleep(WATCH_SECONDS)
+
+    async def execute(
+        self,
+        work: work_module.Work,
+        link: work_module.LinkId,
+    ) -> answers.Answer:
+        """Run a statement at the primary."""
+        deadline = self._clock.now() + work.timeout
+        if work.is_pinned:
+            return await self._execute_at_primary(work, link, deadline)
+        if self._primary is None or self._gate.is_closed:
+            refused = self._refusal_if_too_long(work)
+            if refused is not None:
+                return refused
+        try:
+            async with self._gate.entered(deadline=deadline):
+                return await self._execute_at_primary(work, link, deadline)
+        except TimeoutError:
+            return answers.refusal(
+                answers.Code.OVERLOADED,
+                'the primary is being replaced',
+                retry_after_ms=verdicts.BROKEN_RETRY_MS,
+            )
+
+    async def stop(self, *, longest_wait: float) -> None:
+        """Let running work end; nothing runs at the primary afterwards."""
+        await self._gate.close(longest_wait=longest_wait)
+        if self._primary is not None:
+            self._brokers.get(self._primary).release_all()
+
+    def _pinned_count(self) -> int:
+        if self._primary is None:
+            return 0
+        return self._brokers.get(self._primary).pinned_count
+
+    def _refusal_if_too_long(
+        self,
+        work: work_module.Work,
+    ) -> answers.Answer | None:
+        remaining = self._succession.expected_seconds()
+        if remaining <= work.timeout:
+            return None
+        return answers.refusal(
+            answers.Code.OVERLOADED,
+            'the primary is being replaced',
+            retry_after_ms=clock.to_milliseconds(remaining),
+        )
+
+    async def _execute_at_primary(
+        self,
+        work: work_module.Work,
+        link: work_module.LinkId,
+        deadline: float,
+    ) -> answers.Answer:
+        primary = self._primary
+        if primary is None or not await self._wait_held(deadline):
+            return answers.refusal(
+                answers.Code.OVERLOADED,
+                'this host does not hold the lease of the primary',
+                retry_after_ms=verdicts.BROKEN_RETRY_MS,
+            )
+        remaining = max(0.0, deadline - self._clock.now())
+        bounded = dataclasses.replace(work, timeout=remaining)
+        answer = await self._brokers.get(primary).execute(bounded, link)
+        return await self._checked(work, answer, deadline)
+
+    async def _checked(
+        self,
+        work: work_module.Work,
+        answer: answers.Answer,
+        deadline: float,
+    ) -> answers.Answer:
+        """Let an answer out only while the lease holds."""
+        if not answer.was_sent:
+            return answer
+        if not await self._wait_held(deadline):
+            reason = 'the lease ended before the answer'
+            if work.is_read_only:
+                return dataclasses.replace(
+                    answers.refusal(answers.Code.ABORTED, reason),
+                    was_sent=True,
+                )
+            return verdicts.unknown(reason)
+        is_commit = work.command.action is commands.Action.COMMIT
+        if answer.is_ok and (work.command.is_write or is_commit):
+            self._acknowledge(answer.position)
+        return answer
+
+    async def _wait_held(self, deadline: float) -> bool:
+        while not self.is_held:
+            claim = self._keeper.claims.get(self._claim.task)
+            if claim is None or claim.epoch != self._claim.epoch:
+                return False
+            if self._clock.now() > deadline:
+                return False
+            await asyncio.sleep(LEASE_POLL_SECONDS)
+        return True
+
+    def _acknowledge(self, position: identifiers.LogPosition | None) -> None:
+        if position is None:
+            return
+        if self._acknowledged is None or position > self._acknowledged:
+            self._acknowledged = position
+
+    async def _look(self) -> None:
+        if self._primary is None:
+            await self._adopt()
+            return
+        current = self._succession.refreshed(self._primary)
+        if current is not None:
+            self._primary = current
+        reason = self._succession.reason_to_leave(self._primary)
+        if reason is not None:
+            await self._change(reason, is_planned=True)
+            return
+        broker = self._brokers.get(self._primary)
+        is_silent = broker.silent_seconds > SILENCE_SECONDS
+        if broker.failures or is_silent:
+            await self._examine(broker)
+
+    async def _examine(self, broker: broker_module.Broker) -> None:
+        """Tell a server that is gone from one that is slow."""
+        primary = typing.cast(connection.BackendServer, self._primary)
+        status = await self._succession.examine(primary)
+        if status is None:
+            await self._change('it does not answer', is_planned=False)
+            return
+        broker.failures = 0
+        broker.answered_at = self._clock.now()
+        if status.role is not connection.Role.PRIMARY:
+            await self._change('it is no longer primary', is_planned=False)
+
+    async def _adopt(self) -> None:
+        """Find out which server is primary."""
+        found = await self._succession.find_primary(self._service)
+        if found is None:
+            await self._change('no server is primary', is_planned=False)
+            return
+        self._serve(found)
+
+    def _serve(self, found: succession.Candidate) -> None:
+        self._primary = found.server
+        self._acknowledged = found.status.received
+        self._gate.open()
+        _logger.info(
+            'service {}: {} is primary at {} (epoch {})',
+            self._service,
+            found.server.server,
+            found.status.received,
+            self.epoch,
+        )
+
+    async def _change(self, reason: str, *, is_planned: bool) -> None:
+        former = self._primary
+        started = self._clock.now()
+        _logger.info(
+            'service {}: replacing {}: {}',
+            self._service,
+            former.server if former else 'nobody',
+            reason,
+        )
+        self._succession.note_start()
+        wait = PLANNED_WAIT_SECONDS if is_planned else 0
+        await self._gate.close(longest_wait=wait)
+        if former is not None:
+            self._brokers.get(former).close()
+        try:
+            found = await self._succession.replace(
+                self._service,
+                former,
+                epoch=self.epoch,
+                known=self._acknowledged if is_planned else None,
+            )
+        except errors.PlatformError as error:
+            _logger.warning('service {}: {}', self._service, error)
+            found = None
+        if found is None:
+            self._primary = None
+            return
+        self._serve(found)
+        took = self._clock.now() - started
+        _logger.info('service {}: replaced in {:.2f} s', self._service, took)
