Refused connections are signs of life; promotions wait for a later term

Change: a refusal is a sign of life; the new primary must lead a later term than all that were seen; the owner records the primary in its claim for its successor; brokers give up connections to servers that others own. Ruled out: leases (one owner at a time throughout).

--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -33,7 +33,9 @@
     """Who holds a task.
 
     `is_released` says that the former holder let go, and `is_settled` that
-    the lease of every former holder has run out.
+    the lease of every former holder has run out. `detail` is what the
+    holder wants its successor to know. `revision` grows with each change
+    of these within an epoch.
     """
 
     task: TaskName
@@ -42,6 +44,13 @@
     epoch: int
     is_released: bool = False
     is_settled: bool = False
+    detail: str = ''
+    revision: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what tells a later claim from an earlier one."""
+        return self.epoch, self.revision
 
 
 class Confirmers(typing.Protocol):
@@ -107,8 +116,8 @@
     def note(self, claim: Claim) -> bool:
         """Learn of a claim; returns whether no later one is known."""
         known = self._claims.get(claim.task)
-        if known is not None and known.epoch > claim.epoch:
-            return False
+        if known is not None and known.order > claim.order:
+            return known.epoch == claim.epoch
         if known != claim:
             self._claims[claim.task] = claim
             if known is None or known.epoch != claim.epoch:
@@ -192,6 +201,7 @@
             boot=successor.boot,
             epoch=claim.epoch + 1,
             is_released=True,
+            detail=claim.detail,
         )
         try:
             row = await self._read(task)
@@ -321,20 +331,43 @@
             boot=own.boot,
             epoch=(former.epoch if former else 0) + 1,
             is_settled=former is None or self._is_over(former),
+            detail=former.detail if former else '',
         )
         await self._swap(task, row.version if row else tables.ABSENT, taken)
         return taken
 
     async def _settle(self, taken: Claim) -> None:
         """Record that no wait is needed after this claim any more."""
+        await self._revise(taken, is_settled=True)
+
+    async def record(self, claim: Claim, detail: str) -> bool:
+        """Keep a detail for the next holder; returns whether it is stored.
+
+        The hosts that answer learn of it too.
+        """
+        return await self._revise(claim, detail=detail)
+
+    async def _revise(self, claim: Claim, **changed: typing.Any) -> bool:
+        known = self._claims[claim.task]
+        if known.epoch != claim.epoch:
+            return False
+        revised = dataclasses.replace(
+            known,
+            revision=known.revision + 1,
+            **changed,
+        )
+        self.note(revised)
+        asyncio.ensure_future(self._confirmers.confirm([revised]))
         try:
-            row = await self._read(taken.task)
-            if row is not None and decode(row.content) == taken:
-                settled = dataclasses.replace(taken, is_settled=True)
-                await self._swap(taken.task, row.version, settled)
+            row = await self._read(claim.task)
+            stored = decode(row.content) if row else None
+            if row is None or stored is None or stored.epoch != claim.epoch:
+                return False
+            await self._swap(claim.task, row.version, revised)
         except (errors.PlatformError, errors.ConflictError) as error:
-            # The next holder then waits without need, which is safe.
-            _logger.info('task {} stays unsettled: {}', taken.task, error)
+            _logger.info('task {}: not recorded: {}', claim.task, error)
+            return False
+        return True
 
     async def _read(self, task: TaskName) -> tables.Row | None:
         key = PREFIX + task
--- a/src/egretstep/peers/fleet_messages.py
+++ b/src/egretstep/peers/fleet_messages.py
@@ -130,6 +130,8 @@
         'epoch': claim.epoch,
         'isReleased': claim.is_released,
         'isSettled': claim.is_settled,
+        'detail': claim.detail,
+        'revision': claim.revision,
     }
 
 
@@ -142,4 +144,6 @@
         epoch=fields.epoch,
         is_released=fields.isReleased,
         is_settled=fields.isSettled,
+        detail=fields.detail,
+        revision=fields.revision,
     )
--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -137,6 +137,10 @@
             if not pin.is_busy and pin.used_at < limit:
                 self.release_pin(key)
 
+    def retire(self) -> None:
+        """Leave the server's connections to the host that owns it now."""
+        self.connections.retire()
+
     def close(self) -> None:
         """End transactions and close the connections that rest."""
         self.release_all()
@@ -166,7 +170,8 @@
             self._drop(held)
             return verdicts.timed_out(work, was_sent=sent)
         except connection.RefusedConnectionError as error:
-            self.failures += 1
+            # A server that refuses is alive.
+            self.answered_at = self._clock.now()
             return answers.refusal(
                 error.code,
                 str(error),
--- a/src/egretstep/pooling/brokers.py
+++ b/src/egretstep/pooling/brokers.py
@@ -65,6 +65,22 @@
         for each in self._brokers.values():
             each.release_link(link)
 
+    def retire_primaries(
+        self,
+        servers: typing.Iterable[connection.BackendServer],
+        is_owner: typing.Callable[[deployment.ServiceName], bool],
+    ) -> None:
+        """Give up connections to servers that others own as primaries."""
+        for server in servers:
+            known = self._brokers.get(server.server)
+            if known is None:
+                continue
+            is_primary = server.role is connection.Role.PRIMARY
+            if is_primary and not is_owner(server.service):
+                known.retire()
+            else:
+                known.connections.revive()
+
     def sweep(self) -> None:
         """End idle transactions and close brokers that rest."""
         longest = self._current().transaction_idle
--- a/src/egretstep/pooling/workspace_connections.py
+++ b/src/egretstep/pooling/workspace_connections.py
@@ -104,6 +104,7 @@
         self._clock = time_source
         self._idle: list[SessionConnection] = []
         self._open = 0
+        self._is_retired = False
         self._limit = max(1, limit - RESERVED_FOR_CONTROL)
         self._waiters: collections.deque[asyncio.Future[None]] = (
             collections.deque()
@@ -136,7 +137,7 @@
 
     def release(self, held: SessionConnection) -> None:
         """Give a connection back; a broken one is closed."""
-        if held.raw.is_usable:
+        if held.raw.is_usable and not self._is_retired:
             held.used_at = self._clock.now()
             self._idle.append(held)
         else:
@@ -148,6 +149,15 @@
         self._discard(held)
         self._wake()
 
+    def retire(self) -> None:
+        """Keep no connection that rests from now on."""
+        self._is_retired = True
+        self.close_idle()
+
+    def revive(self) -> None:
+        """Keep connections that rest again."""
+        self._is_retired = False
+
     def close_idle(self, *, rested: float = 0) -> None:
         """Close connections that have rested for a number of seconds."""
         limit = self._clock.now() - rested
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -179,9 +179,7 @@
 
     def _follow_tables(self) -> None:
         self._fleet_watch.changes.subscribe(self._follow_fleet)
-        self._servers_watch.changes.subscribe(
-            lambda rows: self._servers.follow(registrations.decode(rows)),
-        )
+        self._servers_watch.changes.subscribe(self._follow_servers)
         self._configuration.changes.subscribe(
             lambda current: self._servers.follow_zones(current.zones_out),
         )
@@ -213,6 +211,14 @@
         self._keeper.follow(rows)
         self._keeper.is_synced = self._fleet_watch.is_synced
 
+    def _follow_servers(self, rows: watching.Rows) -> None:
+        current = registrations.decode(rows)
+        self._servers.follow(current)
+        self._brokers.retire_primaries(
+            current.values(),
+            lambda service: self._tasks.owner(service) is not None,
+        )
+
     def _make_endpoint(self) -> host_endpoint.HostEndpoint:
         return host_endpoint.HostEndpoint(
             link=work_module.LinkId(next(self._link_ids)),
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -216,23 +216,36 @@
     async def _examine(self, broker: broker_module.Broker) -> None:
         """Tell a server that is gone from one that is slow."""
         primary = typing.cast(connection.BackendServer, self._primary)
-        status = await self._succession.examine(primary)
-        if status is None:
+        examined = await self._succession.examine(primary)
+        if not examined.is_alive:
             await self._change('it does not answer', is_planned=False)
             return
         broker.failures = 0
         broker.answered_at = self._clock.now()
-        if status.role is not connection.Role.PRIMARY:
+        status = examined.status
+        if status is not None and status.role is not connection.Role.PRIMARY:
             await self._change('it is no longer primary', is_planned=False)
 
     async def _adopt(self) -> None:
         """Find out which server is primary."""
-        found = await self._succession.find_primary(self._service)
+        found = await self._succession.find_primary(
+            self._service,
+            self._recorded(),
+        )
         if found is None:
             await self._change('no server is primary', is_planned=False)
             return
+        await self._record(found.server.server)
         self._serve(found)
 
+    def _recorded(self) -> connection.ServerId:
+        claim = self._keeper.claims[self._claim.task]
+        return connection.ServerId(claim.detail)
+
+    async def _record(self, server: connection.ServerId) -> None:
+        if server != self._recorded():
+            await self._keeper.record(self._claim, server)
+
     def _serve(self, found: succession.Candidate) -> None:
         self._primary = found.server
         self._acknowledged = found.status.received
@@ -265,6 +278,7 @@
                 former,
                 epoch=self.epoch,
                 known=self._acknowledged if is_planned else None,
+                record=self._record,
             )
         except errors.PlatformError as error:
             _logger.warning('service {}: {}', self._service, error)
--- a/src/egretstep/replication/succession.py
+++ b/src/egretstep/replication/succession.py
@@ -7,7 +7,7 @@
 import logbook
 
 from egretstep import clock, errors, identifiers
-from egretstep.backends import connection
+from egretstep.backends import answers, connection
 from egretstep.settings import deployment
 
 STATUS_SECONDS = 0.4
@@ -20,6 +20,8 @@
 CONTROL_NAME = identifiers.WorkspaceName('egretstep')
 _logger = logbook.Logger('succession')
 
+Record = typing.Callable[[connection.ServerId], typing.Awaitable[None]]
+
 
 class Promotions(typing.Protocol):
     """Orders promotions at the platform."""
@@ -61,6 +63,14 @@
     status: connection.ServerStatus
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Examined:
+    """Whether a server answers at all, and its status if it gave one."""
+
+    is_alive: bool
+    status: connection.ServerStatus | None = None
+
+
 class Succession:
     """Finds and replaces primaries."""
 
@@ -104,31 +114,42 @@
             return 'it is to get no new work'
         return None
 
-    async def examine(
-        self,
-        server: connection.BackendServer,
-    ) -> connection.ServerStatus | None:
-        """Ask a server how it is; none if it gives no answer."""
+    async def examine(self, server: connection.BackendServer) -> Examined:
+        """Find out whether a server answers and what it is."""
         for _ in range(EXAMINATIONS):
-            status = await self._status(server)
-            if status is not None:
-                return status
+            examined = await self._examine(server)
+            if examined.is_alive:
+                return examined
             await asyncio.sleep(EXAMINATION_PAUSE_SECONDS)
-        return None
+        return examined
 
     async def find_primary(
         self,
         service: deployment.ServiceName,
+        recorded: connection.ServerId,
     ) -> Candidate | None:
-        """Return the primary of the latest term."""
+        """Return the primary of the latest term.
+
+        `recorded` is the server that the last owner used; another one is
+        only believed if its term is later or nothing was recorded.
+        """
+        found = await self._survey(service)
         primaries = [
             candidate
-            for candidate in await self._survey(service)
+            for candidate in found
             if candidate.status.role is connection.Role.PRIMARY
         ]
-        if not primaries:
-            return None
-        return max(primaries, key=lambda found: found.status.term)
+        latest = max(
+            primaries,
+            key=lambda candidate: candidate.status.term,
+            default=None,
+        )
+        if latest is None or not recorded:
+            return latest
+        if latest.server.server == recorded:
+            return latest
+        seen = {candidate.server.server for candidate in found}
+        return latest if recorded in seen else None
 
     async def replace(
         self,
@@ -137,13 +158,16 @@
         *,
         epoch: int,
         known: identifiers.LogPosition | None,
+        record: Record,
     ) -> Candidate | None:
         """Promote the server that has received most.
 
         `known` is a position that the next primary must have, where the
-        former one still runs. Returns none when nobody can be promoted.
+        former one still runs. `record` is told the choice before the order.
+        Returns none when nobody can be promoted.
         """
-        chosen = await self._choose(service, former)
+        found = await self._survey(service, former)
+        chosen = self._choose(found)
         if chosen is None:
             _logger.warning('service {}: no server can be promoted', service)
             return None
@@ -156,23 +180,16 @@
             chosen.status.received,
             epoch,
         )
+        await record(chosen.server.server)
         await self._promotions.promote(
             service=service,
             server=chosen.server.server,
             epoch=epoch,
         )
-        return await self._await_primary(chosen)
+        latest = max(candidate.status.term for candidate in found)
+        return await self._await_primary(chosen, latest)
 
-    async def _choose(
-        self,
-        service: deployment.ServiceName,
-        former: connection.BackendServer | None,
-    ) -> Candidate | None:
-        found = [
-            candidate
-            for candidate in await self._survey(service)
-            if former is None or candidate.server.server != former.server
-        ]
+    def _choose(self, found: list[Candidate]) -> Candidate | None:
         fit = [each for each in found if self._servers.takes_work(each.server)]
         return max(
             fit or found,
@@ -201,13 +218,22 @@
                 chosen = Candidate(server=chosen.server, status=status)
         return chosen
 
-    async def _await_primary(self, chosen: Candidate) -> Candidate | None:
-        started = self._clock.now()
-        deadline = started + LONGEST_PROMOTION_SECONDS
+    async def _await_primary(
+        self,
+        chosen: Candidate,
+        latest: identifiers.Term,
+    ) -> Candidate | None:
+        """Wait until a server leads a later term than all before.
+
+        One that led before it was promoted may still lead the old term.
+        """
+        deadline = self._clock.now() + LONGEST_PROMOTION_SECONDS
         while self._clock.now() < deadline:
             await asyncio.sleep(POLL_SECONDS)
             status = await self._status(chosen.server)
-            if status is not None and status.role is connection.Role.PRIMARY:
+            if status is None or status.role is not connection.Role.PRIMARY:
+                continue
+            if status.term > latest:
                 self._usual_seconds = self._clock.now() - self._started_at
                 return Candidate(server=chosen.server, status=status)
         _logger.warning('{} did not become primary', chosen.server.server)
@@ -216,8 +242,14 @@
     async def _survey(
         self,
         service: deployment.ServiceName,
+        former: connection.BackendServer | None = None,
     ) -> list[Candidate]:
-        servers = self._servers.of_service(service)
+        """Ask all servers of a service but its former primary."""
+        servers = [
+            server
+            for server in self._servers.of_service(service)
+            if former is None or server.server != former.server
+        ]
         statuses = await asyncio.gather(
             *(self._status(server) for server in servers)
         )
@@ -231,13 +263,21 @@
         self,
         server: connection.BackendServer,
     ) -> connection.ServerStatus | None:
+        return (await self._examine(server)).status
+
+    async def _examine(self, server: connection.BackendServer) -> Examined:
         try:
             async with asyncio.timeout(STATUS_SECONDS):
                 opened = await self._opener.open(server, CONTROL_NAME)
                 try:
-                    return await opened.status()
+                    status = await opened.status()
                 finally:
                     opened.close()
+        except connection.RefusedConnectionError as error:
+            _logger.info('{} refuses its status: {}', server.server, error)
+            is_alive = error.code is not answers.Code.WRONG_SERVER
+            return Examined(is_alive=is_alive)
         except (errors.EgretstepError, TimeoutError) as error:
             _logger.info('{} gives no status: {!r}', server.server, error)
-            return None
+            return Examined(is_alive=False)
+        return Examined(is_alive=True, status=status)
