Share a server's connections by halving, refuse without an end in sight

Change: a broker that meets the limit halves its own and grows again slowly, rested connections close after 2 s; a try is repeated only while an end is in sight; hosts out of reach of the counting one admit their share of the rate, which it leaves out.

--- a/src/egretstep/limits/grants.py
+++ b/src/egretstep/limits/grants.py
@@ -18,7 +18,7 @@
 LOT_LIFETIME_SECONDS = 1.5
 LONGEST_WAIT_SECONDS = 0.3
 REFUSED_PAUSE_SECONDS = 0.1
-UNCOUNTED_SHARE = 0.5
+CONTACT_SECONDS = 2.0
 DEMAND_MEMORY_SECONDS = 2.0
 _logger = logbook.Logger('grants')
 
@@ -31,25 +31,55 @@
     retry_after: float = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Share:
+    """The part of a workspace's rate and burst that one host may use."""
+
+    rate: float
+    burst: float
+
+
 Workspace = identifiers.WorkspaceName
 Ask = typing.Callable[[Workspace, int], typing.Awaitable[Grant | None]]
 
 
 class Counter:
-    """Buckets of all workspaces at the host that counts."""
+    """Buckets of all workspaces at the host that counts.
+
+    Hosts that have not called lately may admit their share uncounted, so
+    that the rate is lowered by as much.
+    """
 
     def __init__(
         self,
         *,
         current: typing.Callable[[], deployment.Deployment],
+        hosts: typing.Callable[[], typing.Collection[identifiers.HostName]],
         time_source: clock.Clock,
         is_full: bool,
     ) -> None:
         self._current = current
+        self._hosts = hosts
         self._clock = time_source
+        self._started_at = time_source.now()
         self._earning_since = bucket.ALWAYS if is_full else time_source.now()
         self._buckets: dict[Workspace, bucket.TokenBucket] = {}
         self._limits: dict[Workspace, tuple[float, float]] = {}
+        self._called_at: dict[identifiers.HostName, float] = {}
+
+    def note_call(self, host: identifiers.HostName) -> None:
+        """Remember that a host takes its tokens here."""
+        self._called_at[host] = self._clock.now()
+
+    def counted_share(self) -> float:
+        """Return the share of the fleet's hosts that call here."""
+        now = self._clock.now()
+        limit = now - CONTACT_SECONDS
+        if self._started_at > limit:
+            return 1
+        hosts = self._hosts()
+        absent = sum(self._called_at.get(host, 0) < limit for host in hosts)
+        return 1 - absent / max(1, len(hosts))
 
     def take(self, workspace: Workspace, wanted: int) -> Grant:
         """Give up to a number of tokens."""
@@ -63,18 +93,19 @@
         return Grant(granted=0, retry_after=tokens.retry_after())
 
     def _bucket(self, settings: deployment.Workspace) -> bucket.TokenBucket:
-        limits = (settings.rate, settings.burst)
+        rate = settings.rate * self.counted_share()
+        limits = (rate, settings.burst)
         tokens = self._buckets.get(settings.name)
         if tokens is None:
             tokens = bucket.TokenBucket(
-                rate=settings.rate,
+                rate=rate,
                 burst=settings.burst,
                 time_source=self._clock,
                 earning_since=self._earning_since,
             )
             self._buckets[settings.name] = tokens
         elif self._limits[settings.name] != limits:
-            tokens.change(rate=settings.rate, burst=settings.burst)
+            tokens.change(rate=rate, burst=settings.burst)
         self._limits[settings.name] = limits
         return tokens
 
@@ -111,11 +142,11 @@
         self,
         *,
         ask: Ask,
-        uncounted_rate: typing.Callable[[Workspace], float],
+        uncounted: typing.Callable[[Workspace], Share],
         time_source: clock.Clock,
     ) -> None:
         self._ask = ask
-        self._uncounted_rate = uncounted_rate
+        self._uncounted = uncounted
         self._clock = time_source
         self._purses: dict[Workspace, _Purse] = {}
         self._alone: dict[Workspace, bucket.TokenBucket] = {}
@@ -166,22 +197,19 @@
             purse.refused_until = now + grant.retry_after
 
     def _grant_alone(self, workspace: Workspace) -> Grant:
-        """Give a small share while nobody counts.
-
-        All hosts together then give less than the rate.
-        """
-        rate = self._uncounted_rate(workspace) * UNCOUNTED_SHARE
-        if rate <= 0:
+        """Give this host's share while nobody counts."""
+        share = self._uncounted(workspace)
+        if share.rate <= 0:
             return Grant(granted=0, retry_after=1)
         tokens = self._alone.get(workspace)
         if tokens is None:
             tokens = bucket.TokenBucket(
-                rate=rate,
-                burst=1,
+                rate=share.rate,
+                burst=share.burst,
                 time_source=self._clock,
             )
             self._alone[workspace] = tokens
-        tokens.change(rate=rate, burst=1)
+        tokens.change(rate=share.rate, burst=share.burst)
         if tokens.take(1):
             return Grant(granted=1)
         return Grant(granted=0, retry_after=tokens.retry_after())
--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -29,8 +29,8 @@
     async def reaches(self, host: identifiers.HostName) -> bool:
         """Tell whether this host gets an answer from another one."""
 
-    async def others_reach(self, host: identifiers.HostName) -> bool:
-        """Tell whether most of the other hosts get an answer from it."""
+    async def is_lost(self, host: identifiers.HostName) -> bool:
+        """Tell whether a majority answers that most can't reach a host."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +129,7 @@
         delay = DETECTION_SECONDS + rank * RANK_DELAY_SECONDS
         if now - since < delay:
             return False
-        return not await self._prober.others_reach(claim.host)
+        return await self._prober.is_lost(claim.host)
 
     async def _take(self, task: Task, reason: str) -> None:
         _logger.info('claiming task {}: {}', task.name, reason)
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -93,6 +93,14 @@
         """Return all registered hosts by name."""
         return self._hosts
 
+    def names_up(self) -> list[identifiers.HostName]:
+        """Return the hosts that are not leaving."""
+        return [
+            host.host
+            for host in self._hosts.values()
+            if host.state is HostState.UP
+        ]
+
     def follow(self, rows: typing.Mapping[str, tables.Row]) -> None:
         """Take over the rows of the store."""
         hosts = {self.own.host: self.own}
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -105,14 +105,19 @@
             return False
         return True
 
-    async def others_reach(self, host: identifiers.HostName) -> bool:
-        """Tell whether most of the other hosts get an answer from it."""
+    async def is_lost(self, host: identifiers.HostName) -> bool:
+        """Tell whether a majority answers that most can't reach a host.
+
+        Where no majority answers, this host is cut off as well.
+        """
         asked = [each for each in self._others() if each != host]
         replies = await asyncio.gather(
             *(self._ask_reaches(each, host) for each in asked)
         )
         known = [reply for reply in replies if reply is not None]
-        return sum(known) * 2 > len(known)
+        if len(known) < self.majority():
+            return False
+        return sum(known) * 2 <= len(known)
 
     async def confirm(
         self,
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -47,6 +47,6 @@
   acknowledged @3 (service :Text) -> (serving :Bool, epoch :UInt64, position :Position);
   confirm @4 (claims :List(Claim)) -> (confirmed :Bool, newer :List(Claim));
   reaches @5 (host :Text) -> (reached :Bool);
-  takeTokens @6 (demands :List(Demand)) -> (serving :Bool, lots :List(Lot));
+  takeTokens @6 (demands :List(Demand), caller :Text) -> (serving :Bool, lots :List(Lot));
   configuration @7 (known :UInt64) -> (version :UInt64, content :Data);
 }
--- a/src/egretstep/pooling/brokers.py
+++ b/src/egretstep/pooling/brokers.py
@@ -87,6 +87,7 @@
         limit = self._clock.now() - IDLE_SECONDS
         for name, each in list(self._brokers.items()):
             each.end_idle_transactions(longest)
+            each.connections.sweep()
             if each.is_idle and each.used_at < limit:
                 each.close()
                 del self._brokers[name]
--- a/src/egretstep/pooling/workspace_connections.py
+++ b/src/egretstep/pooling/workspace_connections.py
@@ -13,6 +13,9 @@
 from egretstep.pooling import work as work_module
 
 RESERVED_FOR_CONTROL = 2
+SMALLEST_LIMIT = 2
+GROWTH_SECONDS = 0.5
+RESTED_SECONDS = 2.0
 
 
 class UnsentError(connection.BrokenError):
@@ -105,7 +108,9 @@
         self._idle: list[SessionConnection] = []
         self._open = 0
         self._is_retired = False
-        self._limit = max(1, limit - RESERVED_FOR_CONTROL)
+        self._highest = max(SMALLEST_LIMIT, limit - RESERVED_FOR_CONTROL)
+        self._limit = self._highest
+        self._refused_at = float('-inf')
         self._waiters: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
@@ -149,6 +154,25 @@
         self._discard(held)
         self._wake()
 
+    def note_full(self) -> None:
+        """Use fewer connections, since others hold the server's.
+
+        Load pattern: two hosts hold connections to one server for a while,
+        because they disagree on who reads from it.
+        """
+        now = self._clock.now()
+        if now - self._refused_at >= GROWTH_SECONDS:
+            self._limit = max(SMALLEST_LIMIT, self._limit // 2)
+            self._refused_at = now
+            while self._open > self._limit and self._idle:
+                self._evict_one()
+
+    def sweep(self) -> None:
+        """Close what has rested, and allow one more connection again."""
+        self.close_idle(rested=RESTED_SECONDS)
+        if self._clock.now() - self._refused_at >= GROWTH_SECONDS:
+            self._limit = min(self._highest, self._limit + 1)
+
     def retire(self) -> None:
         """Keep no connection that rests from now on."""
         self._is_retired = True
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -21,10 +21,14 @@
     ) -> primary.PrimaryOwner | None:
         """Return the owner of a service, if it is this host."""
 
+    def note_call(self, caller: identifiers.HostName) -> None:
+        """Remember that a host takes its tokens here."""
+
     def take_tokens(
         self,
         workspace: identifiers.WorkspaceName,
         wanted: int,
+        caller: identifiers.HostName,
     ) -> grants.Grant | None:
         """Give tokens of a workspace, if this host counts."""
 
@@ -118,14 +122,20 @@
     async def takeTokens(
         self,
         demands: typing.Any,
+        caller: str,
         _context: typing.Any,
         **_kwargs: typing.Any,
     ) -> None:
         """Give tokens of workspaces that are counted here."""
         lots = []
+        self._tasks.note_call(identifiers.HostName(caller))
         for demand in demands:
             workspace = identifiers.WorkspaceName(demand.workspace)
-            grant = self._tasks.take_tokens(workspace, demand.wanted)
+            grant = self._tasks.take_tokens(
+                workspace,
+                demand.wanted,
+                identifiers.HostName(caller),
+            )
             if grant is None:
                 _context.results.serving = False
                 return
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -8,6 +8,7 @@
 import contextlib
 import itertools
 import signal
+import typing
 
 import capnp
 import logbook
@@ -45,6 +46,7 @@
 
 REGISTER_RETRY_SECONDS = 0.3
 SWEEP_SECONDS = 0.5
+COUNTED_SECONDS = 0.7
 STOP_MARGIN_SECONDS = 1.0
 STOP_POLL_SECONDS = 0.05
 _logger = logbook.Logger('node')
@@ -162,7 +164,7 @@
             ),
             admitter=grants.Admitter(
                 ask=self._ask_tokens,
-                uncounted_rate=self._uncounted_rate,
+                uncounted=self._uncounted_share,
                 time_source=self._clock,
             ),
             release_here=self._release_here,
@@ -199,6 +201,7 @@
             'peers': listener.run,
             'claimant': self._claimant.run,
             'sweep': self._sweep,
+            'counted': self._stay_counted,
             'callers': self._ingress.run,
             'readiness': self._readiness.run,
         }
@@ -295,19 +298,12 @@
         wanted: int,
     ) -> grants.Grant | None:
         claim = self._keeper.claims.get(tasks.COUNTING)
-        if claim is None:
-            return None
-        if claim.host == self._hosts.own.host:
-            return self._tasks.take_tokens(workspace, wanted)
+        own = self._hosts.own.host
+        if claim is not None and claim.host == own:
+            return self._tasks.take_tokens(workspace, wanted, own)
         demands = [{'workspace': workspace, 'wanted': wanted}]
-        try:
-            reply = await self._peers.call(
-                claim.host,
-                lambda remote: remote.takeTokens(demands=demands),
-            )
-        except (errors.LinkError, errors.LinkLostError):
-            return None
-        if not reply.serving:
+        reply = await self._call_counter(demands)
+        if reply is None or not reply.serving:
             return None
         lot = reply.lots[0]
         return grants.Grant(
@@ -315,11 +311,43 @@
             retry_after=clock.to_seconds(lot.retryAfterMs),
         )
 
-    def _uncounted_rate(self, workspace: identifiers.WorkspaceName) -> float:
+    async def _call_counter(
+        self,
+        demands: list[dict[str, typing.Any]],
+    ) -> typing.Any:
+        claim = self._keeper.claims.get(tasks.COUNTING)
+        own = self._hosts.own.host
+        if claim is None or claim.host == own:
+            self._tasks.note_call(own)
+            return None
+        if self._hosts.is_suspected(claim.host):
+            return None
+        try:
+            return await self._peers.call(
+                claim.host,
+                lambda remote: remote.takeTokens(demands=demands, caller=own),
+            )
+        except (errors.LinkError, errors.LinkLostError):
+            return None
+
+    def _uncounted_share(
+        self,
+        workspace: identifiers.WorkspaceName,
+    ) -> grants.Share:
         settings = self._current().workspaces.get(workspace)
         if settings is None:
-            return 0
-        return settings.rate / len(self._hosts.hosts)
+            return grants.Share(rate=0, burst=0)
+        hosts = len(self._hosts.hosts)
+        return grants.Share(
+            rate=settings.rate / hosts,
+            burst=max(1, settings.burst / hosts),
+        )
+
+    async def _stay_counted(self) -> None:
+        """Call the counting host, so that it grants this host's share."""
+        while True:
+            await asyncio.sleep(COUNTED_SECONDS)
+            await self._call_counter([])
 
     def _release_here(self, pin_id: identifiers.PinId) -> None:
         self._brokers.release(dispatcher.OWN_LINK, pin_id)
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -70,6 +70,7 @@
             self._counting_claim = claim
             self._counter = grants.Counter(
                 current=self._current,
+                hosts=self._hosts.names_up,
                 time_source=self._clock,
                 is_full=is_full,
             )
@@ -103,6 +104,7 @@
         self,
         workspace: identifiers.WorkspaceName,
         wanted: int,
+        caller: identifiers.HostName,
     ) -> grants.Grant | None:
         """Give tokens of a workspace, if this host counts."""
         claim = self._counting_claim
@@ -110,8 +112,14 @@
             return None
         if not self._keeper.is_held(COUNTING, claim.epoch):
             return None
+        self._counter.note_call(caller)
         return self._counter.take(workspace, wanted)
 
+    def note_call(self, caller: identifiers.HostName) -> None:
+        """Remember that a host takes its tokens here."""
+        if self._counter is not None:
+            self._counter.note_call(caller)
+
     async def hand_over(self) -> None:
         """Give all tasks to other hosts."""
         mine = [
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -12,6 +12,7 @@
 from egretstep.membership import directory, fleet_links, leases, registry
 from egretstep.pooling import local_host, verdicts
 from egretstep.pooling import work as work_module
+from egretstep.routing import patience
 from egretstep.settings import deployment
 
 OWN_LINK = work_module.LinkId(0)
@@ -81,7 +82,11 @@
                 tried.server or 'primary',
                 remaining,
             )
-            if remaining <= max(pause, clock.to_seconds(answer.retry_after_ms)):
+            if not patience.is_worth_repeating(
+                answer,
+                waited=work.timeout - remaining,
+                remaining=remaining,
+            ):
                 return tried
             if not tried.server:
                 await asyncio.sleep(pause * random.uniform(0.5, 1))
