--- a/src/egretstep/callers/dialogue.py
+++ b/src/egretstep/callers/dialogue.py
@@ -20,6 +20,7 @@
 from egretstep.settings import deployment
 
 SESSION_ENDED = 'the session can not go on; connect again'
+SHOWN_BYTES = 40
 _State = answers.TransactionState
 _Action = commands.Action
 _pin_ids = itertools.count(1)
@@ -156,7 +157,7 @@
             self._state = _State.FAILED
         return answers.refusal(
             answers.Code.MALFORMED,
-            f'{command.text[:40]!r} is no statement that can run here',
+            f'{command.text[:SHOWN_BYTES]!r} is no statement that can run here',
         )
 
     async def _handle_failed(self, command: commands.Command) -> answers.Answer:
@@ -239,7 +240,7 @@
                     ),
                 )
             command = dataclasses.replace(command, prepared=prepared)
-        if self._transaction is not None:
+        if self._transaction:
             answer = await self._run_inside(statement_id, command)
         elif command.action is _Action.COMMIT:
             return self._malformed(command)
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -155,60 +155,42 @@
 
 
 class Registration:
-    """Keeps this host's own row in the store."""
+    """Keeps a host's own row in the store.
 
-    def __init__(self, *, store: tables.Tables, own: Host) -> None:
+    Both methods raise `errors.PlatformError` or `errors.ConflictError` when
+    the row was not written.
+    """
+
+    def __init__(self, *, store: tables.Tables) -> None:
         self._store = store
-        self._own = own
 
-    async def write(self, state: HostState) -> None:
-        """Write the row, whatever stands there.
+    async def start(self, starting: Host) -> Host:
+        """Write the row of a host that starts.
 
-        Raises `errors.PlatformError` when the store does not take it.
+        Returns the host with a boot number above that of its last start.
         """
-        key = PREFIX + self._own.host
-        content = encode(dataclasses.replace(self._own, state=state))
-        snapshot = await self._store.read(TABLE, key)
-        versions = [row.version for row in snapshot.rows if row.key == key]
+        stored = await self._read(starting)
+        former = decode(stored.content) if stored.content else None
+        boot = former.boot + 1 if former else 1
+        own = dataclasses.replace(starting, boot=boot)
+        await self._put(stored, own)
+        return own
+
+    async def change(self, own: Host, state: HostState) -> None:
+        """Write another state of a host, whatever stands there."""
+        stored = await self._read(own)
+        await self._put(stored, dataclasses.replace(own, state=state))
+
+    async def _read(self, host: Host) -> tables.Row:
+        return await self._store.read_row(TABLE, PREFIX + host.host)
+
+    async def _put(self, stored: tables.Row, host: Host) -> None:
         await self._store.swap(
             TABLE,
-            key,
-            expected=versions[0] if versions else tables.ABSENT,
-            content=content,
+            stored.key,
+            expected=stored.version,
+            content=encode(host),
         )
 
 
-async def register(
-    store: tables.Tables,
-    *,
-    host: identifiers.HostName,
-    zone: identifiers.ZoneName,
-    address: node.Address,
-    processor: float,
-) -> Host:
-    """Write the row of a host that has just started.
-
-    Its boot number is one above that of its last start. Raises
-    `errors.PlatformError` or `errors.ConflictError`.
-    """
-    key = PREFIX + host
-    snapshot = await store.read(TABLE, key)
-    rows = [row for row in snapshot.rows if row.key == key]
-    former = decode(rows[0].content) if rows else None
-    own = Host(
-        host=host,
-        zone=zone,
-        address=address,
-        boot=(former.boot if former else 0) + 1,
-        processor=processor,
-    )
-    await store.swap(
-        TABLE,
-        key,
-        expected=rows[0].version if rows else tables.ABSENT,
-        content=encode(own),
-    )
-    return own
-
-
 WRITE_FAILURES = (errors.PlatformError, errors.ConflictError)
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -72,7 +72,9 @@
 
 
 def decode(content: bytes) -> Claim | None:
-    """Read the content of a row; none if it can't be read."""
+    """Read the content of a row; none if it is empty or can't be read."""
+    if not content:
+        return None
     try:
         return Claim(**orjson.loads(content))
     except (TypeError, ValueError) as error:
@@ -205,8 +207,8 @@
         )
         try:
             row = await self._read(task)
-            stored = decode(row.content) if row else None
-            if row is None or stored is None or stored.epoch != claim.epoch:
+            stored = decode(row.content)
+            if stored is None or stored.epoch != claim.epoch:
                 return False
             await self._swap(task, row.version, following)
         except (errors.PlatformError, errors.ConflictError) as error:
@@ -317,24 +319,34 @@
     async def _write_claim(self, task: TaskName) -> Claim | None:
         """Write the next epoch, unless the task has changed its holder."""
         row = await self._read(task)
-        former = decode(row.content) if row else None
+        former = decode(row.content)
         known = self._claims.get(task)
         if former is not None and known is not None:
             is_news = former.epoch > known.epoch
             self.note(former)
             if is_news and not self.is_mine(former):
                 return None
+        taken = self._next_claim(task, former)
+        await self._swap(task, row.version, taken)
+        return taken
+
+    def _next_claim(self, task: TaskName, former: Claim | None) -> Claim:
         own = self._hosts.own
-        taken = Claim(
+        first = Claim(
             task=task,
             host=own.host,
             boot=own.boot,
-            epoch=(former.epoch if former else 0) + 1,
-            is_settled=former is None or self._is_over(former),
-            detail=former.detail if former else '',
+            epoch=1,
+            is_settled=True,
+        )
+        if former is None:
+            return first
+        return dataclasses.replace(
+            first,
+            epoch=former.epoch + 1,
+            is_settled=self._is_over(former),
+            detail=former.detail,
         )
-        await self._swap(task, row.version if row else tables.ABSENT, taken)
-        return taken
 
     async def _settle(self, taken: Claim) -> None:
         """Record that no wait is needed after this claim any more."""
@@ -360,8 +372,8 @@
         asyncio.ensure_future(self._confirmers.confirm([revised]))
         try:
             row = await self._read(claim.task)
-            stored = decode(row.content) if row else None
-            if row is None or stored is None or stored.epoch != claim.epoch:
+            stored = decode(row.content)
+            if stored is None or stored.epoch != claim.epoch:
                 return False
             await self._swap(claim.task, row.version, revised)
         except (errors.PlatformError, errors.ConflictError) as error:
@@ -369,11 +381,8 @@
             return False
         return True
 
-    async def _read(self, task: TaskName) -> tables.Row | None:
-        key = PREFIX + task
-        snapshot = await self._store.read(directory.TABLE, key)
-        rows = [row for row in snapshot.rows if row.key == key]
-        return rows[0] if rows else None
+    async def _read(self, task: TaskName) -> tables.Row:
+        return await self._store.read_row(directory.TABLE, PREFIX + task)
 
     async def _swap(self, task: TaskName, version: int, claim: Claim) -> None:
         await self._store.swap(
--- a/src/egretstep/platform/backend.py
+++ b/src/egretstep/platform/backend.py
@@ -114,36 +114,14 @@
             raise
 
     async def _read_answer(self) -> answers.Answer:
-        rows = []
-        code = answers.Code.OK
-        message = ''
-        proof = b''
+        reading = wire.AnswerReader()
         while True:
             line = await wire.read_line(self._reader)
             if line is None:
                 raise wire.MalformedError('the server closed the connection')
-            word, _, rest = line.partition(b' ')
-            if word == b'ROW':
-                rows.append(rest)
-            elif word == b'COMPLETE':
-                proof = rest
-            elif word == b'ERROR':
-                label, _, explanation = rest.decode().partition(' ')
-                code = wire.parse_code(label)
-                message = explanation
-            elif word == b'READY':
-                state, _, position = rest.partition(b' ')
-                return answers.Answer(
-                    code=code,
-                    message=message,
-                    rows=tuple(rows),
-                    proof=proof,
-                    state=wire.parse_state(state),
-                    position=wire.parse_position(position),
-                    was_sent=True,
-                )
-            else:
-                raise wire.MalformedError(f'unknown message {word!r}')
+            answer = reading.add(line)
+            if answer is not None:
+                return answer
 
     def _status(self, answer: answers.Answer) -> connection.ServerStatus:
         if not answer.is_ok or not answer.rows:
@@ -210,10 +188,7 @@
         raise wire.MalformedError('closed before it was ready')
     word, _, rest = line.partition(b' ')
     if word == b'ERROR':
-        label, _, message = rest.decode().partition(' ')
-        raise connection.RefusedConnectionError(
-            code=wire.parse_code(label),
-            message=f'{label} {message}',
-        )
+        code, message = wire.parse_error(rest)
+        raise connection.RefusedConnectionError(code=code, message=message)
     if word != b'READY':
         raise wire.MalformedError(f'unknown message {word!r}')
--- a/src/egretstep/platform/duties.py
+++ b/src/egretstep/platform/duties.py
@@ -8,6 +8,7 @@
 from egretstep.settings import deployment, node
 
 CALL_SECONDS = 1.0
+SHOWN_BYTES = 200
 _OK = 200
 
 
@@ -48,5 +49,5 @@
         if response.status != _OK:
             raise errors.PlatformError(
                 f'the promotion of {server} got {response.status}: '
-                f'{response.body[:200]!r}',
+                f'{response.body[:SHOWN_BYTES]!r}',
             )
--- a/src/egretstep/platform/http.py
+++ b/src/egretstep/platform/http.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import dataclasses
+import typing
 
 import h11
 
 from egretstep import errors
-from egretstep.platform import backend
+from egretstep.platform import backend, http_messages
 from egretstep.settings import node
 
 CONNECT_SECONDS = 1.0
-READ_BYTES = 65536
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,20 +103,11 @@
     async def exchange(self, request: Request, host: str) -> Response:
         """Send a request and read its response."""
         self._send(request, host)
-        status = 0
-        body = bytearray()
-        while True:
-            event = self.protocol.next_event()
-            if event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.reader.read(READ_BYTES))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                return Response(status=status, body=bytes(body))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError('closed before the response')
+        message = await http_messages.read(self.protocol, self.reader)
+        if message is None:
+            raise ConnectionResetError('closed before the response')
+        response = typing.cast(h11.Response, message.head)
+        return Response(status=response.status_code, body=message.body)
 
     def is_reusable(self) -> bool:
         """Make ready for the next request, if the server allows one."""
--- /dev/null
+++ b/src/egretstep/platform/http_messages.py
@@ -0,0 +1,46 @@
+"""Reads whole HTTP messages from a stream."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Message:
+    """A request or response with its body."""
+
+    head: h11.Request | h11.Response
+    body: bytes
+
+
+async def read(
+    protocol: h11.Connection,
+    reader: asyncio.StreamReader,
+) -> Message | None:
+    """Return the next message, or none when the other end has closed.
+
+    Raises `h11.ProtocolError` for a malformed or incomplete one.
+    """
+    head = await _next_event(protocol, reader)
+    if not isinstance(head, (h11.Request, h11.Response)):
+        return None
+    body = bytearray()
+    while True:
+        event = await _next_event(protocol, reader)
+        if not isinstance(event, h11.Data):
+            return Message(head=head, body=bytes(body))
+        body += event.data
+
+
+async def _next_event(
+    protocol: h11.Connection,
+    reader: asyncio.StreamReader,
+) -> h11.Event | type:
+    event = protocol.next_event()
+    while event is h11.NEED_DATA:
+        protocol.receive_data(await reader.read(READ_BYTES))
+        event = protocol.next_event()
+    return event
--- a/src/egretstep/platform/ingress.py
+++ b/src/egretstep/platform/ingress.py
@@ -11,6 +11,8 @@
 from egretstep.settings import node
 
 START_SECONDS = 10.0
+ACCEPT_QUEUE = 512
+START_FIELDS = 3
 _logger = logbook.Logger('ingress')
 
 
@@ -40,7 +42,7 @@
             self._address.host,
             self._address.port,
             limit=wire.LONGEST_MESSAGE_BYTES,
-            backlog=512,
+            backlog=ACCEPT_QUEUE,
         )
         async with self._server:
             await self._server.serve_forever()
@@ -117,7 +119,7 @@
 
     def _start(self, line: bytes) -> dialogue.Dialogue | None:
         fields = line.decode(errors='replace').split(' ')
-        if len(fields) != 3 or fields[0] != 'START':
+        if len(fields) != START_FIELDS or fields[0] != 'START':
             self._refuse(
                 answers.refusal(
                     answers.Code.MALFORMED,
--- a/src/egretstep/platform/readiness.py
+++ b/src/egretstep/platform/readiness.py
@@ -5,9 +5,9 @@
 
 import h11
 
+from egretstep.platform import http_messages
 from egretstep.settings import node
 
-READ_BYTES = 4096
 _OK = 200
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -57,19 +57,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        target = b''
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await reader.read(READ_BYTES))
-            elif isinstance(event, h11.Request):
-                target = event.target
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            elif isinstance(event, h11.ConnectionClosed):
-                return False
+        message = await http_messages.read(protocol, reader)
+        if message is None:
+            return False
+        request = typing.cast(h11.Request, message.head)
         response = h11.Response(
-            status_code=self._status(target),
+            status_code=self._status(request.target),
             headers=[('Content-Length', '0')],
         )
         writer.write(protocol.send(response))
--- a/src/egretstep/platform/registrations.py
+++ b/src/egretstep/platform/registrations.py
@@ -12,6 +12,8 @@
 from egretstep.storage import tables
 
 TABLE = 'servers'
+# What odd bytes, types and missing fields raise.
+_ODD = (AttributeError, KeyError, TypeError, ValueError)
 _STATES = ('ready', 'draining')
 _logger = logbook.Logger('registrations')
 
@@ -32,7 +34,7 @@
     """Read one registration; none if it names no server to use."""
     try:
         return _decode(key, orjson.loads(content))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except _ODD as error:
         _logger.warning('registration {} is unreadable: {!r}', key, error)
         return None
 
@@ -45,7 +47,7 @@
     if state not in _STATES:
         raise ValueError(f'unknown state {state!r}; valid are {_STATES}')
     slots = fields['slots']
-    if type(slots) is not int or slots < 1:
+    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
         raise ValueError(f'{slots!r} is no number of slots')
     for name in ('service', 'zone', 'address'):
         if not isinstance(fields[name], str):
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -34,14 +34,23 @@
         query = {'table': table, 'part': ''}
         if prefix:
             query['from'] = prefix
-            query['to'] = prefix + _AFTER_PREFIX
+            query['to'] = f'{prefix}{_AFTER_PREFIX}'
         rows: list[tables.Row] = []
         while True:
             body = await self._get('rows-get', query)
             rows.extend(_decode_row(row) for row in body['rows'])
             if not body['has_more']:
                 return tables.Snapshot(rows=tuple(rows), version=body['ver'])
-            query['from'] = rows[-1].key + '\0'
+            query['from'] = f'{rows[-1].key}\0'
+
+    async def read_row(self, table: str, key: str) -> tables.Row:
+        """Return a row; one that does not exist has the version `ABSENT`."""
+        query = {'table': table, 'part': '', 'from': key, 'to': f'{key}\0'}
+        body = await self._get('rows-get', query)
+        rows = body['rows']
+        if rows:
+            return _decode_row(rows[0])
+        return tables.Row(key=key, content=b'', version=tables.ABSENT)
 
     async def changes(self, table: str, after: int) -> tables.Snapshot:
         """Wait for rows that changed after a version."""
--- a/src/egretstep/platform/wire.py
+++ b/src/egretstep/platform/wire.py
@@ -56,6 +56,45 @@
     """A message that the protocol does not allow."""
 
 
+class AnswerReader:
+    """Collects the messages of one answer from a server."""
+
+    def __init__(self) -> None:
+        self._rows: list[bytes] = []
+        self._code = answers.Code.OK
+        self._message = ''
+        self._proof = b''
+
+    def add(self, line: bytes) -> answers.Answer | None:
+        """Take the next message; returns the answer once it is whole."""
+        word, _, rest = line.partition(b' ')
+        if word == b'READY':
+            return self._finish(rest)
+        if word == b'ROW':
+            self._rows.append(rest)
+        elif word == b'COMPLETE':
+            self._proof = rest
+        elif word == b'ERROR':
+            code, message = parse_error(rest)
+            self._code = code
+            self._message = message
+        else:
+            raise MalformedError(f'unknown message {word!r}')
+        return None
+
+    def _finish(self, rest: bytes) -> answers.Answer:
+        state, _, position = rest.partition(b' ')
+        return answers.Answer(
+            code=self._code,
+            message=self._message,
+            rows=tuple(self._rows),
+            proof=self._proof,
+            state=parse_state(state),
+            position=parse_position(position),
+            was_sent=True,
+        )
+
+
 async def read_line(reader: asyncio.StreamReader) -> bytes | None:
     """Return the next message without its end, or none at the stream's end.
 
@@ -98,9 +137,10 @@
         ) from error
 
 
-def parse_code(word: str) -> answers.Code:
-    """Read the code of an ERROR message; unknown ones count as failures."""
-    return _CODES.get(word, answers.Code.FAILED)
+def parse_error(rest: bytes) -> tuple[answers.Code, str]:
+    """Read what follows ERROR; unknown codes count as failures."""
+    word, _, message = rest.decode(errors='replace').partition(' ')
+    return _CODES.get(word, answers.Code.FAILED), f'{word} {message}'
 
 
 def parse_command(text: bytes) -> commands.Command:
@@ -135,9 +175,9 @@
 
 def format_answer(answer: answers.Answer) -> bytes:
     """Write an answer as the messages that a caller expects."""
-    lines = [b'ROW ' + row for row in answer.rows]
+    lines = [b'ROW %s' % row for row in answer.rows]
     if answer.is_ok:
-        lines.append(b'COMPLETE ' + (answer.proof or NO_VALUE))
+        lines.append(b'COMPLETE %s' % (answer.proof or NO_VALUE))
     else:
         lines.append(_format_error(answer))
     state = _STATE_WORDS[answer.state]
--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -22,6 +22,11 @@
 
 PinKey = tuple[work_module.LinkId, identifiers.PinId]
 Held = workspace_connections.SessionConnection
+_SERVER_ERRORS = (
+    TimeoutError,
+    connection.BrokenError,
+    connection.RefusedConnectionError,
+)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -35,6 +40,14 @@
     has_written: bool = False
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Attempt:
+    """How far a statement came before an error."""
+
+    held: Held | None = None
+    was_sent: bool = False
+
+
 class Broker:
     """Runs statements at one server."""
 
@@ -122,7 +135,8 @@
 
     def release_link(self, link: work_module.LinkId) -> None:
         """Roll back the transactions of a host that is gone."""
-        for key in [key for key in self._pins if key[0] == link]:
+        held = tuple(key for key in self._pins if key[0] == link)
+        for key in held:
             self.release_pin(key)
 
     def release_all(self) -> None:
@@ -153,23 +167,44 @@
         deadline: float,
         floor: identifiers.LogPosition | None,
     ) -> answers.Answer:
-        held: Held | None = None
-        sent = False
+        attempt = _Attempt()
         try:
             async with asyncio.timeout(deadline - self._clock.now()):
-                held = await self._ready_connection(work)
-                opened = await self._open_transaction(work, held, floor)
-                if opened is not None and not opened.is_ok:
-                    self._settle(held, key, work, opened)
-                    return opened
-                sent = True
-                answer = await self._run(
-                    work, held, floor if opened is None else None
-                )
-        except TimeoutError:
-            self._drop(held)
-            return verdicts.timed_out(work, was_sent=sent)
-        except connection.RefusedConnectionError as error:
+                answer = await self._attempt(work, floor, attempt)
+        except _SERVER_ERRORS as error:
+            self._drop(attempt.held)
+            return self._explain(work, error, was_sent=attempt.was_sent)
+        except BaseException:
+            self._drop(attempt.held)
+            raise
+        return self._settle(typing.cast(Held, attempt.held), key, work, answer)
+
+    async def _attempt(
+        self,
+        work: work_module.Work,
+        floor: identifiers.LogPosition | None,
+        attempt: '_Attempt',
+    ) -> answers.Answer:
+        """Run a statement, noting how far it came."""
+        held = await self._ready_connection(work)
+        attempt.held = held
+        if work.opens is not work_module.Opens.NOTHING:
+            opened = await held.begin(work.opens, floor)
+            if not opened.is_ok:
+                return opened
+            floor = None
+        attempt.was_sent = True
+        return await self._run(work, held, floor)
+
+    def _explain(
+        self,
+        work: work_module.Work,
+        error: Exception,
+        *,
+        was_sent: bool,
+    ) -> answers.Answer:
+        """Say what an error means, and remember what it tells of the server."""
+        if isinstance(error, connection.RefusedConnectionError):
             # A server that refuses is alive.
             self.answered_at = self._clock.now()
             if error.code is answers.Code.TOO_MANY_CONNECTIONS:
@@ -179,44 +214,33 @@
                 str(error),
                 retry_after_ms=REFUSED_RETRY_MS,
             )
-        except connection.BrokenError as error:
-            self.failures += 1
-            self._drop(held)
-            return verdicts.broken(work, str(error), was_sent=sent)
-        except BaseException:
-            self._drop(held)
-            raise
-        return self._settle(held, key, work, answer)
+        self.failures += 1
+        if isinstance(error, TimeoutError):
+            return verdicts.timed_out(work, was_sent=was_sent)
+        return verdicts.broken(work, str(error), was_sent=was_sent)
 
     async def _ready_connection(self, work: work_module.Work) -> Held:
         """Return a connection that holds the session's state.
 
         One that rested may have broken meanwhile; then another is taken.
         """
-        while True:
+        held = await self.connections.acquire(work.workspace)
+        while not await self._adopt(held, work):
             held = await self.connections.acquire(work.workspace)
-            is_new = held.used_at == 0
-            try:
-                await held.adopt(work.values, work.command.prepared)
-            except workspace_connections.UnsentError:
-                self.connections.discard(held)
-                if is_new:
-                    raise
-            except BaseException:
-                self.connections.discard(held)
-                raise
-            else:
-                return held
+        return held
 
-    async def _open_transaction(
-        self,
-        work: work_module.Work,
-        held: Held,
-        floor: identifiers.LogPosition | None,
-    ) -> answers.Answer | None:
-        if work.opens is work_module.Opens.NOTHING:
-            return None
-        return await held.begin(work.opens, floor)
+    async def _adopt(self, held: Held, work: work_module.Work) -> bool:
+        """Give a connection the session's state; a new one must take it."""
+        is_new = held.used_at == 0
+        try:
+            await held.adopt(work.values, work.command.prepared)
+        except BaseException as error:
+            self.connections.discard(held)
+            is_unsent = isinstance(error, workspace_connections.UnsentError)
+            if is_new or not is_unsent:
+                raise
+            return False
+        return True
 
     async def _run(
         self,
@@ -276,23 +300,18 @@
                 'the transaction was rolled back; start it again',
             )
         pin.is_busy = True
-        sent = False
+        attempt = _Attempt(held=pin.held)
         try:
             async with asyncio.timeout(deadline - self._clock.now()):
-                await pin.held.adopt(work.values, work.command.prepared)
-                sent = True
-                with self._queue.charged(workspace=work.workspace, weight=1):
-                    answer = await self._run(work, pin.held, None)
-        except TimeoutError:
-            self.release_pin(key)
-            return verdicts.pinned_failed(
-                work, pin.has_written, sent, 'no answer in time'
-            )
-        except connection.BrokenError as error:
+                answer = await self._attempt_pinned(work, pin, attempt)
+        except _SERVER_ERRORS as error:
             self.failures += 1
             self.release_pin(key)
             return verdicts.pinned_failed(
-                work, pin.has_written, sent, str(error)
+                work,
+                has_written=pin.has_written,
+                was_sent=attempt.was_sent,
+                reason=repr(error),
             )
         except BaseException:
             self.release_pin(key)
@@ -303,6 +322,17 @@
         pin.has_written = pin.has_written or work.command.is_write
         return self._settle_pinned(key, pin, answer)
 
+    async def _attempt_pinned(
+        self,
+        work: work_module.Work,
+        pin: Pin,
+        attempt: '_Attempt',
+    ) -> answers.Answer:
+        await pin.held.adopt(work.values, work.command.prepared)
+        attempt.was_sent = True
+        with self._queue.charged(workspace=work.workspace, weight=1):
+            return await self._run(work, pin.held, None)
+
     def _settle_pinned(
         self,
         key: PinKey,
--- a/src/egretstep/pooling/workspace_connections.py
+++ b/src/egretstep/pooling/workspace_connections.py
@@ -185,7 +185,8 @@
     def close_idle(self, *, rested: float = 0) -> None:
         """Close connections that have rested for a number of seconds."""
         limit = self._clock.now() - rested
-        for held in [each for each in self._idle if each.used_at <= limit]:
+        resting = [each for each in self._idle if each.used_at <= limit]
+        for held in resting:
             self._idle.remove(held)
             self._discard(held)
 
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -38,7 +38,7 @@
 from egretstep.pooling import brokers, local_host
 from egretstep.pooling import work as work_module
 from egretstep.programs import host_endpoint, tasks
-from egretstep.replication import evidence
+from egretstep.replication import evidence, succession
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment, following, node
 from egretstep.storage import watching
@@ -68,6 +68,10 @@
         self._is_stopping = False
         self._link_ids = itertools.count(1)
         self._opener = backend.PlatformOpener()
+        self._promotions = duties.PlatformPromotions(
+            address=settings.promotions,
+            host=settings.host,
+        )
         self._make_membership(own)
         self._make_pooling()
         self._make_callers()
@@ -126,11 +130,7 @@
             hosts=self._hosts,
             servers=self._servers,
             broker_table=self._brokers,
-            opener=self._opener,
-            promotions=duties.PlatformPromotions(
-                address=self._settings.promotions,
-                host=self._settings.host,
-            ),
+            make_succession=self._make_succession,
             current=self._current,
             time_source=self._clock,
             is_first_start=self._settings.is_first_start,
@@ -151,6 +151,14 @@
             time_source=self._clock,
         )
 
+    def _make_succession(self) -> succession.Succession:
+        return succession.Succession(
+            servers=self._servers,
+            opener=self._opener,
+            promotions=self._promotions,
+            time_source=self._clock,
+        )
+
     def _make_callers(self) -> None:
         services = dialogue.Services(
             current=self._current,
@@ -265,10 +273,10 @@
             return None
         asked_at = self._clock.now()
         owner = self._tasks.owner(service)
-        if claim.host != self._hosts.own.host:
-            reply = await self._peers.acknowledged(claim.host, service)
-        else:
+        if claim.host == self._hosts.own.host:
             reply = owner.acknowledged() if owner else None
+        else:
+            reply = await self._peers.acknowledged(claim.host, service)
         if reply is None:
             return None
         epoch, position = reply
@@ -373,12 +381,10 @@
         _logger.info('stopped')
 
     async def _announce_leaving(self) -> None:
-        registration = directory.Registration(
-            store=self._store,
-            own=self._hosts.own,
-        )
+        registration = directory.Registration(store=self._store)
+        leaving = directory.HostState.LEAVING
         try:
-            await registration.write(directory.HostState.LEAVING)
+            await registration.change(self._hosts.own, leaving)
         except directory.WRITE_FAILURES as error:
             _logger.warning('leaving is not announced: {}', error)
 
@@ -392,15 +398,17 @@
     platform_store: store.PlatformStore,
 ) -> directory.Host:
     """Write this host's row with a boot number that was never used."""
+    starting = directory.Host(
+        host=settings.host,
+        zone=settings.zone,
+        address=settings.peers,
+        boot=0,
+        processor=settings.processor,
+    )
+    registration = directory.Registration(store=platform_store)
     while True:
         try:
-            return await directory.register(
-                platform_store,
-                host=settings.host,
-                zone=settings.zone,
-                address=settings.peers,
-                processor=settings.processor,
-            )
+            return await registration.start(starting)
         except directory.WRITE_FAILURES as error:
             _logger.warning('not registered yet: {}', error)
             await asyncio.sleep(REGISTER_RETRY_SECONDS)
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -6,7 +6,6 @@
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.backends import connection
 from egretstep.limits import grants
 from egretstep.membership import claiming, directory, leases, registry
 from egretstep.pooling import brokers
@@ -30,8 +29,7 @@
         hosts: directory.Directory,
         servers: registry.ServerRegistry,
         broker_table: brokers.BrokerTable,
-        opener: connection.Opener,
-        promotions: succession.Promotions,
+        make_succession: typing.Callable[[], succession.Succession],
         current: typing.Callable[[], deployment.Deployment],
         time_source: clock.Clock,
         is_first_start: bool,
@@ -40,8 +38,7 @@
         self._hosts = hosts
         self._servers = servers
         self._brokers = broker_table
-        self._opener = opener
-        self._promotions = promotions
+        self._make_succession = make_succession
         self._current = current
         self._clock = time_source
         self._is_first_start = is_first_start
@@ -83,12 +80,7 @@
             claim=claim,
             keeper=self._keeper,
             brokers=self._brokers,
-            successions=succession.Succession(
-                servers=self._servers,
-                opener=self._opener,
-                promotions=self._promotions,
-                time_source=self._clock,
-            ),
+            successions=self._make_succession(),
             time_source=self._clock,
         )
         asyncio.ensure_future(self._replace_owner(service, owner))
--- a/src/egretstep/replication/succession.py
+++ b/src/egretstep/replication/succession.py
@@ -268,11 +268,7 @@
     async def _examine(self, server: connection.BackendServer) -> Examined:
         try:
             async with asyncio.timeout(STATUS_SECONDS):
-                opened = await self._opener.open(server, CONTROL_NAME)
-                try:
-                    status = await opened.status()
-                finally:
-                    opened.close()
+                status = await self._ask_status(server)
         except connection.RefusedConnectionError as error:
             _logger.info('{} refuses its status: {}', server.server, error)
             is_alive = error.code is not answers.Code.WRONG_SERVER
@@ -281,3 +277,13 @@
             _logger.info('{} gives no status: {!r}', server.server, error)
             return Examined(is_alive=False)
         return Examined(is_alive=True, status=status)
+
+    async def _ask_status(
+        self,
+        server: connection.BackendServer,
+    ) -> connection.ServerStatus:
+        opened = await self._opener.open(server, CONTROL_NAME)
+        try:
+            return await opened.status()
+        finally:
+            opened.close()
--- a/src/egretstep/storage/tables.py
+++ b/src/egretstep/storage/tables.py
@@ -44,6 +44,9 @@
     async def read(self, table: str, prefix: str = '') -> Snapshot:
         """Return all rows whose keys begin with a prefix."""
 
+    async def read_row(self, table: str, key: str) -> Row:
+        """Return a row; one that does not exist has the version `ABSENT`."""
+
     async def changes(self, table: str, after: int) -> Snapshot:
         """Wait for rows that changed after a version.
 
