--- /dev/null
+++ b/standins/platform_fleet.py
@@ -0,0 +1,278 @@
+"""A small deployment on the stand-in of the platform, on loopback.
+
+The hosts run as processes of their own; the store and the servers live in
+the process of the test.
+"""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import typing
+
+import orjson
+
+from standins import line_server, platform_store
+
+ZONES = ('north', 'middle', 'south')
+READY_SECONDS = 15.0
+DATABASE = 'loans'
+BOUNDED_DATABASE = 'stock'
+SESSION_DATABASE = 'status'
+KEY = 'key-of-depot'
+OTHER_KEY = 'key-of-nurses'
+_PORTS_FOR_HOST = 8
+
+
+class AnswerError(Exception):
+    """An ERROR answer; `code` is its word."""
+
+    def __init__(self, code: str, message: str) -> None:
+        super().__init__(f'{code} {message}')
+        self.code = code
+
+
+class Caller:
+    """A caller of the line protocol."""
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._count = 0
+        self.state = 'I'
+
+    @classmethod
+    async def connect(
+        cls,
+        port: int,
+        *,
+        database: str = DATABASE,
+        key: str = KEY,
+    ) -> 'Caller':
+        """Open a session; raises `AnswerError` when it is refused."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        caller = cls(reader=reader, writer=writer)
+        writer.write(f'START {database} {key}\r\n'.encode())
+        await caller._read()
+        return caller
+
+    async def run(self, text: str, statement_id: str = '') -> list[str]:
+        """Run a statement and return its rows."""
+        self._count += 1
+        chosen = statement_id or f'{id(self):x}{self._count}'
+        self._writer.write(f'QUERY {chosen} {text}\r\n'.encode())
+        return await self._read()
+
+    def close(self) -> None:
+        """Leave."""
+        self._writer.close()
+
+    async def _read(self) -> list[str]:
+        rows: list[str] = []
+        failure: AnswerError | None = None
+        while True:
+            line = (await self._reader.readline()).decode()
+            if not line:
+                raise failure or ConnectionResetError('closed by the proxy')
+            word, _, rest = line.rstrip('\r\n').partition(' ')
+            if word == 'ROW':
+                rows.append(rest)
+            elif word == 'ERROR':
+                code, _, message = rest.partition(' ')
+                failure = AnswerError(code, message)
+            elif word == 'READY':
+                self.state = rest[0]
+                if failure:
+                    raise failure
+                return rows
+
+
+class PlatformFleet:
+    """Store, servers and hosts."""
+
+    def __init__(
+        self,
+        *,
+        hosts: int = 3,
+        first_port: int = 23000,
+        services: typing.Sequence[str] = ('ledger',),
+        rate: float = 500,
+    ) -> None:
+        self.groups = [
+            line_server.Group(service=service, zones=ZONES)
+            for service in services
+        ]
+        self.store = platform_store.PlatformStore(groups=self.groups)
+        self.version = 1
+        self.keys = {'depot': [KEY], 'nurses': [OTHER_KEY]}
+        self._hosts = hosts
+        self._first_port = first_port
+        self._rate = rate
+        self._folder = tempfile.TemporaryDirectory()
+        self._processes: dict[int, asyncio.subprocess.Process] = {}
+
+    @property
+    def group(self) -> line_server.Group:
+        """Return the first service's servers."""
+        return self.groups[0]
+
+    async def __aenter__(self) -> 'PlatformFleet':
+        """Start everything and wait until the hosts serve."""
+        for group in self.groups:
+            await group.start()
+        await self.store.start()
+        self.store.register_all()
+        self.configure()
+        for index in range(self._hosts):
+            await self.start_host(index)
+        await self.wait_serving()
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """Stop everything."""
+        for index in list(self._processes):
+            await self.stop_host(index, signal.SIGKILL)
+        await self.store.stop()
+        for group in self.groups:
+            await group.stop()
+        self._folder.cleanup()
+
+    def port(self, index: int) -> int:
+        """Return the port on which a host takes callers."""
+        return self._first_port + index * _PORTS_FOR_HOST
+
+    def log(self, index: int) -> str:
+        """Return what a host has written to its log."""
+        return self._log_path(index).read_text()
+
+    def configure(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        self.store.put('op', 'config', orjson.dumps(self._configuration()))
+
+    async def start_host(self, index: int) -> None:
+        """Start the process of a host."""
+        path = pathlib.Path(self._folder.name) / f'host-{index}.json'
+        path.write_bytes(orjson.dumps(self._settings(index)))
+        with self._log_path(index).open('ab') as log:
+            self._processes[index] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'egretstep.programs.node',
+                env={**os.environ, 'EGRETSTEP_CONFIG': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal_host(self, index: int, number: signal.Signals) -> None:
+        """Send a signal to a host's process."""
+        self._processes[index].send_signal(number)
+
+    async def stop_host(
+        self,
+        index: int,
+        number: signal.Signals = signal.SIGTERM,
+    ) -> None:
+        """End a host's process and wait for its end."""
+        process = self._processes.pop(index)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(number)
+        await process.wait()
+
+    async def wait_serving(self) -> None:
+        """Wait until every host serves writes."""
+        async with asyncio.timeout(READY_SECONDS):
+            for index in self._processes:
+                while not await self._serves(index):
+                    await asyncio.sleep(0.1)
+
+    async def _serves(self, index: int) -> bool:
+        try:
+            caller = await Caller.connect(self.port(index))
+            await caller.run('WRITE probe 1')
+        except (OSError, AnswerError):
+            return False
+        caller.close()
+        return True
+
+    def _log_path(self, index: int) -> pathlib.Path:
+        return pathlib.Path(self._folder.name) / f'host-{index}.log'
+
+    def _settings(self, index: int) -> dict[str, typing.Any]:
+        port = self.port(index)
+        return {
+            'node_name': f'host-{index}',
+            'ip': '127.0.0.1',
+            'zone': ZONES[index % len(ZONES)],
+            'bind_addrs': {
+                'front': f'127.0.0.1:{port}',
+                'ready': f'127.0.0.1:{port + 1}',
+            },
+            'internal_ports': [port + 2, port + 7],
+            'bootstrap': True,
+            'limits': {'cpu_share': 1, 'cores': 1, 'link_mbps': 1000},
+            'heartbeat_ms': 1200,
+            'bounds': {'grace_s': 6},
+            'platform': {
+                'address': f'127.0.0.1:{self.store.port}',
+                'row_bytes': 65536,
+                'history_s': 20,
+            },
+            'cloud_api': {'address': f'127.0.0.1:{self.store.port}'},
+        }
+
+    def _configuration(self) -> dict[str, typing.Any]:
+        service = self.group.service
+        routes = [
+            _route(DATABASE, service, 'primary'),
+            _route(BOUNDED_DATABASE, service, 'bounded_staleness'),
+            _route(SESSION_DATABASE, service, 'read_your_writes'),
+        ]
+        for group in self.groups[1:]:
+            name = f'{DATABASE}-{group.service}'
+            routes.append(_route(name, group.service, 'primary'))
+        return {
+            'version': self.version,
+            'routes': routes,
+            'services': [
+                {'name': group.service, 'max_conns': 22, 'sync_replicas': 0}
+                for group in self.groups
+            ],
+            'limits': {'tx_idle_ms': 3000},
+            'tenants': [
+                {
+                    'name': name,
+                    'api_keys': keys,
+                    'rate_per_s': self._rate,
+                    'burst': self._rate,
+                }
+                for name, keys in self.keys.items()
+            ],
+        }
+
+
+def _route(
+    database: str,
+    service: str,
+    kind: str,
+) -> dict[str, typing.Any]:
+    fields: dict[str, typing.Any] = {
+        'database': database,
+        'service': service,
+        'route_type': kind,
+        'timeout_ms': 800,
+        'target_latency_ms': 200,
+        'priority': 1,
+    }
+    if kind != 'primary':
+        fields['max_staleness_ms'] = 1500
+    return fields
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,124 @@
+"""The program of a host as processes, on the stand-in of the platform."""
+
+import asyncio
+import signal
+import unittest
+
+from standins import platform_fleet
+
+BETWEEN_TRIES_SECONDS = 0.05
+GAP_SECONDS = 4.0
+
+
+async def _write_until_done(
+    fleet: platform_fleet.PlatformFleet,
+    item: str,
+    hosts: int = 3,
+) -> float:
+    """Write on any host until it is acknowledged; returns the seconds."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    attempt = 0
+    while loop.time() - started < GAP_SECONDS * 2:
+        attempt += 1
+        try:
+            caller = await platform_fleet.Caller.connect(
+                fleet.port(attempt % hosts),
+            )
+            await caller.run(f'WRITE {item} {attempt}')
+        except (OSError, platform_fleet.AnswerError):
+            await asyncio.sleep(BETWEEN_TRIES_SECONDS)
+            continue
+        caller.close()
+        return loop.time() - started
+    raise AssertionError(f'no write in {GAP_SECONDS * 2} s')
+
+
+class WholePathTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_was_written_is_read_on_every_route(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23000) as fleet:
+            for index in range(3):
+                caller = await platform_fleet.Caller.connect(
+                    fleet.port(index),
+                    database=platform_fleet.SESSION_DATABASE,
+                )
+                await caller.run(f'WRITE frame {index}')
+                self.assertEqual(await caller.run('READ frame'), [str(index)])
+                caller.close()
+
+    async def test_a_transaction_keeps_its_connection_and_values(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23050) as fleet:
+            one = await platform_fleet.Caller.connect(fleet.port(0))
+            two = await platform_fleet.Caller.connect(fleet.port(1))
+            await one.run('SET language it')
+            await one.run('PREPARE entry WRITE shape-1')
+            await one.run('BEGIN')
+            await one.run('EXECUTE entry frame out')
+            self.assertEqual(one.state, 'T')
+            self.assertEqual(await two.run('READ frame'), ['none'])
+            await one.run('COMMIT')
+            self.assertEqual(one.state, 'I')
+            self.assertEqual(await two.run('READ frame'), ['out'])
+            values = {
+                run.values
+                for run in fleet.group.runs
+                if 'out' in run.text or run.text == 'COMMIT'
+            }
+            self.assertEqual(values, {(('language', 'it'),)})
+
+    async def test_keys_and_databases_are_checked(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23100) as fleet:
+            with self.assertRaises(platform_fleet.AnswerError) as refused:
+                await platform_fleet.Caller.connect(fleet.port(0), key='no')
+            self.assertEqual(refused.exception.code, 'NOAUTH')
+            with self.assertRaises(platform_fleet.AnswerError) as refused:
+                await platform_fleet.Caller.connect(
+                    fleet.port(0),
+                    database='no',
+                )
+            self.assertEqual(refused.exception.code, 'NODB')
+            caller = await platform_fleet.Caller.connect(fleet.port(2))
+            await caller.run('READ frame')
+            fleet.keys['depot'] = []
+            fleet.configure()
+            await asyncio.sleep(0.3)
+            with self.assertRaises(platform_fleet.AnswerError) as refused:
+                await caller.run('READ frame')
+            self.assertEqual(refused.exception.code, 'NOAUTH')
+
+    async def test_a_lost_primary_is_replaced(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23150) as fleet:
+            await fleet.group.primary.stop()
+            gap = await _write_until_done(fleet, 'after')
+            self.assertLess(gap, GAP_SECONDS)
+            self.assertEqual(
+                len({order.token for order in fleet.store.orders}), 1
+            )
+
+    async def test_a_killed_owner_is_replaced(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23200) as fleet:
+            owner = await self._owner(fleet)
+            await fleet.stop_host(owner, signal.SIGKILL)
+            gap = await _write_until_done(fleet, 'after')
+            self.assertLess(gap, GAP_SECONDS * 1.5)
+
+    async def test_service_goes_on_while_the_store_is_silent(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23250) as fleet:
+            fleet.store.faults.is_silent = True
+            await asyncio.sleep(GAP_SECONDS)
+            gap = await _write_until_done(fleet, 'without-store')
+            self.assertLess(gap, 1)
+
+    async def test_a_planned_stop_of_the_owner_is_quick(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23300) as fleet:
+            owner = await self._owner(fleet)
+            stopping = asyncio.ensure_future(fleet.stop_host(owner))
+            await asyncio.sleep(0.1)
+            gap = await _write_until_done(fleet, 'after')
+            self.assertLess(gap, 1.5)
+            await stopping
+
+    async def _owner(self, fleet: platform_fleet.PlatformFleet) -> int:
+        content, _ = fleet.store.rows['fleet', 'task/service-ledger']
+        name = content.decode().partition('"host":"host-')[2][0]
+        return int(name)
