--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -10,6 +10,7 @@
 from standins import line_server
 
 Key = tuple[str, str]
+SHUTDOWN_SECONDS = 0.05
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -61,19 +62,22 @@
         application.router.add_get('/v1/rows-feed', self._feed)
         application.router.add_post('/v1/rows-tx', self._transact)
         application.router.add_post('/promotion', self._promote)
-        self._runner = web.AppRunner(application)
+        self._runner = web.AppRunner(
+            application,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
         await self._runner.setup()
         site = web.TCPSite(
             self._runner,
             '127.0.0.1',
             self.port,
-            shutdown_timeout=0,
         )
         await site.start()
         self.port = self._runner.addresses[0][1]
 
     async def stop(self) -> None:
         """Stop listening."""
+        self.faults = StoreFaults()
         if self._runner is not None:
             await self._runner.cleanup()
 
