Tokens in the order of asking; above the rate the refusal comes at once

Change: the counter promises the next tokens to whoever asked first, up to 0.2 s ahead, and refuses the rest at once with the time to come back. Ruled out: tokens that lapse (13 of 13 a second were granted before too). The rate itself stays what the operators set.

--- a/src/egretstep/limits/grants.py
+++ b/src/egretstep/limits/grants.py
@@ -16,18 +16,25 @@
 
 LOT_SECONDS = 0.4
 LOT_LIFETIME_SECONDS = 1.5
-LONGEST_WAIT_SECONDS = 0.3
-REFUSED_PAUSE_SECONDS = 0.1
+LONGEST_WAIT_SECONDS = 0.2
+REFUSED_PAUSE_SECONDS = 0.05
+LONGEST_REFUSAL_SECONDS = 0.5
 CONTACT_SECONDS = 2.0
+ACCOUNT_SECONDS = 1.0
 DEMAND_MEMORY_SECONDS = 2.0
 _logger = logbook.Logger('grants')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
-    """Tokens of one workspace, or when there will be one, in seconds."""
+    """Tokens of one workspace, or when there will be one.
+
+    The tokens may be used after `wait` seconds. Without any, asking again
+    is worth while after `retry_after` seconds.
+    """
 
     granted: int
+    wait: float = 0
     retry_after: float = 0
 
 
@@ -43,6 +50,15 @@
 Ask = typing.Callable[[Workspace, int], typing.Awaitable[Grant | None]]
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Account:
+    """What was given to a workspace since a moment."""
+
+    since: float
+    granted: int = 0
+    empty: int = 0
+
+
 class Counter:
     """Buckets of all workspaces at the host that counts.
 
@@ -65,6 +81,7 @@
         self._earning_since = bucket.ALWAYS if is_full else time_source.now()
         self._buckets: dict[Workspace, bucket.TokenBucket] = {}
         self._limits: dict[Workspace, tuple[float, float]] = {}
+        self._accounts: dict[Workspace, _Account] = {}
         self._called_at: dict[identifiers.HostName, float] = {}
 
     def note_call(self, host: identifiers.HostName) -> None:
@@ -88,10 +105,37 @@
             return Grant(granted=0, retry_after=1)
         tokens = self._bucket(settings)
         granted = tokens.take(wanted)
+        self._account(settings, granted)
         if granted:
             return Grant(granted=granted)
+        # The next tokens go to those who asked first, wherever they are.
+        wait = tokens.reserve(longest_wait=LONGEST_WAIT_SECONDS)
+        if wait is not None:
+            return Grant(granted=1, wait=wait)
         return Grant(granted=0, retry_after=tokens.retry_after())
 
+    def _account(self, settings: deployment.Workspace, granted: int) -> None:
+        """Log once a second how much a workspace above its rate got."""
+        now = self._clock.now()
+        account = self._accounts.setdefault(settings.name, _Account(since=now))
+        account.granted += granted
+        account.empty += not granted
+        if now - account.since < ACCOUNT_SECONDS:
+            return
+        if account.empty:
+            _logger.info(
+                'workspace {}: {} granted and {} times nothing in {:.1f} s, '
+                'rate {:.1f} of {:.1f}, burst {:.0f}',
+                settings.name,
+                account.granted,
+                account.empty,
+                now - account.since,
+                self._limits[settings.name][0],
+                settings.rate,
+                settings.burst,
+            )
+        self._accounts[settings.name] = _Account(since=now)
+
     def _bucket(self, settings: deployment.Workspace) -> bucket.TokenBucket:
         rate = settings.rate * self.counted_share()
         limits = (rate, settings.burst)
@@ -122,6 +166,15 @@
         self.waiting = 0
         self.asking: asyncio.Task[None] | None = None
 
+    def use_one(self, now: float) -> bool:
+        """Take a token that is at hand and has not expired."""
+        if self.expires_at < now:
+            self.tokens = 0
+        if not self.tokens:
+            return False
+        self.tokens -= 1
+        return True
+
     def note_demand(self, now: float) -> None:
         """Count an operation into the decaying demand."""
         elapsed = now - self.seen_at
@@ -159,17 +212,12 @@
             purse = _Purse(now=now)
             self._purses[workspace] = purse
         purse.note_demand(now)
-        deadline = now + LONGEST_WAIT_SECONDS
-        while True:
-            now = self._clock.now()
-            if purse.expires_at < now:
-                purse.tokens = 0
-            if purse.tokens > 0:
-                purse.tokens -= 1
-                return None
-            if purse.refused_until > deadline or now >= deadline:
-                return max(purse.refused_until - now, REFUSED_PAUSE_SECONDS)
+        while not purse.use_one(now):
+            if purse.refused_until > now:
+                return purse.refused_until - now
             await self._replenish(workspace, purse)
+            now = self._clock.now()
+        return None
 
     async def _replenish(self, workspace: Workspace, purse: _Purse) -> None:
         purse.waiting += 1
@@ -183,18 +231,18 @@
             purse.waiting -= 1
 
     async def _ask_for(self, workspace: Workspace, purse: _Purse) -> None:
-        pause = purse.refused_until - self._clock.now()
-        if pause > 0:
-            await asyncio.sleep(pause)
         grant = await self._ask(workspace, purse.lot_size())
         if grant is None:
             grant = self._grant_alone(workspace)
+        if grant.wait:
+            await asyncio.sleep(grant.wait)
         now = self._clock.now()
         if grant.granted:
             purse.tokens += grant.granted
             purse.expires_at = now + LOT_LIFETIME_SECONDS
         else:
-            purse.refused_until = now + grant.retry_after
+            pause = min(grant.retry_after, LONGEST_REFUSAL_SECONDS)
+            purse.refused_until = now + max(pause, REFUSED_PAUSE_SECONDS)
 
     def _grant_alone(self, workspace: Workspace) -> Grant:
         """Give this host's share while nobody counts."""
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -38,7 +38,7 @@
 
 struct Claim { resource @0 :Text; host @1 :Text; boot @2 :UInt64; epoch @3 :UInt64; isReleased @4 :Bool; isSettled @5 :Bool; detail @6 :Text; revision @7 :UInt32; }
 struct Demand { workspace @0 :Text; wanted @1 :UInt32; }
-struct Lot { workspace @0 :Text; granted @1 :UInt32; retryAfterMs @2 :UInt32; }
+struct Lot { workspace @0 :Text; granted @1 :UInt32; retryAfterMs @2 :UInt32; waitMs @3 :UInt32; }
 
 interface Host {
   execute @0 (work :Work) -> (result :Result);
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -143,6 +143,7 @@
                 'workspace': workspace,
                 'granted': grant.granted,
                 'retryAfterMs': clock.to_milliseconds(grant.retry_after),
+                'waitMs': clock.to_milliseconds(grant.wait),
             })
         _context.results.serving = True
         _context.results.lots = lots
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -316,6 +316,7 @@
         lot = reply.lots[0]
         return grants.Grant(
             granted=lot.granted,
+            wait=clock.to_seconds(lot.waitMs),
             retry_after=clock.to_seconds(lot.retryAfterMs),
         )
 
