--- a/specifications/__main__.py
+++ b/specifications/__main__.py
@@ -3,14 +3,18 @@
 import concurrent.futures
 import sys
 
-from specifications import checking, failover, freshness
+from specifications import checking, failover, freshness, leases
 
 PROCESSES = 4
 
 
 def everything() -> list[checking.Specification]:
     """Return every model and every broken variant."""
-    return [*failover.specifications(), *freshness.specifications()]
+    return [
+        *failover.specifications(),
+        *freshness.specifications(),
+        *leases.specifications(),
+    ]
 
 
 def check(index: int) -> checking.Verdict:
--- a/specifications/failover.py
+++ b/specifications/failover.py
@@ -9,8 +9,8 @@
 import typing
 
 from egretstep import clock, identifiers
-from egretstep.storage import interfaces
 from egretstep.replication import election, lease
+from egretstep.storage import interfaces
 from specifications import checking
 
 SERVERS = 3
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -379,9 +379,14 @@
 
     def _read(self, item: str) -> str:
         position = self._server.position
-        for entry in reversed(self._server.log):
-            if entry.position <= position:
-                for name, content in reversed(entry.writes):
-                    if name == item:
-                        return content
-        return 'none'
+        applied = [
+            entry for entry in self._server.log if entry.position <= position
+        ]
+        return _last_content(applied, item)
+
+
+def _last_content(applied: list[Entry], item: str) -> str:
+    contents = 'none'
+    for entry in applied:
+        contents = dict(entry.writes).get(item, contents)
+    return contents
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -76,23 +76,29 @@
         self._writer.close()
 
     async def _read(self) -> list[str]:
-        rows: list[str] = []
-        failure: AnswerError | None = None
-        while True:
-            line = (await self._reader.readline()).decode()
-            if not line:
-                raise failure or ConnectionResetError('closed by the proxy')
-            word, _, rest = line.rstrip('\r\n').partition(' ')
-            if word == 'ROW':
-                rows.append(rest)
-            elif word == 'ERROR':
-                code, _, message = rest.partition(' ')
-                failure = AnswerError(code, message)
-            elif word == 'READY':
+        messages = await self._read_messages()
+        failures = [rest for word, rest in messages if word == 'ERROR']
+        for word, rest in messages:
+            if word == 'READY':
                 self.state = rest[0]
-                if failure:
-                    raise failure
-                return rows
+        if failures:
+            code, _, message = failures[0].partition(' ')
+            raise AnswerError(code, message)
+        if messages[-1][0] != 'READY':
+            raise ConnectionResetError('closed by the proxy')
+        return [rest for word, rest in messages if word == 'ROW']
+
+    async def _read_messages(self) -> list[tuple[str, str]]:
+        """Return the messages up to READY or to the end of the stream."""
+        messages = []
+        word = ''
+        while word != 'READY':
+            line = (await self._reader.readline()).decode().rstrip('\r\n')
+            word, _, rest = line.partition(' ')
+            messages.append((word, rest))
+            if not line:
+                break
+        return messages
 
 
 class PlatformFleet:
--- /dev/null
+++ b/tests/limits/test_grants.py
@@ -0,0 +1,113 @@
+"""Load patterns of rates: a workspace above its rate, hosts out of reach."""
+
+import unittest
+
+from egretstep import clock, identifiers
+from egretstep.limits import grants
+from egretstep.settings import deployment
+from tests import platform_fakes
+
+HOSTS = tuple(identifiers.HostName(f'host-{index}') for index in range(4))
+RATE = 20
+
+
+class CounterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock(start=100)
+        depot = deployment.Workspace(
+            name=platform_fakes.DEPOT,
+            rate=RATE,
+            burst=10,
+        )
+        self.counter = grants.Counter(
+            current=lambda: deployment.Deployment(
+                version=identifiers.SettingsVersion(1),
+                routes={},
+                services={},
+                workspaces={depot.name: depot},
+                owners_of_keys={},
+            ),
+            hosts=lambda: HOSTS,
+            time_source=self.clock,
+            is_full=True,
+        )
+
+    def test_tokens_go_to_those_who_asked_first(self) -> None:
+        """Ten times the rate from four hosts: none of them is left out."""
+        got = dict.fromkeys(HOSTS, 0)
+        for _ in range(200):
+            for host in HOSTS:
+                self.counter.note_call(host)
+                grant = self.counter.take(platform_fakes.DEPOT, 1)
+                got[host] += grant.granted
+                self.clock.advance(0.01)
+        self.assertGreater(min(got.values()), sum(got.values()) / len(got) / 2)
+        self.assertLessEqual(sum(got.values()), 10 + RATE * 8 + RATE / 2)
+
+    def test_what_can_not_be_had_soon_is_refused_with_a_time(self) -> None:
+        for _ in range(30):
+            grant = self.counter.take(platform_fakes.DEPOT, 10)
+        self.assertEqual(grant.granted, 0)
+        self.assertGreater(grant.retry_after, 0)
+
+    def test_hosts_out_of_reach_are_left_their_share(self) -> None:
+        self.clock.advance(grants.CONTACT_SECONDS + 1)
+        for host in HOSTS[:3]:
+            self.counter.note_call(host)
+        self.assertAlmostEqual(self.counter.counted_share(), 3 / 4)
+
+    def test_an_unknown_workspace_gets_nothing(self) -> None:
+        grant = self.counter.take(platform_fakes.NURSES, 1)
+        self.assertEqual(grant.granted, 0)
+
+
+class AdmitterTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock(start=100)
+        self.grant: grants.Grant | None = grants.Grant(granted=1)
+        self.asked: list[int] = []
+        self.admitter = grants.Admitter(
+            ask=self._ask,
+            uncounted=lambda _workspace: grants.Share(rate=5, burst=2),
+            time_source=self.clock,
+        )
+
+    async def test_a_lot_serves_many_operations(self) -> None:
+        self.grant = grants.Grant(granted=10)
+        for _ in range(10):
+            self.assertIsNone(await self.admitter.admit(platform_fakes.DEPOT))
+        self.assertEqual(len(self.asked), 1)
+
+    async def test_tokens_expire(self) -> None:
+        self.grant = grants.Grant(granted=10)
+        await self.admitter.admit(platform_fakes.DEPOT)
+        self.clock.advance(grants.LOT_LIFETIME_SECONDS + 1)
+        await self.admitter.admit(platform_fakes.DEPOT)
+        self.assertEqual(len(self.asked), 2)
+
+    async def test_above_the_rate_nobody_is_held(self) -> None:
+        self.grant = grants.Grant(granted=0, retry_after=0.4)
+        wait = await self.admitter.admit(platform_fakes.DEPOT)
+        self.assertAlmostEqual(wait or 0, 0.4)
+        for _ in range(50):
+            self.assertIsNotNone(
+                await self.admitter.admit(platform_fakes.DEPOT),
+            )
+        self.assertEqual(len(self.asked), 1)
+
+    async def test_while_nobody_counts_a_host_uses_its_share(self) -> None:
+        self.grant = None
+        refused = 0
+        for _ in range(40):
+            wait = await self.admitter.admit(platform_fakes.DEPOT)
+            refused += wait is not None
+            self.clock.advance(0.1)
+        self.assertAlmostEqual(40 - refused, 2 + 5 * 4, delta=3)
+
+    async def _ask(
+        self,
+        _workspace: identifiers.WorkspaceName,
+        wanted: int,
+    ) -> grants.Grant | None:
+        self.asked.append(wanted)
+        return self.grant
--- /dev/null
+++ b/tests/membership/test_leases.py
@@ -0,0 +1,170 @@
+"""The rule of `specifications/leases.py` in the code that hosts run."""
+
+import asyncio
+import typing
+import unittest
+from unittest import mock
+
+from egretstep import clock
+from egretstep.membership import directory, leases
+from tests import platform_fakes
+
+TASK = leases.TaskName('service-ledger')
+
+
+class _Confirmers:
+    """The other hosts, as keepers in the same process."""
+
+    def __init__(self) -> None:
+        self.keepers: list[leases.LeaseKeeper] = []
+        self.needed = 1
+
+    async def confirm(
+        self,
+        claims: typing.Sequence[leases.Claim],
+    ) -> list[typing.Sequence[leases.Claim]]:
+        """Ask those that have read the store."""
+        return [
+            keeper.later(claims) for keeper in self.keepers if keeper.is_synced
+        ]
+
+    def majority(self) -> int:
+        """Return how many must answer."""
+        return self.needed
+
+
+class LeaseTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock(start=100)
+        self.store = platform_fakes.FakeTables()
+        self.confirmers = {name: _Confirmers() for name in 'xyz'}
+        self.keepers = {name: self._keeper(name) for name in 'xyz'}
+        for name, confirmers in self.confirmers.items():
+            confirmers.keepers = [
+                keeper
+                for other, keeper in self.keepers.items()
+                if other != name
+            ]
+        patched = mock.patch.object(
+            leases.asyncio,
+            'sleep',
+            side_effect=self._sleep,
+        )
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    async def test_a_lease_runs_out_without_an_answer(self) -> None:
+        claim = await self._claim('x')
+        self.assertTrue(self.keepers['x'].is_held(TASK, claim.epoch))
+        self.clock.advance(leases.LEASE_SECONDS)
+        self.assertFalse(self.keepers['x'].is_held(TASK, claim.epoch))
+
+    async def test_the_store_renews(self) -> None:
+        claim = await self._claim('x')
+        self.clock.advance(1)
+        await self.keepers['x']._renew([claim])
+        self.clock.advance(leases.LEASE_SECONDS - 0.5)
+        self.assertTrue(self.keepers['x'].is_held(TASK, claim.epoch))
+
+    async def test_a_majority_renews_while_the_store_is_down(self) -> None:
+        claim = await self._claim('x')
+        self.store.is_down = True
+        self.clock.advance(1)
+        await self.keepers['x']._renew([claim])
+        self.clock.advance(leases.LEASE_SECONDS - 0.5)
+        self.assertTrue(self.keepers['x'].is_held(TASK, claim.epoch))
+
+    async def test_a_host_that_has_not_read_the_store_does_not_count(
+        self,
+    ) -> None:
+        claim = await self._claim('x')
+        self.store.is_down = True
+        for name in 'yz':
+            self.keepers[name].is_synced = False
+        self.clock.advance(1)
+        await self.keepers['x']._renew([claim])
+        self.clock.advance(leases.LEASE_SECONDS - 0.5)
+        self.assertFalse(self.keepers['x'].is_held(TASK, claim.epoch))
+
+    async def test_a_taker_waits_until_the_former_lease_is_over(self) -> None:
+        former = await self._claim('x')
+        self.keepers['y'].note(former)
+        started = self.clock.now()
+        taken = await self._claim('y')
+        self.assertGreaterEqual(
+            self.clock.now() - started,
+            leases.LEASE_SECONDS,
+        )
+        self.assertFalse(self.keepers['x'].is_held(TASK, former.epoch))
+        self.assertTrue(self.keepers['y'].is_held(TASK, taken.epoch))
+
+    async def test_a_taker_without_a_majority_does_not_serve(self) -> None:
+        former = await self._claim('x')
+        self.keepers['y'].note(former)
+        self.confirmers['y'].keepers = []
+        self.assertIsNone(await self.keepers['y'].claim(TASK))
+        self.assertFalse(self.keepers['y'].is_renewing(TASK))
+
+    async def test_a_claim_whose_answer_was_lost_still_needs_the_wait(
+        self,
+    ) -> None:
+        former = await self._claim('x')
+        self.keepers['y'].note(former)
+        self.store.loses_answers = True
+        self.assertIsNone(await self.keepers['y'].claim(TASK))
+        self.store.loses_answers = False
+        started = self.clock.now()
+        await self._claim('y')
+        self.assertGreaterEqual(
+            self.clock.now() - started,
+            leases.LEASE_SECONDS,
+        )
+
+    async def test_a_released_task_is_taken_without_a_wait(self) -> None:
+        former = await self._claim('x')
+        released = await self.keepers['x'].release(
+            TASK,
+            platform_fakes.host('y'),
+        )
+        self.assertTrue(released)
+        self.assertFalse(self.keepers['x'].is_held(TASK, former.epoch))
+        started = self.clock.now()
+        taken = await self._claim('y')
+        self.assertEqual(self.clock.now(), started)
+        self.assertTrue(self.keepers['y'].is_held(TASK, taken.epoch))
+
+    async def test_what_a_holder_records_reaches_its_successor(self) -> None:
+        claim = await self._claim('x')
+        await self.keepers['x'].record(claim, 'server-2')
+        await asyncio.gather(*_pending())
+        self.assertEqual(self.keepers['y'].claims[TASK].detail, 'server-2')
+        taken = await self._claim('y')
+        self.assertEqual(taken.detail, 'server-2')
+
+    async def _claim(self, name: str) -> leases.Claim:
+        claim = await self.keepers[name].claim(TASK)
+        await asyncio.gather(*_pending())
+        if claim is None:
+            raise AssertionError(f'{name} has not got the task')
+        return claim
+
+    async def _sleep(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    def _keeper(self, name: str) -> leases.LeaseKeeper:
+        keeper = leases.LeaseKeeper(
+            store=self.store,
+            hosts=directory.Directory(
+                own=platform_fakes.host(name),
+                time_source=self.clock,
+            ),
+            confirmers=self.confirmers[name],
+            time_source=self.clock,
+        )
+        keeper.is_synced = True
+        return keeper
+
+
+def _pending() -> list[asyncio.Task[typing.Any]]:
+    current = asyncio.current_task()
+    return [task for task in asyncio.all_tasks() if task is not current]
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,138 @@
+"""The codec of the line protocol, also with bytes that nobody meant."""
+
+import asyncio
+import contextlib
+import random
+import unittest
+
+import orjson
+
+from egretstep import identifiers
+from egretstep.backends import answers, commands
+from egretstep.platform import operator_settings, registrations, wire
+
+FUZZ_SEED = 20261204
+FUZZ_CASES = 3000
+
+
+class WireTest(unittest.IsolatedAsyncioTestCase):
+    def test_commands(self) -> None:
+        cases = {
+            b'READ 1a4': commands.Action.READ,
+            b'WRITE 1a4 x y': commands.Action.WRITE,
+            b'BEGIN': commands.Action.BEGIN,
+            b'BEGIN READ': commands.Action.BEGIN_READ,
+            b'COMMIT': commands.Action.COMMIT,
+            b'SET a b c': commands.Action.SET,
+            b'READ': commands.Action.UNKNOWN,
+            b'SYNCPOS 1.2 READ x': commands.Action.UNKNOWN,
+        }
+        for text, action in cases.items():
+            with self.subTest(text=text):
+                command = wire.parse_command(text)
+                self.assertIs(command.action, action)
+                self.assertEqual(command.text, text)
+
+    def test_an_answer_to_a_caller(self) -> None:
+        answer = answers.Answer(
+            rows=(b'one', b'two words'),
+            proof=b'mac',
+            state=answers.TransactionState.INSIDE,
+            position=identifiers.LogPosition(3, 1209),
+        )
+        self.assertEqual(
+            wire.format_answer(answer),
+            b'ROW one\r\nROW two words\r\nCOMPLETE mac\r\nREADY T 3.1209\r\n',
+        )
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        answer = answers.refusal(
+            answers.Code.OVERLOADED,
+            'above its rate\r\nROW forged',
+            retry_after_ms=120,
+        )
+        self.assertEqual(
+            wire.format_answer(answer),
+            b'ERROR BUSY above its rate ROW forged; retry after 120 ms\r\n'
+            b'READY I -\r\n',
+        )
+
+    def test_an_answer_of_a_server(self) -> None:
+        reading = wire.AnswerReader()
+        self.assertIsNone(reading.add(b'ROW a'))
+        self.assertIsNone(reading.add(b'ERROR LAGGING i-1'))
+        answer = reading.add(b'READY I 2.7')
+        self.assertEqual(answer and answer.code, answers.Code.BEHIND)
+        self.assertEqual(answer and answer.position, (2, 7))
+
+    async def test_a_line_that_is_too_long(self) -> None:
+        reader = asyncio.StreamReader(limit=64)
+        reader.feed_data(b'x' * 200)
+        with self.assertRaises(wire.MalformedError):
+            await wire.read_line(reader)
+
+    def test_any_bytes_are_answered_or_refused(self) -> None:
+        generator = random.Random(FUZZ_SEED)
+        words = [
+            b'READ',
+            b'READY',
+            b'ROW',
+            b'ERROR',
+            b'T',
+            b'1.2',
+            b'',
+            b'\xff',
+        ]
+        for _ in range(FUZZ_CASES):
+            line = b' '.join(
+                generator.choice(words) for _ in range(generator.randrange(6))
+            )
+            wire.parse_command(line)
+            wire.parse_prepared(line)
+            wire.parse_position(line)
+            with contextlib.suppress(wire.MalformedError):
+                wire.AnswerReader().add(line)
+
+
+class RowsOfOthersTest(unittest.TestCase):
+    def test_odd_registrations_name_no_server(self) -> None:
+        good = {
+            'service': 's',
+            'address': '10.0.0.1:80',
+            'zone': 'z',
+            'slots': 3,
+            'state': 'ready',
+            'db_role': 'replica',
+        }
+        self.assertIsNotNone(
+            registrations.decode_row('i-1', orjson.dumps(good)),
+        )
+        odd: list[dict[str, object]] = [
+            {'slots': '3'},
+            {'slots': 0},
+            {'state': 'asleep'},
+            {'db_role': None},
+            {'address': 7},
+            {'address': 'nowhere'},
+            {'service': ['s']},
+            {'born': 'x'},
+        ]
+        for changed in odd:
+            with self.subTest(changed=changed):
+                content = orjson.dumps({**good, **changed})
+                self.assertIsNone(registrations.decode_row('i-1', content))
+
+    def test_any_bytes_of_a_row_are_skipped(self) -> None:
+        generator = random.Random(FUZZ_SEED)
+        for _ in range(FUZZ_CASES // 10):
+            content = generator.randbytes(generator.randrange(60))
+            self.assertIsNone(registrations.decode_row('i-1', content))
+
+    def test_zones_that_are_taken_out(self) -> None:
+        self.assertEqual(
+            operator_settings.zones_out({
+                'evacuate/north': None,
+                'config': None,
+            }),
+            {'north'},
+        )
--- /dev/null
+++ b/tests/pooling/test_broker.py
@@ -0,0 +1,138 @@
+"""One server's work: sessions, transactions, and what an error means."""
+
+import dataclasses
+import unittest
+
+from egretstep import clock, identifiers
+from egretstep.backends import answers, commands
+from egretstep.pooling import broker, workspace_connections
+from egretstep.pooling import work as work_module
+from tests import platform_fakes
+
+LINK = work_module.LinkId(1)
+READ = commands.Command(action=commands.Action.READ, text=b'READ a')
+WRITE = commands.Command(action=commands.Action.WRITE, text=b'WRITE a 1')
+COMMIT = commands.Command(action=commands.Action.COMMIT, text=b'COMMIT')
+
+
+def _work(
+    command: commands.Command,
+    workspace: identifiers.WorkspaceName = platform_fakes.DEPOT,
+    session_values: work_module.SessionValues = (),
+) -> work_module.Work:
+    return work_module.Work(
+        statement_id=b'id-1',
+        command=command,
+        workspace=workspace,
+        service=platform_fakes.SERVICE,
+        timeout=1,
+        values=session_values,
+        pin_id=identifiers.PinId(7),
+    )
+
+
+class BrokerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.server = platform_fakes.FakeServer(name='server-1')
+        self.clock = clock.ManualClock(start=100)
+        self.broker = broker.Broker(
+            server=self.server.backend(),
+            opener=platform_fakes.FakeOpener(self.server),
+            connection_limit=4,
+            time_source=self.clock,
+        )
+
+    async def test_a_connection_never_changes_its_workspace(self) -> None:
+        await self.broker.execute(_work(READ), LINK)
+        await self.broker.execute(_work(READ, platform_fakes.NURSES), LINK)
+        await self.broker.execute(_work(READ), LINK)
+        self.assertEqual(len(self.server.opened), 2)
+
+    async def test_the_longest_rested_connection_makes_room(self) -> None:
+        for index in range(5):
+            workspace = identifiers.WorkspaceName(f'workspace-{index}')
+            answer = await self.broker.execute(_work(READ, workspace), LINK)
+            self.assertTrue(answer.is_ok)
+        still_open = [each for each in self.server.opened if each.is_usable]
+        self.assertEqual(len(still_open), 2)
+
+    async def test_values_of_another_session_are_reset(self) -> None:
+        await self.broker.execute(
+            _work(READ, session_values=((b'x', b'1'),)), LINK
+        )
+        await self.broker.execute(_work(READ), LINK)
+        texts = [text for _, text, _ in self.server.ran]
+        self.assertEqual(texts, [b'SET x 1', b'READ a', b'RESET', b'READ a'])
+
+    async def test_a_lost_answer_to_a_write_is_unknown(self) -> None:
+        self.server.breaks_on = WRITE.text
+        answer = await self.broker.execute(_work(WRITE), LINK)
+        self.assertIs(answer.code, answers.Code.UNKNOWN_OUTCOME)
+
+    async def test_a_lost_answer_to_a_read_has_no_effect(self) -> None:
+        self.server.breaks_on = READ.text
+        answer = await self.broker.execute(_work(READ), LINK)
+        self.assertTrue(answer.has_no_effect)
+
+    async def test_an_unreachable_server_has_not_run_a_write(self) -> None:
+        self.server.is_down = True
+        answer = await self.broker.execute(_work(WRITE), LINK)
+        self.assertTrue(answer.has_no_effect)
+        self.assertFalse(answer.was_sent)
+
+    async def test_a_lost_statement_inside_a_transaction_is_undone(
+        self,
+    ) -> None:
+        await self._open_transaction(WRITE)
+        self.server.breaks_on = WRITE.text
+        answer = await self._run_pinned(WRITE)
+        self.assertIs(answer.code, answers.Code.ABORTED)
+        self.assertTrue(self.server.opened[0].is_closed)
+
+    async def test_a_lost_answer_to_a_commit_is_unknown(self) -> None:
+        await self._open_transaction(WRITE)
+        self.server.breaks_on = COMMIT.text
+        answer = await self._run_pinned(COMMIT)
+        self.assertIs(answer.code, answers.Code.UNKNOWN_OUTCOME)
+
+    async def test_a_caller_that_leaves_rolls_back(self) -> None:
+        await self._open_transaction(WRITE)
+        self.broker.release_pin((LINK, identifiers.PinId(7)))
+        self.assertTrue(self.server.opened[0].is_closed)
+        answer = await self._run_pinned(COMMIT)
+        self.assertIs(answer.code, answers.Code.ABORTED)
+
+    async def test_idle_transactions_end(self) -> None:
+        await self._open_transaction(WRITE)
+        self.clock.advance(4)
+        self.broker.end_idle_transactions(longest=3)
+        self.assertEqual(self.broker.pinned_count, 0)
+
+    async def test_a_full_server_is_left_to_others_for_a_while(self) -> None:
+        connections = self.broker.connections
+        self.server.refuses_with = answers.Code.TOO_MANY_CONNECTIONS
+        answer = await self.broker.execute(_work(READ), LINK)
+        self.assertTrue(answer.has_no_effect)
+        self.assertEqual(self.broker.failures, 0)
+        self.server.refuses_with = None
+        for index in range(4):
+            workspace = identifiers.WorkspaceName(f'workspace-{index}')
+            await self.broker.execute(_work(READ, workspace), LINK)
+        self.assertEqual(
+            connections.open_count,
+            workspace_connections.SMALLEST_LIMIT,
+        )
+
+    async def _open_transaction(self, command: commands.Command) -> None:
+        inside = answers.TransactionState.INSIDE
+        self.server.states = {b'BEGIN': inside, command.text: inside}
+        opening = dataclasses.replace(
+            _work(command),
+            opens=work_module.Opens.TRANSACTION,
+        )
+        answer = await self.broker.execute(opening, LINK)
+        self.assertTrue(answer.is_pinned)
+
+    async def _run_pinned(self, command: commands.Command) -> answers.Answer:
+        pinned = dataclasses.replace(_work(command), is_pinned=True)
+        return await self.broker.execute(pinned, LINK)
--- /dev/null
+++ b/tests/replication/test_succession.py
@@ -0,0 +1,128 @@
+"""Which server leads, and when a change is over."""
+
+import unittest
+
+from egretstep import clock, identifiers
+from egretstep.backends import answers, connection
+from egretstep.replication import succession
+from egretstep.settings import deployment
+from tests import platform_fakes
+
+
+class _Servers:
+    def __init__(self, *servers: platform_fakes.FakeServer) -> None:
+        self._servers = servers
+
+    def of_service(
+        self,
+        _service: deployment.ServiceName,
+    ) -> list[connection.BackendServer]:
+        return [server.backend() for server in self._servers]
+
+    def find(
+        self,
+        name: connection.ServerId,
+    ) -> connection.BackendServer | None:
+        found = [each for each in self._servers if each.name == name]
+        return found[0].backend() if found else None
+
+    def takes_work(self, server: connection.BackendServer) -> bool:
+        return not server.is_draining
+
+
+class _Promotions:
+    def __init__(self, servers: dict[str, platform_fakes.FakeServer]) -> None:
+        self._servers = servers
+        self.leads_at_once = True
+        self.orders: list[tuple[str, int]] = []
+
+    async def promote(
+        self,
+        *,
+        service: deployment.ServiceName,
+        server: connection.ServerId,
+        epoch: int,
+    ) -> None:
+        self.orders.append((server, epoch))
+        if self.leads_at_once:
+            promoted = self._servers[server]
+            promoted.role = connection.Role.PRIMARY
+            promoted.term += 1
+
+
+class SuccessionTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.first = platform_fakes.FakeServer(
+            name='first',
+            role=connection.Role.PRIMARY,
+        )
+        self.second = platform_fakes.FakeServer(name='second')
+        self.third = platform_fakes.FakeServer(name='third')
+        opener = platform_fakes.FakeOpener(self.first, self.second, self.third)
+        self.promotions = _Promotions(opener.servers)
+        self.recorded: list[str] = []
+        self.succession = succession.Succession(
+            servers=_Servers(self.first, self.second, self.third),
+            opener=opener,
+            promotions=self.promotions,
+            time_source=clock.MonotonicClock(),
+        )
+
+    async def test_a_server_that_refuses_is_alive(self) -> None:
+        self.first.refuses_with = answers.Code.TOO_MANY_CONNECTIONS
+        examined = await self.succession.examine(self.first.backend())
+        self.assertTrue(examined.is_alive)
+
+    async def test_a_server_that_is_down_is_not_alive(self) -> None:
+        self.first.is_down = True
+        examined = await self.succession.examine(self.first.backend())
+        self.assertFalse(examined.is_alive)
+
+    async def test_the_furthest_server_is_promoted_and_recorded(self) -> None:
+        self.third.position = identifiers.LogPosition(1, 9)
+        found = await self._replace()
+        self.assertEqual(self.promotions.orders, [('third', 4)])
+        self.assertEqual(self.recorded, ['third'])
+        self.assertEqual(found and found.server.server, 'third')
+
+    async def test_leading_an_old_term_is_no_promotion(self) -> None:
+        """Back and forth: the next server still leads its former term."""
+        self.second.role = connection.Role.PRIMARY
+        self.third.term = 3
+        self.promotions.leads_at_once = False
+        limit = succession.LONGEST_PROMOTION_SECONDS
+        succession.LONGEST_PROMOTION_SECONDS = 0.2
+        try:
+            self.assertIsNone(await self._replace())
+        finally:
+            succession.LONGEST_PROMOTION_SECONDS = limit
+
+    async def test_the_latest_term_leads(self) -> None:
+        self.second.role = connection.Role.PRIMARY
+        self.second.term = 2
+        found = await self._find('')
+        self.assertEqual(found and found.server.server, 'second')
+
+    async def test_an_old_primary_is_not_believed_over_the_recorded_one(
+        self,
+    ) -> None:
+        self.second.is_down = True
+        self.assertIsNone(await self._find('second'))
+
+    async def _replace(self) -> succession.Candidate | None:
+        return await self.succession.replace(
+            platform_fakes.SERVICE,
+            self.first.backend(),
+            epoch=4,
+            known=None,
+            record=self._record,
+        )
+
+    async def _find(self, recorded: str) -> succession.Candidate | None:
+        return await self.succession.find_primary(
+            platform_fakes.SERVICE,
+            connection.ServerId(recorded),
+        )
+
+    async def _record(self, server: connection.ServerId) -> None:
+        self.recorded.append(server)
