--- a/tests/limits/test_grants.py
+++ b/tests/limits/test_grants.py
@@ -44,6 +44,14 @@
         self.assertGreater(min(got.values()), sum(got.values()) / len(got) / 2)
         self.assertLessEqual(sum(got.values()), 10 + RATE * 8 + RATE / 2)
 
+    def test_the_next_tokens_are_promised_in_order(self) -> None:
+        self.counter.take(platform_fakes.DEPOT, 10)
+        first = self.counter.take(platform_fakes.DEPOT, 1)
+        second = self.counter.take(platform_fakes.DEPOT, 1)
+        self.assertEqual((first.granted, second.granted), (1, 1))
+        self.assertAlmostEqual(first.wait, 1 / RATE)
+        self.assertAlmostEqual(second.wait, 2 / RATE)
+
     def test_what_can_not_be_had_soon_is_refused_with_a_time(self) -> None:
         for _ in range(30):
             grant = self.counter.take(platform_fakes.DEPOT, 10)
--- a/tests/pooling/test_broker.py
+++ b/tests/pooling/test_broker.py
@@ -12,6 +12,8 @@
 LINK = work_module.LinkId(1)
 READ = commands.Command(action=commands.Action.READ, text=b'READ a')
 WRITE = commands.Command(action=commands.Action.WRITE, text=b'WRITE a 1')
+LIMIT = 8
+USABLE = LIMIT - workspace_connections.RESERVED_FOR_CONTROL
 COMMIT = commands.Command(action=commands.Action.COMMIT, text=b'COMMIT')
 
 
@@ -38,7 +40,7 @@
         self.broker = broker.Broker(
             server=self.server.backend(),
             opener=platform_fakes.FakeOpener(self.server),
-            connection_limit=4,
+            connection_limit=LIMIT,
             time_source=self.clock,
         )
 
@@ -49,12 +51,12 @@
         self.assertEqual(len(self.server.opened), 2)
 
     async def test_the_longest_rested_connection_makes_room(self) -> None:
-        for index in range(5):
+        for index in range(LIMIT):
             workspace = identifiers.WorkspaceName(f'workspace-{index}')
             answer = await self.broker.execute(_work(READ, workspace), LINK)
             self.assertTrue(answer.is_ok)
         still_open = [each for each in self.server.opened if each.is_usable]
-        self.assertEqual(len(still_open), 2)
+        self.assertEqual(len(still_open), USABLE)
 
     async def test_values_of_another_session_are_reset(self) -> None:
         await self.broker.execute(
@@ -115,13 +117,17 @@
         self.assertTrue(answer.has_no_effect)
         self.assertEqual(self.broker.failures, 0)
         self.server.refuses_with = None
-        for index in range(4):
+        for index in range(LIMIT):
             workspace = identifiers.WorkspaceName(f'workspace-{index}')
             await self.broker.execute(_work(READ, workspace), LINK)
-        self.assertEqual(
-            connections.open_count,
-            workspace_connections.SMALLEST_LIMIT,
-        )
+        self.assertEqual(connections.open_count, USABLE // 2)
+        self.clock.advance(workspace_connections.GROWTH_SECONDS)
+        connections.sweep()
+        self.assertEqual(connections.open_count, USABLE // 2)
+        for index in range(LIMIT):
+            workspace = identifiers.WorkspaceName(f'workspace-{index}')
+            await self.broker.execute(_work(READ, workspace), LINK)
+        self.assertEqual(connections.open_count, USABLE // 2 + 1)
 
     async def _open_transaction(self, command: commands.Command) -> None:
         inside = answers.TransactionState.INSIDE
