Quicker takeovers, fewer store calls, no calls to a silent owner

Change: a pause after each change that a watch reports; heartbeats between hosts time out after 0.4 s and a silent owner is not called for a second; tasks are looked at every 0.1 s; a restarted counter's buckets fill from the start of its process.

--- a/src/egretstep/limits/grants.py
+++ b/src/egretstep/limits/grants.py
@@ -63,7 +63,8 @@
     """Buckets of all workspaces at the host that counts.
 
     Hosts that have not called lately may admit their share uncounted, so
-    that the rate is lowered by as much.
+    that the rate is lowered by as much. Every bucket was empty at
+    `earning_since`, a time of the clock.
     """
 
     def __init__(
@@ -72,13 +73,13 @@
         current: typing.Callable[[], deployment.Deployment],
         hosts: typing.Callable[[], typing.Collection[identifiers.HostName]],
         time_source: clock.Clock,
-        is_full: bool,
+        earning_since: float,
     ) -> None:
         self._current = current
         self._hosts = hosts
         self._clock = time_source
         self._started_at = time_source.now()
-        self._earning_since = bucket.ALWAYS if is_full else time_source.now()
+        self._earning_since = earning_since
         self._buckets: dict[Workspace, bucket.TokenBucket] = {}
         self._limits: dict[Workspace, tuple[float, float]] = {}
         self._accounts: dict[Workspace, _Account] = {}
--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -14,6 +14,7 @@
 from egretstep import clock, identifiers
 from egretstep.membership import directory, leases
 
+LOOK_SECONDS = 0.1
 WATCH_SECONDS = 0.3
 DETECTION_SECONDS = 1.0
 RANK_DELAY_SECONDS = 1.0
@@ -68,6 +69,7 @@
         self._started_at = time_source.now()
         self._is_leaving = False
         self._busy: set[leases.TaskName] = set()
+        self._watched_at: dict[leases.TaskName, float] = {}
 
     def leave(self) -> None:
         """Claim nothing more, since this host is stopping."""
@@ -76,7 +78,7 @@
     async def run(self) -> None:
         """Look at the tasks until cancelled."""
         while True:
-            await asyncio.sleep(WATCH_SECONDS)
+            await asyncio.sleep(LOOK_SECONDS)
             if not self._keeper.is_synced or self._is_leaving:
                 continue
             for task in self._wanted():
@@ -105,7 +107,7 @@
             delay = SETTLE_SECONDS + rank * RANK_DELAY_SECONDS
             if self._clock.now() - self._started_at > delay:
                 await self._take(task, 'nobody holds it')
-        elif await self._is_lost(claim, rank):
+        elif self._is_watch_due(task) and await self._is_lost(claim, rank):
             await self._take(task, f'{claim.host} does not answer')
 
     def _rank(self, task: Task, claim: leases.Claim | None) -> int | None:
@@ -120,6 +122,13 @@
             return None
         return ranked.index(own)
 
+    def _is_watch_due(self, task: Task) -> bool:
+        now = self._clock.now()
+        if now - self._watched_at.get(task.name, 0) < WATCH_SECONDS:
+            return False
+        self._watched_at[task.name] = now
+        return True
+
     async def _is_lost(self, claim: leases.Claim, rank: int) -> bool:
         now = self._clock.now()
         if await self._prober.reaches(claim.host):
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -12,6 +12,7 @@
 
 CONTROL_SECONDS = 0.4
 ANSWER_ALLOWANCE_SECONDS = 0.2
+SILENCE_SECONDS = 0.4
 _LINK_ERRORS = (errors.LinkError, errors.LinkLostError)
 
 
@@ -29,6 +30,7 @@
             interface=fleet_schema.Host,
             time_source=time_source,
             heartbeat=lambda host: host.heartbeat(),
+            heartbeat_timeout=SILENCE_SECONDS,
         )
 
     async def call(
--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -36,7 +36,9 @@
         interface: typing.Any,
         heartbeat: Call | None = None,
         time_source: clock.Clock | None = None,
+        heartbeat_timeout: float = HEARTBEAT_TIMEOUT_SECONDS,
     ) -> None:
+        self._heartbeat_timeout = heartbeat_timeout
         self._address = address
         self._port = port
         self._interface = interface
@@ -154,7 +156,7 @@
             if not self._outstanding:
                 continue
             try:
-                async with asyncio.timeout(HEARTBEAT_TIMEOUT_SECONDS):
+                async with asyncio.timeout(self._heartbeat_timeout):
                     await heartbeat(remote)
             except (TimeoutError, capnp.KjException):
                 self._heartbeat_task = None
@@ -183,9 +185,11 @@
         interface: typing.Any,
         time_source: clock.Clock,
         heartbeat: Call | None = None,
+        heartbeat_timeout: float = HEARTBEAT_TIMEOUT_SECONDS,
     ) -> None:
         self._interface = interface
         self._clock = time_source
+        self._heartbeat_timeout = heartbeat_timeout
         self._heartbeat = heartbeat
         self._links: dict[tuple[str, int], Link] = {}
         self._used_at: dict[tuple[str, int], float] = {}
@@ -206,6 +210,7 @@
                 interface=self._interface,
                 heartbeat=self._heartbeat,
                 time_source=self._clock,
+                heartbeat_timeout=self._heartbeat_timeout,
             )
             self._links[key] = link
         now = self._clock.now()
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -47,6 +47,10 @@
 REGISTER_RETRY_SECONDS = 0.3
 SWEEP_SECONDS = 0.5
 COUNTED_SECONDS = 0.7
+# News of claims travels between the hosts as well.
+FLEET_PAUSE_SECONDS = 0.5
+SERVERS_PAUSE_SECONDS = 0.1
+SETTINGS_PAUSE_SECONDS = 0.15
 STOP_MARGIN_SECONDS = 1.0
 STOP_POLL_SECONDS = 0.05
 _logger = logbook.Logger('node')
@@ -89,11 +93,12 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await running
 
-    def _watch(self, table: str) -> watching.TableWatch:
+    def _watch(self, table: str, pause: float) -> watching.TableWatch:
         return watching.TableWatch(
             store=self._store,
             table=table,
             time_source=self._clock,
+            pause=pause,
         )
 
     def _make_membership(self, own: directory.Host) -> None:
@@ -109,9 +114,15 @@
             time_source=self._clock,
         )
         self._servers = registry.ServerRegistry(time_source=self._clock)
-        self._fleet_watch = self._watch(directory.TABLE)
-        self._servers_watch = self._watch(registrations.TABLE)
-        self._settings_watch = self._watch(operator_settings.TABLE)
+        self._fleet_watch = self._watch(directory.TABLE, FLEET_PAUSE_SECONDS)
+        self._servers_watch = self._watch(
+            registrations.TABLE,
+            SERVERS_PAUSE_SECONDS,
+        )
+        self._settings_watch = self._watch(
+            operator_settings.TABLE,
+            SETTINGS_PAUSE_SECONDS,
+        )
         self._configuration = following.ConfigurationFollower(
             watch=self._settings_watch,
             stored_as=operator_settings.FORMAT,
@@ -220,7 +231,9 @@
     def _follow_fleet(self, rows: watching.Rows) -> None:
         self._hosts.follow(rows)
         self._keeper.follow(rows)
-        self._keeper.is_synced = self._fleet_watch.is_synced
+        if self._fleet_watch.is_synced and not self._keeper.is_synced:
+            self._tasks.note_claims()
+            self._keeper.is_synced = True
 
     def _follow_servers(self, rows: watching.Rows) -> None:
         current = registrations.decode(rows)
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -6,7 +6,7 @@
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.limits import grants
+from egretstep.limits import bucket, grants
 from egretstep.membership import claiming, directory, leases, registry
 from egretstep.pooling import brokers
 from egretstep.replication import primary, succession
@@ -43,6 +43,8 @@
         self._clock = time_source
         self._is_first_start = is_first_start
         self._owners: dict[deployment.ServiceName, primary.PrimaryOwner] = {}
+        self._started_at = time_source.now()
+        self._own_before_start: set[leases.TaskName] = set()
         self._counter: grants.Counter | None = None
         self._counting_claim: leases.Claim | None = None
         self._supervisor = supervisor.Supervisor(name='owners')
@@ -63,14 +65,7 @@
     def start(self, claim: leases.Claim) -> None:
         """Begin a task that this host has claimed."""
         if claim.task == COUNTING:
-            is_full = self._is_first_start and claim.epoch == 1
-            self._counting_claim = claim
-            self._counter = grants.Counter(
-                current=self._current,
-                hosts=self._hosts.names_up,
-                time_source=self._clock,
-                is_full=is_full,
-            )
+            self._start_counting(claim)
             return
         service = deployment.ServiceName(
             claim.task.removeprefix(dispatcher.TASK_PREFIX),
@@ -85,6 +80,36 @@
         )
         asyncio.ensure_future(self._replace_owner(service, owner))
 
+    def _start_counting(self, claim: leases.Claim) -> None:
+        """Count with buckets that were empty when nobody else gave tokens.
+
+        An earlier process of this host was gone before this one started.
+        """
+        since = self._clock.now()
+        if claim.epoch == 1 and self._is_first_start:
+            since = bucket.ALWAYS
+        elif claim.task in self._own_before_start:
+            since = self._started_at
+        self._own_before_start.discard(claim.task)
+        self._counting_claim = claim
+        self._counter = grants.Counter(
+            current=self._current,
+            hosts=self._hosts.names_up,
+            time_source=self._clock,
+            earning_since=since,
+        )
+
+    def note_claims(self) -> None:
+        """Remember which tasks an earlier process of this host held."""
+        own = self._hosts.own
+        self._own_before_start = {
+            claim.task
+            for claim in self._keeper.claims.values()
+            if claim.host == own.host
+            and claim.boot < own.boot
+            and claim.is_settled
+        }
+
     def owner(
         self,
         service: deployment.ServiceName,
--- a/src/egretstep/replication/evidence.py
+++ b/src/egretstep/replication/evidence.py
@@ -12,7 +12,7 @@
 
 from egretstep import clock, identifiers
 
-SAMPLE_SECONDS = 0.4
+SAMPLE_SECONDS = 0.6
 KEPT_SAMPLES = 24
 MARGIN_SECONDS = 0.05
 
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -143,14 +143,14 @@
         replica = self._choose_replica(work) if may_read_replica else None
         host = self._host_for(work, replica)
         server = replica.server if replica else connection.ServerId('')
-        if host is None:
+        if host is None or self._hosts.is_suspected(host):
             return Dispatched(
                 answer=answers.refusal(
                     answers.Code.OVERLOADED,
-                    'no host owns the service now',
+                    f'the owner ({host}) does not answer',
                     retry_after_ms=NO_OWNER_RETRY_MS,
                 ),
-                host=self._hosts.own.host,
+                host=host or self._hosts.own.host,
             )
         bounded = dataclasses.replace(
             work,
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -21,7 +21,8 @@
     """Keeps a copy of a table and publishes each change of it.
 
     Subscribers of `changes` get the rows as they are now, then again after
-    every change.
+    every change. After one, the next question waits for `pause` seconds, so
+    that changes in quick succession cost the fleet one call for each host.
     """
 
     def __init__(
@@ -30,9 +31,11 @@
         store: tables.Tables,
         table: str,
         time_source: clock.Clock,
+        pause: float = 0,
     ) -> None:
         self._store = store
         self._table = table
+        self._pause = pause
         self._clock = time_source
         self._rows: dict[str, tables.Row] = {}
         self._version: int | None = None
@@ -91,6 +94,7 @@
             else:
                 self._rows[row.key] = row
         self._publish(snapshot)
+        await asyncio.sleep(self._pause)
 
     def _publish(self, snapshot: tables.Snapshot) -> None:
         self._version = snapshot.version
--- a/tests/limits/test_grants.py
+++ b/tests/limits/test_grants.py
@@ -3,7 +3,7 @@
 import unittest
 
 from egretstep import clock, identifiers
-from egretstep.limits import grants
+from egretstep.limits import bucket, grants
 from egretstep.settings import deployment
 from tests import platform_fakes
 
@@ -29,7 +29,7 @@
             ),
             hosts=lambda: HOSTS,
             time_source=self.clock,
-            is_full=True,
+            earning_since=bucket.ALWAYS,
         )
 
     def test_tokens_go_to_those_who_asked_first(self) -> None:
