Tokens are promised in lots, and nobody waits long for one

Found with a new log line for late statements that tells queue and server time. Change: as many tokens are promised as were asked for; an operation waits 0.3 s at most. The two tests fail with the former rule.

--- a/src/egretstep/backends/answers.py
+++ b/src/egretstep/backends/answers.py
@@ -56,7 +56,9 @@
     empty where the proxy answered. `position` is the place in the server's
     log that the answer reports. `message` explains a code other than OK and
     `retry_after_ms` is zero where a new try needs no wait. `is_pinned` says
-    that the server connection still belongs to the caller.
+    that the server connection still belongs to the caller. `queued_ms` is
+    the wait for a slot of the server, and `ran_ms` the time that the server
+    took.
     """
 
     code: Code = Code.OK
@@ -68,6 +70,8 @@
     retry_after_ms: int = 0
     is_pinned: bool = False
     was_sent: bool = False
+    queued_ms: int = 0
+    ran_ms: int = 0
 
     @property
     def is_ok(self) -> bool:
--- a/src/egretstep/callers/dialogue.py
+++ b/src/egretstep/callers/dialogue.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import itertools
+import time
 import typing
 
 import logbook
@@ -240,6 +241,7 @@
                     ),
                 )
             command = dataclasses.replace(command, prepared=prepared)
+        started = time.monotonic()
         if self._transaction:
             answer = await self._run_inside(statement_id, command)
         elif command.action is _Action.COMMIT:
@@ -247,8 +249,12 @@
         else:
             answer = await self._run_alone(statement_id, command)
         self._note(command, answer)
+        elapsed = time.monotonic() - started
+        route = self._services.current().routes.get(self._database)
         if not answer.is_ok:
             decisions.failed(statement_id, self._database, answer)
+        elif route is not None and elapsed > route.target:
+            decisions.late(statement_id, self._database, elapsed, answer)
         return answer
 
     async def _run_alone(
--- a/src/egretstep/limits/grants.py
+++ b/src/egretstep/limits/grants.py
@@ -19,6 +19,7 @@
 LONGEST_WAIT_SECONDS = 0.2
 REFUSED_PAUSE_SECONDS = 0.05
 LONGEST_REFUSAL_SECONDS = 0.5
+LONGEST_ADMISSION_SECONDS = 0.3
 CONTACT_SECONDS = 2.0
 ACCOUNT_SECONDS = 1.0
 DEMAND_MEMORY_SECONDS = 2.0
@@ -106,13 +107,12 @@
             return Grant(granted=0, retry_after=1)
         tokens = self._bucket(settings)
         granted = tokens.take(wanted)
+        wait = 0.0
+        if not granted:
+            granted, wait = _reserve(tokens, wanted)
         self._account(settings, granted)
         if granted:
-            return Grant(granted=granted)
-        # The next tokens go to those who asked first, wherever they are.
-        wait = tokens.reserve(longest_wait=LONGEST_WAIT_SECONDS)
-        if wait is not None:
-            return Grant(granted=1, wait=wait)
+            return Grant(granted=granted, wait=wait)
         return Grant(granted=0, retry_after=tokens.retry_after())
 
     def _account(self, settings: deployment.Workspace, granted: int) -> None:
@@ -155,6 +155,20 @@
         return tokens
 
 
+def _reserve(tokens: bucket.TokenBucket, wanted: int) -> tuple[int, float]:
+    """Promise the next tokens to whoever asked first, wherever that is.
+
+    Returns how many, and after how many seconds the last of them is due.
+    """
+    last = 0.0
+    for reserved in range(wanted):
+        wait = tokens.reserve(longest_wait=LONGEST_WAIT_SECONDS)
+        if wait is None:
+            return reserved, last
+        last = wait
+    return wanted, last
+
+
 class _Purse:
     """Tokens of one workspace on this host, and how fast they are used."""
 
@@ -213,9 +227,10 @@
             purse = _Purse(now=now)
             self._purses[workspace] = purse
         purse.note_demand(now)
+        deadline = now + LONGEST_ADMISSION_SECONDS
         while not purse.use_one(now):
-            if purse.refused_until > now:
-                return purse.refused_until - now
+            if purse.refused_until > now or now > deadline:
+                return max(purse.refused_until - now, REFUSED_PAUSE_SECONDS)
             await self._replenish(workspace, purse)
             now = self._clock.now()
         return None
--- a/src/egretstep/observability/decisions.py
+++ b/src/egretstep/observability/decisions.py
@@ -36,3 +36,20 @@
         answer.was_sent,
         answer.message,
     )
+
+
+def late(
+    statement_id: bytes,
+    database: identifiers.DatabaseName,
+    elapsed: float,
+    answer: answers.Answer,
+) -> None:
+    """Log where a statement that took longer than its aim spent its time."""
+    _logger.info(
+        'id={} outcome=late database={} took={:.3f} queued_ms={} ran_ms={}',
+        statement_id.decode(),
+        database,
+        elapsed,
+        answer.queued_ms,
+        answer.ran_ms,
+    )
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -34,6 +34,8 @@
   retryAfterMs @7 :UInt32;
   isPinned @8 :Bool;
   wasSent @9 :Bool;
+  queuedMs @10 :UInt32;
+  ranMs @11 :UInt32;
 }
 
 struct Claim { resource @0 :Text; host @1 :Text; boot @2 :UInt64; epoch @3 :UInt64; isReleased @4 :Bool; isSettled @5 :Bool; detail @6 :Text; revision @7 :UInt32; }
--- a/src/egretstep/peers/fleet_messages.py
+++ b/src/egretstep/peers/fleet_messages.py
@@ -89,6 +89,8 @@
         'retryAfterMs': answer.retry_after_ms,
         'isPinned': answer.is_pinned,
         'wasSent': answer.was_sent,
+        'queuedMs': answer.queued_ms,
+        'ranMs': answer.ran_ms,
     }
     if answer.position is not None:
         fields['position'] = _encode_position(answer.position)
@@ -109,6 +111,8 @@
         retry_after_ms=fields.retryAfterMs,
         is_pinned=fields.isPinned,
         was_sent=fields.wasSent,
+        queued_ms=fields.queuedMs,
+        ran_ms=fields.ranMs,
     )
 
 
--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -108,8 +108,9 @@
         floor: identifiers.LogPosition | None = None,
     ) -> answers.Answer:
         """Run a statement and return its final answer."""
-        self.used_at = self._clock.now()
-        deadline = self.used_at + work.timeout
+        started = self._clock.now()
+        self.used_at = started
+        deadline = started + work.timeout
         key = (link, work.pin_id)
         if work.is_pinned:
             return await self._execute_pinned(work, key, deadline)
@@ -119,7 +120,12 @@
                 weight=1,
                 deadline=deadline,
             ):
-                return await self._execute_free(work, key, deadline, floor)
+                queued = self._clock.now() - started
+                answer = await self._execute_free(work, key, deadline, floor)
+                return dataclasses.replace(
+                    answer,
+                    queued_ms=clock.to_milliseconds(queued),
+                )
         except errors.RefusedError as error:
             return answers.refusal(
                 answers.Code.OVERLOADED,
@@ -248,6 +254,7 @@
         held: Held,
         floor: identifiers.LogPosition | None,
     ) -> answers.Answer:
+        started = self._clock.now()
         with self._tracked():
             answer = await held.raw.run(
                 work.statement_id,
@@ -256,7 +263,8 @@
             )
         self.answered_at = self._clock.now()
         self.failures = 0
-        return answer
+        ran = clock.to_milliseconds(self.answered_at - started)
+        return dataclasses.replace(answer, ran_ms=ran)
 
     @contextlib.contextmanager
     def _tracked(self) -> typing.Generator[None, None, None]:
--- a/tests/limits/test_grants.py
+++ b/tests/limits/test_grants.py
@@ -1,5 +1,7 @@
 """Load patterns of rates: a workspace above its rate, hosts out of reach."""
 
+import asyncio
+import time
 import unittest
 
 from egretstep import clock, identifiers
@@ -68,6 +70,15 @@
         grant = self.counter.take(platform_fakes.NURSES, 1)
         self.assertEqual(grant.granted, 0)
 
+    def test_those_who_wait_together_are_promised_tokens_together(
+        self,
+    ) -> None:
+        """After a restart of the counter many operations wait on a host."""
+        self.counter.take(platform_fakes.DEPOT, 10)
+        grant = self.counter.take(platform_fakes.DEPOT, 3)
+        self.assertEqual(grant.granted, 3)
+        self.assertAlmostEqual(grant.wait, 3 / RATE)
+
 
 class AdmitterTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
@@ -103,6 +114,24 @@
             )
         self.assertEqual(len(self.asked), 1)
 
+    async def test_nobody_waits_for_long_behind_others(self) -> None:
+        """More operations wait on a host than it gets tokens for."""
+        self.grant = grants.Grant(granted=1, wait=0.15)
+        admitter = grants.Admitter(
+            ask=self._ask,
+            uncounted=lambda _workspace: grants.Share(rate=5, burst=2),
+            time_source=clock.MonotonicClock(),
+        )
+        started = time.monotonic()
+        waits = await asyncio.gather(
+            *(admitter.admit(platform_fakes.DEPOT) for _ in range(10))
+        )
+        self.assertLess(
+            time.monotonic() - started,
+            grants.LONGEST_ADMISSION_SECONDS * 2,
+        )
+        self.assertTrue(any(waits))
+
     async def test_while_nobody_counts_a_host_uses_its_share(self) -> None:
         self.grant = None
         refused = 0
