While nobody counts, hosts go on with what they used; claims only over the judged holder

Two hosts that had found the same holder gone took the task over one after the other, each waiting out a lease. Change: a host goes on with its usage before the loss, which the counter leaves out for hosts that do not call; a claim names the claim that was judged and is not written over a later one.

--- a/src/egretstep/limits/grants.py
+++ b/src/egretstep/limits/grants.py
@@ -11,7 +11,7 @@
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.limits import bucket
+from egretstep.limits import bucket, usage
 from egretstep.settings import deployment
 
 LOT_SECONDS = 0.4
@@ -21,8 +21,9 @@
 LONGEST_REFUSAL_SECONDS = 0.5
 LONGEST_ADMISSION_SECONDS = 0.3
 CONTACT_SECONDS = 2.0
+NEWCOMER_SHARE = 0.3
+UNCOUNTED_BURST_SECONDS = 0.5
 ACCOUNT_SECONDS = 1.0
-DEMAND_MEMORY_SECONDS = 2.0
 _logger = logbook.Logger('grants')
 
 
@@ -39,14 +40,6 @@
     retry_after: float = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Share:
-    """The part of a workspace's rate and burst that one host may use."""
-
-    rate: float
-    burst: float
-
-
 Workspace = identifiers.WorkspaceName
 Ask = typing.Callable[[Workspace, int], typing.Awaitable[Grant | None]]
 
@@ -60,10 +53,25 @@
     empty: int = 0
 
 
+def uncounted_rate(
+    settings: deployment.Workspace,
+    *,
+    hosts: int,
+    used: float,
+) -> float:
+    """Return what one host may admit a second while nobody counts.
+
+    Load pattern: the counting host is lost while callers of a workspace are
+    spread unevenly. What the hosts used before adds up to the rate at most;
+    a small part of it is left for a host that had no such callers.
+    """
+    return min(settings.rate, max(used, NEWCOMER_SHARE * settings.rate / hosts))
+
+
 class Counter:
     """Buckets of all workspaces at the host that counts.
 
-    Hosts that have not called lately may admit their share uncounted, so
+    Hosts that have not called lately go on with what they used before, so
     that the rate is lowered by as much. Every bucket was empty at
     `earning_since`, a time of the clock.
     """
@@ -84,24 +92,42 @@
         self._buckets: dict[Workspace, bucket.TokenBucket] = {}
         self._limits: dict[Workspace, tuple[float, float]] = {}
         self._accounts: dict[Workspace, _Account] = {}
+        self._meters: dict[
+            tuple[identifiers.HostName, Workspace],
+            usage.UsageMeter,
+        ] = {}
         self._called_at: dict[identifiers.HostName, float] = {}
 
     def note_call(self, host: identifiers.HostName) -> None:
         """Remember that a host takes its tokens here."""
         self._called_at[host] = self._clock.now()
 
-    def counted_share(self) -> float:
-        """Return the share of the fleet's hosts that call here."""
+    def counted_rate(self, settings: deployment.Workspace) -> float:
+        """Return the rate that is left for the hosts that call here."""
         now = self._clock.now()
         limit = now - CONTACT_SECONDS
         if self._started_at > limit:
-            return 1
+            return settings.rate
         hosts = self._hosts()
-        absent = sum(self._called_at.get(host, 0) < limit for host in hosts)
-        return 1 - absent / max(1, len(hosts))
+        uncounted = sum(
+            uncounted_rate(
+                settings,
+                hosts=len(hosts),
+                used=self._used(host, settings.name).rate(now=now),
+            )
+            for host in hosts
+            if self._called_at.get(host, 0) < limit
+        )
+        return max(settings.rate - uncounted, settings.rate / len(hosts))
 
-    def take(self, workspace: Workspace, wanted: int) -> Grant:
-        """Give up to a number of tokens."""
+    def take(
+        self,
+        workspace: Workspace,
+        wanted: int,
+        caller: identifiers.HostName,
+    ) -> Grant:
+        """Give up to a number of tokens to a host."""
+        self.note_call(caller)
         settings = self._current().workspaces.get(workspace)
         if settings is None or settings.rate <= 0:
             return Grant(granted=0, retry_after=1)
@@ -112,6 +138,8 @@
             granted, wait = _reserve(tokens, wanted)
         self._account(settings, granted)
         if granted:
+            meter = self._used(caller, workspace)
+            meter.add(granted, now=self._clock.now())
             return Grant(granted=granted, wait=wait)
         return Grant(granted=0, retry_after=tokens.retry_after())
 
@@ -137,8 +165,19 @@
             )
         self._accounts[settings.name] = _Account(since=now)
 
+    def _used(
+        self,
+        host: identifiers.HostName,
+        workspace: Workspace,
+    ) -> usage.UsageMeter:
+        meter = self._meters.get((host, workspace))
+        if meter is None:
+            meter = usage.UsageMeter(now=self._clock.now())
+            self._meters[host, workspace] = meter
+        return meter
+
     def _bucket(self, settings: deployment.Workspace) -> bucket.TokenBucket:
-        rate = settings.rate * self.counted_share()
+        rate = self.counted_rate(settings)
         limits = (rate, settings.burst)
         tokens = self._buckets.get(settings.name)
         if tokens is None:
@@ -176,8 +215,8 @@
         self.tokens = 0
         self.expires_at = 0.0
         self.refused_until = 0.0
-        self.demand = 0.0
-        self.seen_at = now
+        self.demand = usage.UsageMeter(now=now)
+        self.used = usage.UsageMeter(now=now)
         self.waiting = 0
         self.asking: asyncio.Task[None] | None = None
 
@@ -190,16 +229,9 @@
         self.tokens -= 1
         return True
 
-    def note_demand(self, now: float) -> None:
-        """Count an operation into the decaying demand."""
-        elapsed = now - self.seen_at
-        self.seen_at = now
-        kept = max(0.0, 1 - elapsed / DEMAND_MEMORY_SECONDS)
-        self.demand = self.demand * kept + 1
-
-    def lot_size(self) -> int:
+    def lot_size(self, now: float) -> int:
         """Return how many tokens are worth asking for."""
-        rate = self.demand / DEMAND_MEMORY_SECONDS
+        rate = self.demand.rate(now=now)
         return max(1, self.waiting, round(rate * LOT_SECONDS))
 
 
@@ -210,7 +242,7 @@
         self,
         *,
         ask: Ask,
-        uncounted: typing.Callable[[Workspace], Share],
+        uncounted: typing.Callable[[Workspace, float], float],
         time_source: clock.Clock,
     ) -> None:
         self._ask = ask
@@ -226,7 +258,7 @@
         if purse is None:
             purse = _Purse(now=now)
             self._purses[workspace] = purse
-        purse.note_demand(now)
+        purse.demand.add(1, now=now)
         deadline = now + LONGEST_ADMISSION_SECONDS
         while not purse.use_one(now):
             if purse.refused_until > now or now > deadline:
@@ -247,9 +279,13 @@
             purse.waiting -= 1
 
     async def _ask_for(self, workspace: Workspace, purse: _Purse) -> None:
-        grant = await self._ask(workspace, purse.lot_size())
+        wanted = purse.lot_size(self._clock.now())
+        grant = await self._ask(workspace, wanted)
         if grant is None:
-            grant = self._grant_alone(workspace)
+            grant = self._grant_alone(workspace, purse)
+        else:
+            self._alone.pop(workspace, None)
+            purse.used.add(grant.granted, now=self._clock.now())
         if grant.wait:
             await asyncio.sleep(grant.wait)
         now = self._clock.now()
@@ -260,20 +296,20 @@
             pause = min(grant.retry_after, LONGEST_REFUSAL_SECONDS)
             purse.refused_until = now + max(pause, REFUSED_PAUSE_SECONDS)
 
-    def _grant_alone(self, workspace: Workspace) -> Grant:
-        """Give this host's share while nobody counts."""
-        share = self._uncounted(workspace)
-        if share.rate <= 0:
-            return Grant(granted=0, retry_after=1)
+    def _grant_alone(self, workspace: Workspace, purse: _Purse) -> Grant:
+        """Go on with what this host used while it was counted."""
         tokens = self._alone.get(workspace)
         if tokens is None:
+            used = purse.used.rate(now=self._clock.now())
+            rate = self._uncounted(workspace, used)
+            if rate <= 0:
+                return Grant(granted=0, retry_after=1)
             tokens = bucket.TokenBucket(
-                rate=share.rate,
-                burst=share.burst,
+                rate=rate,
+                burst=max(1, rate * UNCOUNTED_BURST_SECONDS),
                 time_source=self._clock,
             )
             self._alone[workspace] = tokens
-        tokens.change(rate=share.rate, burst=share.burst)
         if tokens.take(1):
             return Grant(granted=1)
         return Grant(granted=0, retry_after=tokens.retry_after())
--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -98,7 +98,7 @@
         claim = self._keeper.claims.get(task.name)
         if claim is not None and claim.host == self._hosts.own.host:
             if not self._keeper.is_renewing(task.name):
-                await self._take(task, 'this host held it or got it')
+                await self._take(task, claim, 'this host held it or got it')
             return
         rank = self._rank(task, claim)
         if rank is None:
@@ -106,9 +106,9 @@
         if claim is None or claim.host not in self._hosts.hosts:
             delay = SETTLE_SECONDS + rank * RANK_DELAY_SECONDS
             if self._clock.now() - self._started_at > delay:
-                await self._take(task, 'nobody holds it')
+                await self._take(task, claim, 'nobody holds it')
         elif self._is_watch_due(task) and await self._is_lost(claim, rank):
-            await self._take(task, f'{claim.host} does not answer')
+            await self._take(task, claim, f'{claim.host} does not answer')
 
     def _rank(self, task: Task, claim: leases.Claim | None) -> int | None:
         """Return this host's place among those that may take over."""
@@ -140,9 +140,14 @@
             return False
         return await self._prober.is_lost(claim.host)
 
-    async def _take(self, task: Task, reason: str) -> None:
+    async def _take(
+        self,
+        task: Task,
+        judged: leases.Claim | None,
+        reason: str,
+    ) -> None:
         _logger.info('claiming task {}: {}', task.name, reason)
-        taken = await self._keeper.claim(task.name)
+        taken = await self._keeper.claim(task.name, judged)
         if taken is None:
             await asyncio.sleep(RETRY_SECONDS)
         else:
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -161,15 +161,20 @@
             return False
         return self._valid_until.get(task, 0) > self._clock.now()
 
-    async def claim(self, task: TaskName) -> Claim | None:
+    async def claim(
+        self,
+        task: TaskName,
+        judged: Claim | None = None,
+    ) -> Claim | None:
         """Take a task over and wait until its former lease has run out.
 
-        Returns none when another host was faster, the store gave no answer,
+        `judged` is the claim whose holder was found to be gone. Returns
+        none when another host was faster, the store gave no answer,
         or no majority of the hosts could be told.
         """
         asked_at = self._clock.now()
         try:
-            taken = await self._write_claim(task)
+            taken = await self._write_claim(task, judged)
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.info('task {} is not claimed: {}', task, error)
             return None
@@ -316,15 +321,18 @@
         )
         return False
 
-    async def _write_claim(self, task: TaskName) -> Claim | None:
+    async def _write_claim(
+        self,
+        task: TaskName,
+        judged: Claim | None,
+    ) -> Claim | None:
         """Write the next epoch, unless the task has changed its holder."""
         row = await self._read(task)
         former = decode(row.content)
-        known = self._claims.get(task)
-        if former is not None and known is not None:
-            is_news = former.epoch > known.epoch
+        if former is not None:
             self.note(former)
-            if is_news and not self.is_mine(former):
+            judged_epoch = judged.epoch if judged else 0
+            if former.epoch > judged_epoch and not self.is_mine(former):
                 return None
         taken = self._next_claim(task, former)
         await self._swap(task, row.version, taken)
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -183,7 +183,7 @@
             ),
             admitter=grants.Admitter(
                 ask=self._ask_tokens,
-                uncounted=self._uncounted_share,
+                uncounted=self._uncounted_rate,
                 time_source=self._clock,
             ),
             release_here=self._release_here,
@@ -352,17 +352,18 @@
         except (errors.LinkError, errors.LinkLostError):
             return None
 
-    def _uncounted_share(
+    def _uncounted_rate(
         self,
         workspace: identifiers.WorkspaceName,
-    ) -> grants.Share:
+        used: float,
+    ) -> float:
         settings = self._current().workspaces.get(workspace)
         if settings is None:
-            return grants.Share(rate=0, burst=0)
-        hosts = len(self._hosts.hosts)
-        return grants.Share(
-            rate=settings.rate / hosts,
-            burst=max(1, settings.burst / hosts),
+            return 0
+        return grants.uncounted_rate(
+            settings,
+            hosts=len(self._hosts.hosts),
+            used=used,
         )
 
     async def _stay_counted(self) -> None:
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -129,8 +129,7 @@
             return None
         if not self._keeper.is_held(COUNTING, claim.epoch):
             return None
-        self._counter.note_call(caller)
-        return self._counter.take(workspace, wanted)
+        return self._counter.take(workspace, wanted, caller)
 
     def note_call(self, caller: identifiers.HostName) -> None:
         """Remember that a host takes its tokens here."""
