--- a/src/egretstep/callers/dialogue.py
+++ b/src/egretstep/callers/dialogue.py
@@ -15,7 +15,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.backends import answers, commands, connection
 from egretstep.limits import grants
-from egretstep.observability import decisions
+from egretstep.observability import decisions, metrics
 from egretstep.pooling import work as work_module
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
@@ -250,12 +250,23 @@
             answer = await self._run_alone(statement_id, command)
         self._note(command, answer)
         elapsed = time.monotonic() - started
+        self._account(statement_id, elapsed, answer)
+        return answer
+
+    def _account(
+        self,
+        statement_id: bytes,
+        elapsed: float,
+        answer: answers.Answer,
+    ) -> None:
+        """Count and, where it was not as it should be, log the outcome."""
+        metrics.statements.inc(self._database, answer.code.value)
+        metrics.statement_seconds.observe({}, elapsed)
         route = self._services.current().routes.get(self._database)
         if not answer.is_ok:
             decisions.failed(statement_id, self._database, answer)
         elif route is not None and elapsed > route.target:
             decisions.late(statement_id, self._database, elapsed, answer)
-        return answer
 
     async def _run_alone(
         self,
--- a/src/egretstep/observability/decisions.py
+++ b/src/egretstep/observability/decisions.py
@@ -4,6 +4,7 @@
 
 from egretstep import identifiers
 from egretstep.backends import answers
+from egretstep.observability import metrics
 
 _logger = logbook.Logger('request')
 
@@ -14,11 +15,15 @@
     wait: float,
 ) -> None:
     """Log that a workspace is above its rate."""
+    metrics.refusals.inc(workspace, 'rate')
     _logger.info(
-        'id={} outcome=refused reason=rate workspace={} retry_after={:.3f}',
-        statement_id.decode(),
-        workspace,
-        wait,
+        'refused',
+        extra={
+            'id': statement_id.decode(errors='replace'),
+            'reason': 'rate',
+            'workspace': workspace,
+            'retry_after_s': round(wait, 3),
+        },
     )
 
 
@@ -29,12 +34,15 @@
 ) -> None:
     """Log the answer to a statement that did not succeed."""
     _logger.info(
-        'id={} outcome={} database={} sent={} reason={}',
-        statement_id.decode(),
-        answer.code.value,
-        database,
-        answer.was_sent,
-        answer.message,
+        'failed',
+        extra={
+            'id': statement_id.decode(errors='replace'),
+            'outcome': answer.code.value,
+            'database': database,
+            'sent_to_server': answer.was_sent,
+            'reason': answer.message,
+            'retry_after_ms': answer.retry_after_ms,
+        },
     )
 
 
@@ -46,10 +54,34 @@
 ) -> None:
     """Log where a statement that took longer than its aim spent its time."""
     _logger.info(
-        'id={} outcome=late database={} took={:.3f} queued_ms={} ran_ms={}',
-        statement_id.decode(),
-        database,
-        elapsed,
-        answer.queued_ms,
-        answer.ran_ms,
+        'late',
+        extra={
+            'id': statement_id.decode(errors='replace'),
+            'database': database,
+            'took_s': round(elapsed, 3),
+            'queued_ms': answer.queued_ms,
+            'ran_ms': answer.ran_ms,
+        },
+    )
+
+
+def tried_again(
+    statement_id: bytes,
+    answer: answers.Answer,
+    host: identifiers.HostName,
+    server: str,
+    remaining: float,
+) -> None:
+    """Log that a try without effect is repeated or given up."""
+    metrics.retries.inc(answer.code.value)
+    _logger.info(
+        'try without effect',
+        extra={
+            'id': statement_id.decode(errors='replace'),
+            'outcome': answer.code.value,
+            'reason': answer.message,
+            'host': host,
+            'server': server or 'primary',
+            'left_s': round(remaining, 3),
+        },
     )
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -1,11 +1,7 @@
 """Counters, gauges and histograms, and the endpoint that shows them."""
 
-import asyncio
-
 import aioprometheus
-from aioprometheus import service
 
-PUBLISH_SECONDS = 0.5
 LATENCY_BUCKETS_SECONDS = (
     0.0005,
     0.001,
@@ -53,7 +49,7 @@
 
 statements = LocalCounter(
     'egretstep_statements_total',
-    'Statements answered to callers, by workspace and outcome.',
+    'Statements answered to callers, by database or workspace and outcome.',
     ('workspace', 'outcome'),
 )
 refusals = LocalCounter(
@@ -95,23 +91,7 @@
 )
 
 
-class MetricsEndpoint:
-    """Serves the metrics over HTTP in the Prometheus text format."""
-
-    def __init__(self, *, address: str, port: int | None) -> None:
-        self._address = address
-        self._port = port
-
-    async def run(self) -> None:
-        """Serve until cancelled; do nothing without a port."""
-        if self._port is None:
-            return
-        endpoint = service.Service()
-        await endpoint.start(addr=self._address, port=self._port)
-        try:
-            while True:
-                await asyncio.sleep(PUBLISH_SECONDS)
-                for counter in _local_counters:
-                    counter.publish()
-        finally:
-            await endpoint.stop()
+def publish_all() -> None:
+    """Add what was counted since the last time to the published counters."""
+    for counter in _local_counters:
+        counter.publish()
--- /dev/null
+++ b/src/egretstep/observability/metrics_page.py
@@ -0,0 +1,25 @@
+"""The metrics of this process as a page for scrapers."""
+
+from aioprometheus import REGISTRY, renderer
+
+from egretstep.observability import metrics
+from egretstep.settings import node
+from egretstep.web import endpoint
+
+PATH = '/metrics'
+
+
+def page() -> endpoint.Page:
+    """Return all counters and histograms as they are now."""
+    metrics.publish_all()
+    body, headers = renderer.render(REGISTRY, ())
+    return endpoint.Page(
+        status=endpoint.OK,
+        body=body,
+        content_type=headers['Content-Type'],
+    )
+
+
+def make_endpoint(address: node.Address) -> endpoint.Endpoint:
+    """Make the endpoint that scrapers ask."""
+    return endpoint.Endpoint(address=address, pages={PATH: page})
--- a/src/egretstep/platform/backend.py
+++ b/src/egretstep/platform/backend.py
@@ -1,34 +1,18 @@
 """Connections to the platform's database servers."""
 
 import asyncio
-import socket
 
 import xxhash
 
-from egretstep import identifiers
+from egretstep import identifiers, sockets
 from egretstep.backends import answers, commands, connection
 from egretstep.platform import wire
 
 CONNECT_SECONDS = 1.0
-UNACKNOWLEDGED_MS = 1500
-KEEPALIVE_IDLE_SECONDS = 2
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
 OWN_STATEMENT = b'-'
 _STATUS_FIELDS = 3
 
 
-def watch_silence(stream: socket.socket) -> None:
-    """Make the kernel end a connection whose other end has gone silent."""
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    level = socket.IPPROTO_TCP
-    stream.setsockopt(level, socket.TCP_NODELAY, 1)
-    stream.setsockopt(level, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-    stream.setsockopt(level, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-    stream.setsockopt(level, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    stream.setsockopt(level, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-
-
 def _prepared_name(prepared: commands.Prepared) -> bytes:
     """Name a shape the same for every caller of a connection."""
     kind = b'w' if prepared.is_write else b'r'
@@ -172,7 +156,7 @@
             limit=wire.LONGEST_MESSAGE_BYTES,
         )
         try:
-            watch_silence(writer.get_extra_info('socket'))
+            sockets.watch_silence(writer.get_extra_info('socket'))
             start = f'START {server.service} {workspace} {server.server}\r\n'
             writer.write(start.encode())
             await _await_ready(reader)
--- a/src/egretstep/platform/duties.py
+++ b/src/egretstep/platform/duties.py
@@ -4,8 +4,8 @@
 
 from egretstep import errors, identifiers
 from egretstep.backends import connection
-from egretstep.platform import http
 from egretstep.settings import deployment, node
+from egretstep.web import client as http
 
 CALL_SECONDS = 1.0
 SHOWN_BYTES = 200
--- a/src/egretstep/platform/ingress.py
+++ b/src/egretstep/platform/ingress.py
@@ -4,10 +4,10 @@
 
 import logbook
 
-from egretstep import identifiers
+from egretstep import identifiers, sockets
 from egretstep.backends import answers
 from egretstep.callers import dialogue
-from egretstep.platform import backend, wire
+from egretstep.platform import wire
 from egretstep.settings import node
 
 START_SECONDS = 10.0
@@ -103,7 +103,7 @@
 
     async def run(self) -> None:
         """Serve the caller until it leaves."""
-        backend.watch_silence(self._writer.get_extra_info('socket'))
+        sockets.watch_silence(self._writer.get_extra_info('socket'))
         async with asyncio.timeout(START_SECONDS):
             line = await wire.read_line(self._reader)
         started = self._start(line or b'')
--- a/src/egretstep/platform/process_settings.py
+++ b/src/egretstep/platform/process_settings.py
@@ -18,13 +18,13 @@
     return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
 
 
-def load(source: pathlib.Path) -> node.NodeSettings:
-    """Read the settings.
+def load(source: pathlib.Path, metrics_port: int) -> node.NodeSettings:
+    """Read the settings; metrics are served on a port of their own.
 
     Raises `errors.SettingsError` naming the field that is missing or odd.
     """
     try:
-        return _decode(orjson.loads(source.read_bytes()))
+        return _decode(orjson.loads(source.read_bytes()), metrics_port)
     except OSError as error:
         raise errors.SettingsError(f'can not read {source}: {error}') from error
     except KeyError as error:
@@ -35,7 +35,10 @@
         raise errors.SettingsError(f'{source}: {error}') from error
 
 
-def _decode(fields: dict[str, typing.Any]) -> node.NodeSettings:
+def _decode(
+    fields: dict[str, typing.Any],
+    metrics_port: int,
+) -> node.NodeSettings:
     bound = fields['bind_addrs']
     first_port, _ = fields['internal_ports']
     ip = fields['ip']
@@ -46,7 +49,7 @@
         callers=parse_address(bound['front']),
         readiness=parse_address(bound['ready']),
         peers=node.Address(host=ip, port=first_port),
-        metrics=node.Address(host=ip, port=first_port + 1),
+        metrics=node.Address(host=ip, port=metrics_port),
         store=parse_address(fields['platform']['address']),
         promotions=parse_address(fields['cloud_api']['address']),
         is_first_start=bool(fields['bootstrap']),
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -7,9 +7,9 @@
 import orjson
 
 from egretstep import errors
-from egretstep.platform import http
 from egretstep.settings import node
 from egretstep.storage import tables
+from egretstep.web import client as http
 
 CALL_SECONDS = 1.0
 WATCH_MS = 20_000
--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -10,7 +10,7 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.membership import gossip, members, pool_watch
-from egretstep.observability import metrics
+from egretstep.observability import metrics_endpoint
 from egretstep.operators import endpoint
 from egretstep.peers import links, schema
 from egretstep.programs import agent_link, runner
@@ -77,7 +77,7 @@
             port=self._settings.agent_port,
             make_server=lambda: agent_link.AgentServer(agent=self),
         )
-        metrics_endpoint = metrics.MetricsEndpoint(
+        endpoint_of_metrics = metrics_endpoint.MetricsEndpoint(
             address=self._settings.address,
             port=self._settings.metrics_port,
         )
@@ -90,7 +90,7 @@
                 supervisor.Child(name='pool-watch', run=self._watch_pool),
                 supervisor.Child(name='settings', run=self._distribution.run),
                 supervisor.Child(name='operators', run=self._endpoint.run),
-                supervisor.Child(name='metrics', run=metrics_endpoint.run),
+                supervisor.Child(name='metrics', run=endpoint_of_metrics.run),
             ],
         )
         running = asyncio.ensure_future(tree.run())
--- a/src/egretstep/programs/entry.py
+++ b/src/egretstep/programs/entry.py
@@ -7,7 +7,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.callers import server, session
 from egretstep.membership import view
-from egretstep.observability import metrics, traces
+from egretstep.observability import metrics_endpoint, traces
 from egretstep.programs import runner
 from egretstep.routing import relay, statements
 from egretstep.settings import schema
@@ -45,7 +45,7 @@
                 is_stopping=lambda: self._stopping,
             ),
         )
-        endpoint = metrics.MetricsEndpoint(
+        endpoint = metrics_endpoint.MetricsEndpoint(
             address=settings.address,
             port=settings.entry_metrics_port,
         )
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -4,6 +4,7 @@
 rates, as the fleet's leases say.
 """
 
+import argparse
 import asyncio
 import contextlib
 import itertools
@@ -23,7 +24,7 @@
     leases,
     registry,
 )
-from egretstep.observability import logs
+from egretstep.observability import logs, metrics_page
 from egretstep.peers import links
 from egretstep.platform import (
     backend,
@@ -53,6 +54,7 @@
 SETTINGS_PAUSE_SECONDS = 0.15
 STOP_MARGIN_SECONDS = 1.0
 STOP_POLL_SECONDS = 0.05
+METRICS_PORT = 9464
 _logger = logbook.Logger('node')
 
 
@@ -193,7 +195,7 @@
             address=self._settings.callers,
             services=services,
         )
-        self._readiness = readiness.ReadinessEndpoint(
+        self._readiness = readiness.make_endpoint(
             address=self._settings.readiness,
             is_ready=self._is_ready,
         )
@@ -223,6 +225,7 @@
             'counted': self._stay_counted,
             'callers': self._ingress.run,
             'readiness': self._readiness.run,
+            'metrics': metrics_page.make_endpoint(self._settings.metrics).run,
         }
         return [
             supervisor.Child(name=name, run=run) for name, run in runs.items()
@@ -453,8 +456,16 @@
 
 def main() -> None:
     """Start the program with the settings that the platform wrote."""
-    logs.set_up(log_format='json', stream=logs.STANDARD_OUTPUT)
-    settings = process_settings.load(process_settings.path())
+    logs.set_up_bounded()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--metrics-port',
+        type=int,
+        default=METRICS_PORT,
+        help='port on which counters and histograms are served',
+    )
+    port = parser.parse_args().metrics_port
+    settings = process_settings.load(process_settings.path(), port)
     asyncio.run(capnp.run(_run_until_signal(settings)))
 
 
--- a/src/egretstep/programs/pool.py
+++ b/src/egretstep/programs/pool.py
@@ -9,7 +9,7 @@
 
 from egretstep import clock, identifiers
 from egretstep.membership import view
-from egretstep.observability import metrics, traces
+from egretstep.observability import metrics_endpoint, traces
 from egretstep.peers import links, messages, schema
 from egretstep.pooling import host, owned, pins
 from egretstep.programs import runner
@@ -135,7 +135,7 @@
         time_source=clock.MonotonicClock(),
     )
     tracer = traces.Tracer(program='pool', sample=settings.trace_sample)
-    endpoint = metrics.MetricsEndpoint(
+    endpoint = metrics_endpoint.MetricsEndpoint(
         address=settings.address,
         port=settings.pool_metrics_port,
     )
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -5,11 +5,10 @@
 import random
 import typing
 
-import logbook
-
 from egretstep import clock, errors, identifiers
 from egretstep.backends import answers, connection
 from egretstep.membership import directory, fleet_links, leases, registry
+from egretstep.observability import decisions
 from egretstep.pooling import local_host, verdicts
 from egretstep.pooling import work as work_module
 from egretstep.routing import patience
@@ -21,7 +20,6 @@
 NO_OWNER_RETRY_MS = 300
 AVOID_SERVER_SECONDS = 1.0
 TASK_PREFIX = 'service-'
-_logger = logbook.Logger('dispatcher')
 
 
 def task_of(service: deployment.ServiceName) -> leases.TaskName:
@@ -73,13 +71,11 @@
             if not self._may_repeat(work, answer):
                 return tried
             remaining = deadline - self._clock.now()
-            _logger.info(
-                'statement {} again: {} {} at {} {}, {:.2f} s left',
-                work.statement_id.decode(),
-                answer.code.value,
-                answer.message,
+            decisions.tried_again(
+                work.statement_id,
+                answer,
                 tried.host,
-                tried.server or 'primary',
+                tried.server,
                 remaining,
             )
             if not patience.is_worth_repeating(
--- /dev/null
+++ b/src/egretstep/web/__init__.py
@@ -0,0 +1,1 @@
+"""Small HTTP client and endpoint on asyncio streams."""
--- a/src/egretstep/platform/http.py
+++ b/src/egretstep/web/client.py
@@ -1,4 +1,4 @@
-"""HTTP calls to the platform, one connection for each caller of them."""
+"""HTTP calls, one connection for each client."""
 
 import asyncio
 import dataclasses
@@ -6,9 +6,9 @@
 
 import h11
 
-from egretstep import errors
-from egretstep.platform import backend, http_messages
+from egretstep import errors, sockets
 from egretstep.settings import node
+from egretstep.web import messages
 
 CONNECT_SECONDS = 1.0
 
@@ -84,7 +84,7 @@
                 self._address.host,
                 self._address.port,
             )
-        backend.watch_silence(writer.get_extra_info('socket'))
+        sockets.watch_silence(writer.get_extra_info('socket'))
         return _Streams(
             reader=reader,
             writer=writer,
@@ -103,7 +103,7 @@
     async def exchange(self, request: Request, host: str) -> Response:
         """Send a request and read its response."""
         self._send(request, host)
-        message = await http_messages.read(self.protocol, self.reader)
+        message = await messages.read(self.protocol, self.reader)
         if message is None:
             raise ConnectionResetError('closed before the response')
         response = typing.cast(h11.Response, message.head)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -155,6 +155,10 @@
         """Return the port on which a host takes callers."""
         return self._first_port + index * _PORTS_FOR_HOST
 
+    def metrics_port(self, index: int) -> int:
+        """Return the port on which a host serves its metrics."""
+        return self.port(index) + _PORTS_FOR_HOST - 1
+
     def log(self, index: int) -> str:
         """Return what a host has written to its log."""
         return self._log_path(index).read_text()
@@ -173,6 +177,8 @@
                 sys.executable,
                 '-m',
                 'egretstep.programs.node',
+                '--metrics-port',
+                str(self.metrics_port(index)),
                 env={**os.environ, 'EGRETSTEP_CONFIG': str(path)},
                 stdout=log,
                 stderr=log,
@@ -223,7 +229,7 @@
                 'front': f'127.0.0.1:{port}',
                 'ready': f'127.0.0.1:{port + 1}',
             },
-            'internal_ports': [port + 2, port + 7],
+            'internal_ports': [port + 2, port + 6],
             'bootstrap': True,
             'limits': {'cpu_share': 1, 'cores': 1, 'link_mbps': 1000},
             'heartbeat_ms': 1200,
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -122,3 +122,18 @@
         content, _ = fleet.store.rows['fleet', 'task/service-ledger']
         name = content.decode().partition('"host":"host-')[2][0]
         return int(name)
+
+    async def test_metrics_and_readiness_are_served(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23350) as fleet:
+            page = await self._get(fleet.metrics_port(0), '/metrics')
+            self.assertIn('egretstep_statements_total', page)
+            ready = await self._get(fleet.port(0) + 1, '/v1/readiness')
+            self.assertIn('200', ready.splitlines()[0])
+
+    async def _get(self, port: int, path: str) -> str:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        request = f'GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        writer.write(request.encode())
+        page = await reader.read()
+        writer.close()
+        return page.decode()
