A host that reaches no other leaves rotation and closes idle sessions

Cause: callers of a host that is cut off from the fleet get refusals for as long as their session stays. Change: when the counting host does not answer, three others are asked; if none answers, the host is not ready and closes sessions between requests, so that the balancer places them elsewhere.

--- a/src/egretstep/programs/questions.py
+++ b/src/egretstep/programs/questions.py
@@ -1,8 +1,11 @@
 """What this host asks of the hosts that do tasks for the fleet."""
 
 import asyncio
+import random
 import typing
 
+import logbook
+
 from egretstep import clock, errors, identifiers
 from egretstep.limits import grants
 from egretstep.membership import directory, fleet_links, leases
@@ -12,6 +15,8 @@
 from egretstep.settings import deployment
 
 COUNTED_SECONDS = 0.7
+PROBED_HOSTS = 3
+_logger = logbook.Logger('questions')
 
 
 class Questions:
@@ -33,6 +38,12 @@
         self._tasks = fleet_tasks
         self._current = current
         self._clock = time_source
+        self._is_isolated = False
+
+    @property
+    def is_isolated(self) -> bool:
+        """Tell whether no other host answered this one lately."""
+        return self._is_isolated
 
     async def ask_acknowledged(
         self,
@@ -128,7 +139,34 @@
         )
 
     async def stay_counted(self) -> None:
-        """Call the counting host, so that it grants this host's share."""
+        """Call the counting host, so that it grants this host's share.
+
+        If it does not answer, find out whether any other host does.
+        """
         while True:
             await asyncio.sleep(COUNTED_SECONDS)
-            await self._call_counter([])
+            claim = self._keeper.known.get(tasks.COUNTING)
+            reply = await self._call_counter([])
+            own = self._hosts.own.host
+            if reply is not None or claim is None or claim.host == own:
+                self._note_isolated(isolated=False)
+            else:
+                self._note_isolated(isolated=await self._reaches_nobody())
+
+    async def _reaches_nobody(self) -> bool:
+        others = [
+            host
+            for host in self._hosts.names_up()
+            if host != self._hosts.own.host
+        ]
+        probed = random.sample(others, min(PROBED_HOSTS, len(others)))
+        reached = await asyncio.gather(
+            *(self._peers.reaches(host) for host in probed)
+        )
+        return bool(probed) and not any(reached)
+
+    def _note_isolated(self, *, isolated: bool) -> None:
+        if isolated != self._is_isolated:
+            state = 'lost' if isolated else 'regained'
+            _logger.info('other hosts are {}', state)
+        self._is_isolated = isolated
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -260,7 +260,9 @@
         return self._configuration.current
 
     def _is_ready(self) -> bool:
-        return not self._is_stopping and self._configuration.version > 0
+        if self._is_stopping or self._questions.is_isolated:
+            return False
+        return self._configuration.version > 0
 
     def _usable_hosts(self) -> list[identifiers.HostName]:
         return [
@@ -286,6 +288,9 @@
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
             self._brokers.sweep()
+            if self._questions.is_isolated:
+                # Callers come back through the balancer to another host.
+                self._ingress.close_idle()
 
     async def _stop(self) -> None:
         _logger.info('stopping: handing over, then closing sessions')
