--- a/src/egretstep/callers/dialogue.py
+++ b/src/egretstep/callers/dialogue.py
@@ -14,7 +14,7 @@
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
-from egretstep.callers import access, parts
+from egretstep.callers import access, names, parts
 from egretstep.observability import decisions, metrics
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
@@ -36,14 +36,12 @@
         database: identifiers.DatabaseName,
         key: str,
         services: parts.Services,
-        parse_prepared: typing.Callable[[bytes], commands.Prepared | None],
+        parse_prepared: names.ParsePrepared,
     ) -> None:
         self._database = database
         self._key = key
         self._services = services
-        self._parse_prepared = parse_prepared
-        self._values: dict[bytes, bytes] = {}
-        self._prepared: dict[bytes, commands.Prepared] = {}
+        self._names = names.SessionNames(parse_prepared=parse_prepared)
         self._state = _State.OUTSIDE
         self._transaction: parts.Transaction | None = None
         self._floor = identifiers.LOG_START
@@ -66,40 +64,40 @@
         statement_id: bytes,
         command: commands.Command,
     ) -> answers.Answer:
-        """Answer one statement."""
-        if self._state is _State.FAILED:
-            answer = await self._handle_failed(command)
-        elif command.action in _LOCAL:
-            answer = self._handle_local(command)
-        elif command.action is _Action.ROLLBACK:
-            answer = await self._roll_back()
-        elif command.begins:
-            answer = await self._begin(statement_id, command)
-        else:
-            answer = await self._run(statement_id, command)
+        """Answer one statement.
+
+        Raises `access.SessionRefusedError` when the session must end.
+        """
+        try:
+            answer = await self._handle(statement_id, command)
+        except access.SessionRefusedError as error:
+            decisions.denied(
+                statement_id,
+                self._database,
+                error.answer,
+                self._services.current().version,
+            )
+            raise
         return dataclasses.replace(answer, state=self._state)
 
     async def close(self) -> None:
         """Free what the session holds."""
         await self._release()
 
-    def _handle_local(self, command: commands.Command) -> answers.Answer:
-        if command.action is _Action.SET:
-            self._values[command.name] = command.argument
-        elif command.action is _Action.PREPARE:
-            prepared = self._parse_prepared(command.argument)
-            if prepared is None:
-                return self._malformed(command)
-            self._prepared[command.name] = prepared
-        elif command.action is _Action.DEALLOCATE:
-            if self._prepared.pop(command.name, None) is None:
-                return answers.refusal(
-                    answers.Code.NO_PREPARED,
-                    'no statement of that name is prepared',
-                )
-        else:
-            return self._malformed(command)
-        return answers.Answer()
+    async def _handle(
+        self,
+        statement_id: bytes,
+        command: commands.Command,
+    ) -> answers.Answer:
+        if self._state is _State.FAILED:
+            return await self._handle_failed(command)
+        if command.action in _LOCAL:
+            return self._names.apply(command) or self._malformed(command)
+        if command.action is _Action.ROLLBACK:
+            return await self._roll_back()
+        if command.begins:
+            return await self._begin(statement_id, command)
+        return await self._run(statement_id, command)
 
     def _malformed(self, command: commands.Command) -> answers.Answer:
         if self._state is _State.INSIDE:
@@ -167,7 +165,12 @@
         wait = await self._services.admitter.admit(workspace)
         if wait is None:
             return None
-        decisions.refused_by_rate(statement_id, workspace, wait)
+        decisions.refused_by_rate(
+            statement_id,
+            workspace,
+            wait,
+            self._services.current().version,
+        )
         return answers.refusal(
             answers.Code.OVERLOADED,
             f'{workspace} is above its rate',
@@ -180,14 +183,9 @@
         command: commands.Command,
     ) -> answers.Answer:
         if command.action is _Action.EXECUTE:
-            prepared = self._prepared.get(command.name)
+            prepared = self._names.prepared(command.name)
             if prepared is None:
-                return self._fail(
-                    answers.refusal(
-                        answers.Code.NO_PREPARED,
-                        'no statement of that name is prepared',
-                    ),
-                )
+                return self._fail(names.unknown_name())
             command = dataclasses.replace(command, prepared=prepared)
         started = time.monotonic()
         if self._transaction:
@@ -210,9 +208,15 @@
         """Count and, where it was not as it should be, log the outcome."""
         metrics.statements.inc(self._database, answer.code.value)
         metrics.statement_seconds.observe({}, elapsed)
-        route = self._services.current().routes.get(self._database)
+        current = self._services.current()
+        route = current.routes.get(self._database)
         if not answer.is_ok:
-            decisions.failed(statement_id, self._database, answer)
+            decisions.failed(
+                statement_id,
+                self._database,
+                answer,
+                current.version,
+            )
         elif route is not None and elapsed > route.target:
             decisions.late(statement_id, self._database, elapsed, answer)
 
@@ -325,7 +329,7 @@
             workspace=workspace,
             service=route.service,
             timeout=route.timeout,
-            values=tuple(self._values.items()),
+            values=self._names.session_values,
             floor=self._floor if is_session else identifiers.LOG_START,
             max_staleness=staleness,
             priority=route.priority,
--- a/src/egretstep/observability/decisions.py
+++ b/src/egretstep/observability/decisions.py
@@ -13,6 +13,7 @@
     statement_id: bytes,
     workspace: identifiers.WorkspaceName,
     wait: float,
+    version: identifiers.SettingsVersion,
 ) -> None:
     """Log that a workspace is above its rate."""
     metrics.refusals.inc(workspace, 'rate')
@@ -23,6 +24,7 @@
             'reason': 'rate',
             'workspace': workspace,
             'retry_after_s': round(wait, 3),
+            'settings_version': version,
         },
     )
 
@@ -31,6 +33,7 @@
     statement_id: bytes,
     database: identifiers.DatabaseName,
     answer: answers.Answer,
+    version: identifiers.SettingsVersion,
 ) -> None:
     """Log the answer to a statement that did not succeed."""
     _logger.info(
@@ -42,6 +45,7 @@
             'sent_to_server': answer.was_sent,
             'reason': answer.message,
             'retry_after_ms': answer.retry_after_ms,
+            'settings_version': version,
         },
     )
 
@@ -85,3 +89,23 @@
             'left_s': round(remaining, 3),
         },
     )
+
+
+def denied(
+    statement_id: bytes,
+    database: identifiers.DatabaseName,
+    answer: answers.Answer,
+    version: identifiers.SettingsVersion,
+) -> None:
+    """Log that a session's key or database is not, or no longer, known."""
+    metrics.refusals.inc(database, answer.code.value)
+    _logger.info(
+        'denied',
+        extra={
+            'id': statement_id.decode(errors='replace'),
+            'outcome': answer.code.value,
+            'database': database,
+            'reason': answer.message,
+            'settings_version': version,
+        },
+    )
