--- a/tests/replication/test_succession.py
+++ b/tests/replication/test_succession.py
@@ -1,5 +1,6 @@
 """Which server leads, and when a change is over."""
 
+import asyncio
 import unittest
 
 from egretstep import clock, identifiers
@@ -97,6 +98,21 @@
         finally:
             succession.LONGEST_PROMOTION_SECONDS = limit
 
+    async def test_statements_wait_for_a_change_that_ends_in_their_time(
+        self,
+    ) -> None:
+        """A crashed primary is replaced in about a second (0.8 s allowed)."""
+        self.succession.note_start()
+        self.assertGreater(self.succession.expected_seconds(), 0.8)
+        await asyncio.sleep(0.2)
+        self.assertLess(self.succession.expected_seconds(), 0.8)
+
+    async def test_the_next_change_is_expected_to_take_as_long(self) -> None:
+        self.succession.note_start()
+        await self._replace()
+        self.succession.note_start()
+        self.assertLess(self.succession.expected_seconds(), 0.5)
+
     async def test_the_latest_term_leads(self) -> None:
         self.second.role = connection.Role.PRIMARY
         self.second.term = 2
