Callers do not wait for a counting host that was silent just now

Change: after one call without an answer only the regular contact asks that holder again. Ruled out: the share of uncounted hosts (it was hardly used). The test fails with the former rule.

--- a/src/egretstep/programs/questions.py
+++ b/src/egretstep/programs/questions.py
@@ -8,7 +8,7 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.limits import grants
-from egretstep.membership import directory, fleet_links, leases
+from egretstep.membership import claims, directory, fleet_links, leases
 from egretstep.programs import tasks
 from egretstep.replication import evidence
 from egretstep.routing import dispatcher
@@ -39,6 +39,7 @@
         self._current = current
         self._clock = time_source
         self._is_isolated = False
+        self._unanswered: claims.Claim | None = None
 
     @property
     def is_isolated(self) -> bool:
@@ -93,6 +94,9 @@
         own = self._hosts.own.host
         if claim is not None and claim.host == own:
             return self._tasks.take_tokens(workspace, wanted, own)
+        if claim is not None and claim == self._unanswered:
+            # Callers must not wait for a host that was silent just now.
+            return None
         demands = [{'workspace': workspace, 'wanted': wanted}]
         reply = await self._call_counter(demands)
         if reply is None or not reply.serving:
@@ -113,15 +117,16 @@
         if claim is None or claim.host == own:
             self._tasks.note_call(own)
             return None
-        if self._hosts.is_suspected(claim.host):
-            return None
         try:
-            return await self._peers.call(
+            reply = await self._peers.call(
                 claim.host,
                 lambda remote: remote.takeTokens(demands=demands, caller=own),
             )
         except (errors.LinkError, errors.LinkLostError):
+            self._unanswered = claim
             return None
+        self._unanswered = None
+        return reply
 
     def uncounted_rate(
         self,
--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from egretstep import clock, identifiers
+from egretstep import clock, errors, identifiers
 from egretstep.membership import claims, directory
 from egretstep.programs import questions, tasks
 from egretstep.settings import deployment
@@ -12,20 +12,32 @@
 class _Peers:
     def __init__(self) -> None:
         self.reached: set[str] = set()
+        self.called: list[str] = []
+
+    async def call(
+        self,
+        host: identifiers.HostName,
+        _call: object,
+        **_options: object,
+    ) -> None:
+        self.called.append(host)
+        raise errors.LinkError(f'{host} does not answer')
 
     async def reaches(self, host: identifiers.HostName) -> bool:
         return host in self.reached
 
 
 class _Keeper:
-    def __init__(self, holder: str) -> None:
-        claim = claims.Claim(
+    def __init__(self) -> None:
+        self.known: dict[claims.TaskName, claims.Claim] = {}
+
+    def hold(self, holder: str, epoch: int) -> None:
+        self.known[tasks.COUNTING] = claims.Claim(
             task=tasks.COUNTING,
             host=identifiers.HostName(holder),
             boot=1,
-            epoch=1,
+            epoch=epoch,
         )
-        self.known = {claim.task: claim}
 
 
 class IsolationTest(unittest.IsolatedAsyncioTestCase):
@@ -38,9 +50,11 @@
             name: platform_fakes.host(name) for name in ('a', 'b', 'c', 'd')
         })
         self.peers = _Peers()
+        self.keeper = _Keeper()
+        self.keeper.hold('a', 1)
         self.questions = questions.Questions(
             hosts=hosts,
-            keeper=_Keeper('a'),
+            keeper=self.keeper,
             peers=self.peers,
             fleet_tasks=None,
             current=lambda: deployment.EMPTY,
@@ -53,3 +67,15 @@
     async def test_one_lost_holder_does_not_isolate(self) -> None:
         self.peers.reached = {'b', 'c', 'd'}
         self.assertFalse(await self.questions._reaches_nobody())
+
+    async def test_callers_do_not_wait_for_a_silent_counting_host(
+        self,
+    ) -> None:
+        """The counting host is gone: one question finds that out."""
+        for _ in range(5):
+            grant = await self.questions.ask_tokens(platform_fakes.DEPOT, 1)
+            self.assertIsNone(grant)
+        self.assertEqual(self.peers.called, ['a'])
+        self.keeper.hold('b', 2)
+        await self.questions.ask_tokens(platform_fakes.DEPOT, 1)
+        self.assertEqual(self.peers.called, ['a', 'b'])
