--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -137,3 +137,49 @@
         page = await reader.read()
         writer.close()
         return page.decode()
+
+    async def test_a_draining_primary_is_replaced_without_a_refusal(
+        self,
+    ) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23400) as fleet:
+            leaving = fleet.group.primary
+            leaving.state = 'draining'
+            fleet.store.register_all()
+            caller = await platform_fleet.Caller.connect(fleet.port(0))
+            for index in range(30):
+                await caller.run(f'WRITE item {index}')
+                await asyncio.sleep(0.02)
+            self.assertIsNot(fleet.group.primary, leaving)
+            self.assertEqual(await caller.run('READ item'), ['29'])
+
+    async def test_a_zone_that_is_taken_out_gets_no_work(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23450) as fleet:
+            zone = fleet.group.primary.zone
+            fleet.store.put('op', f'evacuate/{zone}', b'{}')
+            await asyncio.sleep(2)
+            before = len(fleet.group.runs)
+            for index in range(3):
+                caller = await platform_fleet.Caller.connect(
+                    fleet.port(index),
+                    database=platform_fleet.BOUNDED_DATABASE,
+                )
+                await caller.run('READ frame')
+                await caller.run('WRITE frame 1')
+                caller.close()
+            zones = {
+                fleet.group.servers[run.server].zone
+                for run in fleet.group.runs[before:]
+            }
+            self.assertNotIn(zone, zones)
+
+    async def test_a_withdrawn_key_stops_while_the_store_refuses(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23500) as fleet:
+            caller = await platform_fleet.Caller.connect(fleet.port(1))
+            await caller.run('READ frame')
+            fleet.keys['depot'] = []
+            fleet.configure()
+            fleet.store.faults.is_busy = True
+            await asyncio.sleep(1)
+            with self.assertRaises(platform_fleet.AnswerError) as refused:
+                await caller.run('READ frame')
+            self.assertEqual(refused.exception.code, 'NOAUTH')
--- /dev/null
+++ b/tests/settings/test_following.py
@@ -0,0 +1,78 @@
+import asyncio
+import unittest
+
+import orjson
+
+from egretstep import clock, identifiers
+from egretstep.platform import operator_settings
+from egretstep.settings import following
+from egretstep.storage import tables, watching
+from tests import platform_fakes
+
+
+def _content(version: int) -> bytes:
+    return orjson.dumps({
+        'version': version,
+        'routes': [],
+        'services': [],
+        'tenants': [],
+    })
+
+
+class FollowingTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.offered = b''
+        self.watch = watching.TableWatch(
+            store=platform_fakes.FakeTables(),
+            table='op',
+            time_source=clock.ManualClock(),
+        )
+        self.follower = following.ConfigurationFollower(
+            watch=self.watch,
+            stored_as=operator_settings.FORMAT,
+            ask_host=self._ask,
+            other_hosts=lambda: [identifiers.HostName('b')],
+        )
+
+    def test_a_version_never_goes_back(self) -> None:
+        for version, expected in ((3, 3), (7, 7), (5, 7), (8, 8)):
+            self._publish(_content(version))
+            self.assertEqual(self.follower.version, expected)
+
+    def test_an_unreadable_version_changes_nothing(self) -> None:
+        self._publish(_content(3))
+        for odd in (b'', b'{', b'[]', b'{"version": 9}', b'\xff'):
+            self._publish(odd)
+            self.assertEqual(self.follower.version, 3)
+
+    def test_zones_that_are_out_survive_a_new_version(self) -> None:
+        rows = self._rows(_content(3))
+        rows['evacuate/north'] = tables.Row(
+            key='evacuate/north',
+            content=b'{}',
+            version=2,
+        )
+        self.watch.changes.on_next(rows)
+        self.assertEqual(self.follower.current.zones_out, {'north'})
+        self.assertEqual(self.follower.version, 3)
+        self._publish(_content(4))
+        self.assertEqual(self.follower.current.zones_out, frozenset())
+
+    async def test_while_the_store_is_away_other_hosts_are_asked(self) -> None:
+        self._publish(_content(3))
+        self.offered = _content(4)
+        self.watch._failing_since = 1.0
+        running = asyncio.ensure_future(self.follower.run())
+        await asyncio.sleep(following.ASK_SECONDS * 1.5)
+        running.cancel()
+        self.assertEqual(self.follower.version, 4)
+
+    def _publish(self, content: bytes) -> None:
+        self.watch.changes.on_next(self._rows(content))
+
+    def _rows(self, content: bytes) -> dict[str, tables.Row]:
+        row = tables.Row(key='config', content=content, version=1)
+        return {'config': row}
+
+    async def _ask(self, _host: identifiers.HostName, _known: int) -> bytes:
+        return self.offered
