No promotion without the lease at the moment of the order

What the code allows: an owner asks servers and the store for seconds before it orders a promotion, and did not look at its lease again; the next owner may serve the old primary by then. Change: the lease is looked at right before the order. The test fails without it.

--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -279,6 +279,7 @@
                 epoch=self.epoch,
                 known=self._acknowledged if is_planned else None,
                 record=self._record,
+                is_owner=lambda: self.is_held,
             )
         except errors.PlatformError as error:
             _logger.warning('service {}: {}', self._service, error)
--- a/src/egretstep/replication/succession.py
+++ b/src/egretstep/replication/succession.py
@@ -159,11 +159,13 @@
         epoch: int,
         known: identifiers.LogPosition | None,
         record: Record,
+        is_owner: typing.Callable[[], bool],
     ) -> Candidate | None:
         """Promote the server that has received most.
 
         `known` is a position that the next primary must have, where the
         former one still runs. `record` is told the choice before the order.
+        `is_owner` is asked right before it, since the questions take time.
         Returns none when nobody can be promoted.
         """
         found = await self._survey(service, former)
@@ -181,6 +183,9 @@
             epoch,
         )
         await record(chosen.server.server)
+        if not is_owner():
+            _logger.warning('service {}: the lease ended, no order', service)
+            return None
         await self._promotions.promote(
             service=service,
             server=chosen.server.server,
--- a/tests/replication/test_succession.py
+++ b/tests/replication/test_succession.py
@@ -62,6 +62,7 @@
         opener = platform_fakes.FakeOpener(self.first, self.second, self.third)
         self.promotions = _Promotions(opener.servers)
         self.recorded: list[str] = []
+        self.is_owner = True
         self.succession = succession.Succession(
             servers=_Servers(self.first, self.second, self.third),
             opener=opener,
@@ -86,6 +87,12 @@
         self.assertEqual(self.recorded, ['third'])
         self.assertEqual(found and found.server.server, 'third')
 
+    async def test_without_the_lease_no_order_goes_out(self) -> None:
+        """A host was cut off while it asked the servers; another took over."""
+        self.is_owner = False
+        self.assertIsNone(await self._replace())
+        self.assertEqual(self.promotions.orders, [])
+
     async def test_leading_an_old_term_is_no_promotion(self) -> None:
         """Back and forth: the next server still leads its former term."""
         self.second.role = connection.Role.PRIMARY
@@ -132,6 +139,7 @@
             epoch=4,
             known=None,
             record=self._record,
+            is_owner=lambda: self.is_owner,
         )
 
     async def _find(self, recorded: str) -> succession.Candidate | None:
