--- a/src/egretstep/observability/metrics_page.py
+++ b/src/egretstep/observability/metrics_page.py
@@ -1,6 +1,7 @@
 """The metrics of this process as a page for scrapers."""
 
-from aioprometheus import REGISTRY, renderer
+import aioprometheus
+from aioprometheus import renderer
 
 from egretstep.observability import metrics
 from egretstep.settings import node
@@ -12,7 +13,7 @@
 def page() -> endpoint.Page:
     """Return all counters and histograms as they are now."""
     metrics.publish_all()
-    body, headers = renderer.render(REGISTRY, ())
+    body, headers = renderer.render(aioprometheus.REGISTRY, ())
     return endpoint.Page(
         status=endpoint.OK,
         body=body,
