Callers: what has run is not refused as if it had not; connections are not lost

Cause: an entry checks the key again after the owner's answer. When the settings had grown too old meanwhile (45008) or the key was withdrawn (45001), a write that was stored was told as a refusal, which means 'not run'. Ruled out: error 2006 of the client library (it is raised before a write to the transport; in a keyed write everything before COMMIT is rolled back).

Cause 2: a connection of a server was forgotten but still counted when its user was given up on while a term was bound or a transaction rolled back; who waited for a place was not told when one broke; a read's wait for a connection of a replica had no bound.

Change: unknown instead of a refusal where an effect is possible; a place is freed on every way out; waits are bounded.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,12 +1,14 @@
 """Runs each scenario against processes of its own."""
 
 import asyncio
+import sys
 import threading
 import typing
 
 from features import world
 
 SCENARIO_SECONDS = 90
+PRINTED_LINES = 25
 
 
 def before_all(context: typing.Any) -> None:
@@ -26,6 +28,10 @@
     context.run = run
 
 
-def after_scenario(context: typing.Any, _scenario: typing.Any) -> None:
-    """End every process of the scenario."""
+def after_scenario(context: typing.Any, scenario: typing.Any) -> None:
+    """End every process; after a failure, print what they have logged."""
+    deployment = context.world.fleet
+    if deployment and scenario.status.has_failed():
+        sys.stdout.write(f'{deployment.last_lines(PRINTED_LINES)}\n')
+        sys.stdout.write(f'{context.world.slow_statements()}\n')
     context.run(context.world.close())
--- a/features/world.py
+++ b/features/world.py
@@ -84,6 +84,13 @@
         self.load.leave_hosts(without)
         await self.load.check()
 
+    def slow_statements(self) -> str:
+        """Return what the slowest statement of each group was."""
+        groups = self.load.groups if self.load else {}
+        return '\n'.join(
+            f'{name}: {group.slowest_text}' for name, group in groups.items()
+        )
+
     async def find(self, database: str) -> tuple[str, str]:
         """Return the host that owns a database and its primary."""
         deadline = time.monotonic() + 10
--- a/src/egretstep/bench/load.py
+++ b/src/egretstep/bench/load.py
@@ -40,6 +40,7 @@
     ledger: checks.Ledger
     randomness: random.Random
     connection: asyncmy.Connection | None = None
+    sent: list[str] = dataclasses.field(default_factory=list)
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
 
@@ -148,6 +149,8 @@
 
     async def _step(self, session: Session, due: float) -> None:
         async with session.lock:
+            waited = self._clock.now() - due
+            session.sent = [f'{waited:.3f} s behind others']
             try:
                 async with asyncio.timeout(STATEMENT_TIMEOUT_SECONDS):
                     await self._act(session)
@@ -155,12 +158,17 @@
                 session.measures.failure(
                     _kind(error),
                     seconds=self._clock.now() - due,
+                    sent=', '.join(session.sent),
                 )
                 if _ends_connection(error):
                     self._disconnect(session)
             else:
                 now = self._clock.now()
-                session.measures.success(now=now, seconds=now - due)
+                session.measures.success(
+                    now=now,
+                    seconds=now - due,
+                    sent=', '.join(session.sent),
+                )
 
     async def _act(self, session: Session) -> None:
         group = session.group
@@ -236,9 +244,14 @@
 
     async def _send(self, session: Session, sql: str) -> typing.Any:
         connection = session.connection or await self._connect(session)
-        async with connection.cursor() as cursor:
-            await cursor.execute(sql)
-            return await cursor.fetchall()
+        started = self._clock.now()
+        try:
+            async with connection.cursor() as cursor:
+                await cursor.execute(sql)
+                return await cursor.fetchall()
+        finally:
+            took = self._clock.now() - started
+            session.sent.append(f'{sql.split(maxsplit=1)[0]} {took:.3f} s')
 
     async def _connect(self, session: Session) -> asyncmy.Connection:
         target = session.randomness.choice(self._addresses)
--- a/src/egretstep/bench/measures.py
+++ b/src/egretstep/bench/measures.py
@@ -54,24 +54,30 @@
     )
     successes: list[float] = dataclasses.field(default_factory=list)
     slowest: float = 0
+    slowest_text: str = ''
 
-    def success(self, *, now: float, seconds: float) -> None:
+    def success(self, *, now: float, seconds: float, sent: str = '') -> None:
         """Note a statement that was answered."""
         self.outcomes['done'] += 1
         self.latencies.record(seconds)
         self.successes.append(now)
-        self.slowest = max(self.slowest, seconds)
+        self._note_slowest(seconds, f'done in {seconds:.3f} s: {sent}')
 
-    def failure(self, kind: str, *, seconds: float) -> None:
+    def failure(self, kind: str, *, seconds: float, sent: str = '') -> None:
         """Note a statement that ended in an error."""
         self.outcomes[kind] += 1
-        self.slowest = max(self.slowest, seconds)
+        self._note_slowest(seconds, f'{kind} after {seconds:.3f} s: {sent}')
 
     def longest_gap(self) -> float:
         """Return the longest time without a success, in seconds."""
         pairs = zip(self.successes, self.successes[1:], strict=False)
         return max((later - earlier for earlier, later in pairs), default=0.0)
 
+    def _note_slowest(self, seconds: float, text: str) -> None:
+        if seconds > self.slowest:
+            self.slowest = seconds
+            self.slowest_text = text
+
 
 def summary(measures: GroupMeasures) -> dict[str, typing.Any]:
     """Return the figures of a group for a report."""
--- a/src/egretstep/callers/session.py
+++ b/src/egretstep/callers/session.py
@@ -3,34 +3,28 @@
 import asyncio
 import dataclasses
 import itertools
-import re
 import typing
 
-from mysql_mimic import charset, types, variables
 from mysql_mimic import session as mimic_session
+from mysql_mimic import variables
 from returns import result
 
 from egretstep import clock, errors, identifiers
-from egretstep.callers import hints, keys, refusals
-from egretstep.membership import ranking, view
+from egretstep.callers import hints, keys, local_answers, placement, refusals
+from egretstep.membership import view
 from egretstep.observability import traces
 from egretstep.peers import messages
+from egretstep.pooling import outcomes
 from egretstep.routing import relay, statements
 from egretstep.settings import freshness
 
 FRESH_WAIT_SECONDS = 0.3
 FRESH_POLL_SECONDS = 0.01
-_AUTOCOMMIT = re.compile(
-    r'^\s*SET\s+(?:SESSION\s+|@@(?:SESSION\.)?)?AUTOCOMMIT\s*=\s*'
-    r'(0|1|ON|OFF|TRUE|FALSE)\s*;?\s*$',
-    re.IGNORECASE,
-)
-_NAMES = re.compile(
-    r"^\s*SET\s+NAMES\s+'?utf8(?:mb4|mb3)?'?(?:\s+COLLATE\s+'?\w+'?)?\s*;?\s*$",
-    re.IGNORECASE,
-)
-_USE = re.compile(r'^\s*USE\s+`?([\w.-]+)`?\s*;?\s*$', re.IGNORECASE)
-_OPEN_ACCESS_KINDS = frozenset((identifiers.StatementKind.READ,))
+_WITHOUT_EFFECT = frozenset((
+    identifiers.StatementKind.READ,
+    identifiers.StatementKind.BEGIN,
+    identifiers.StatementKind.ROLLBACK,
+))
 _request_ids = itertools.count(1)
 _pin_ids = itertools.count(1)
 
@@ -56,6 +50,7 @@
         '_floor',
         '_hints',
         '_insert_id',
+        '_may_have_run',
         '_pin_id',
         '_pinned_database',
         '_pinned_host',
@@ -80,6 +75,7 @@
         self._hints = hints.Hints()
         self._autocommit = True
         self._insert_id = 0
+        self._may_have_run = False
         self._floor = identifiers.LOG_START
         self._pin_id = identifiers.PinId(next(_pin_ids))
         self._pinned_host: identifiers.HostName | None = None
@@ -124,6 +120,7 @@
 
     async def answer(self, sql: bytes) -> messages.Answer:
         """Run one statement; raises `errors.RefusedError`."""
+        self._may_have_run = False
         text = sql.decode('utf-8', errors='surrogateescape')
         await self._wait_fresh()
         grant = self._check_grant()
@@ -134,12 +131,19 @@
         if isinstance(classified, result.Failure):
             raise errors.RefusedError(refusal=classified.failure())
         kind = classified.unwrap()
+        self._may_have_run = kind not in _WITHOUT_EFFECT
         with self._shared.tracer.span('entry') as traceparent:
             answer = await self._deliver(sql, kind, grant, traceparent)
-        self._check_grant()
         self._remember(answer)
+        self._check_answer()
         return answer
 
+    def ending_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
+        """Return what the caller of a statement that is cut off is told."""
+        if self._may_have_run:
+            return outcomes.unknown(refusal.message)
+        return refusal
+
     def check_still_allowed(self) -> errors.Refusal | None:
         """Return why the session must end, after a change of settings."""
         current = self._shared.current_view()
@@ -150,6 +154,18 @@
             return None
         return refusals.key_withdrawn(grant)
 
+    def _check_answer(self) -> None:
+        """Keep rows from a caller whose key may have ended meanwhile.
+
+        What has taken effect is not refused as if it had not run.
+        """
+        try:
+            self._check_grant()
+        except errors.RefusedError as error:
+            raise errors.RefusedError(
+                refusal=self.ending_refusal(error.refusal),
+            ) from error
+
     def _check_grant(self) -> keys.Grant:
         current = self._shared.current_view()
         if self.username is None:
@@ -178,28 +194,24 @@
         )
 
     def _answer_locally(self, text: str) -> messages.Answer | None:
-        used = _USE.match(text)
+        used = local_answers.used_database(text)
         if used:
-            self.database = used.group(1)
-            return _done()
-        if _NAMES.match(text):
-            return _done()
-        autocommit = _AUTOCOMMIT.match(text)
-        if autocommit and not self.is_pinned:
-            self._autocommit = autocommit.group(1).upper() in {
-                '1',
-                'ON',
-                'TRUE',
-            }
-            return _done()
+            self.database = used
+            return local_answers.done()
+        if local_answers.sets_names(text):
+            return local_answers.done()
+        autocommit = local_answers.wanted_autocommit(text)
+        if autocommit is not None and not self.is_pinned:
+            self._autocommit = autocommit
+            return local_answers.done()
         if hints.mentions_hint(text):
             changed = hints.apply_statement(self._hints, text)
             if isinstance(changed, result.Failure):
                 raise errors.RefusedError(refusal=changed.failure())
             self._hints = changed.unwrap()
-            return _done()
+            return local_answers.done()
         if statements.is_last_insert_id(text):
-            return _insert_id_answer(self._insert_id)
+            return local_answers.last_insert_id(self._insert_id)
         return None
 
     async def _deliver(
@@ -210,13 +222,13 @@
         traceparent: str,
     ) -> messages.Answer:
         database = self._find_database(grant)
-        self._check_place(grant)
+        self._check_place()
         ends_nothing = kind in {
             identifiers.StatementKind.COMMIT,
             identifiers.StatementKind.ROLLBACK,
         }
         if not self.is_pinned and ends_nothing:
-            return _done()
+            return local_answers.done()
         begins = kind is identifiers.StatementKind.BEGIN
         if not self._autocommit and not self.is_pinned and not begins:
             opened = await self._send(
@@ -298,30 +310,19 @@
         if self.is_pinned:
             return identifiers.DatabaseName(self._pinned_database)
         current = typing.cast(view.FleetView, self._shared.current_view())
-        fleet = current.tree.fleet
-        own = fleet.workspaces.get(grant.workspace)
-        allowed = own.databases if own else []
-        name = self.database
-        if not name and len(allowed) == 1:
-            name = allowed[0]
-        if not name:
-            raise errors.RefusedError(refusal=refusals.no_database(allowed))
-        route = fleet.routes.get(name)
-        target = route.database if route else name
-        if target in allowed or (route and route.open):
-            return identifiers.DatabaseName(target)
-        raise errors.RefusedError(refusal=refusals.database_denied(name, grant))
-
-    def _check_place(self, grant: keys.Grant) -> None:
+        return placement.choose_database(
+            name=self.database or '',
+            grant=grant,
+            fleet=current.tree.fleet,
+        )
+
+    def _check_place(self) -> None:
         if self.is_pinned:
             return
-        current = typing.cast(view.FleetView, self._shared.current_view())
         if self._shared.is_stopping():
             raise errors.RefusedError(refusal=refusals.stopping())
-        if not ranking.is_zone_in(self._shared.zone, current.tree.fleet):
-            raise errors.RefusedError(
-                refusal=refusals.zone_out(self._shared.zone)
-            )
+        current = typing.cast(view.FleetView, self._shared.current_view())
+        placement.check_zone(self._shared.zone, current.tree.fleet)
 
     def _follow_pin(
         self,
@@ -350,24 +351,3 @@
                 self._hints,
                 request_key=identifiers.RequestKey(''),
             )
-
-
-def _done() -> messages.Answer:
-    return messages.Answer(
-        request_id=identifiers.RequestId(0),
-        outcome=identifiers.Outcome.DONE,
-    )
-
-
-def _insert_id_answer(insert_id: int) -> messages.Answer:
-    column = messages.Column(
-        name='LAST_INSERT_ID()',
-        type_code=types.ColumnType.LONGLONG,
-        character_set=charset.Collation.binary,
-    )
-    return messages.Answer(
-        request_id=identifiers.RequestId(0),
-        outcome=identifiers.Outcome.DONE,
-        columns=(column,),
-        rows=[(str(insert_id).encode(),)],
-    )
--- a/src/egretstep/pooling/connections.py
+++ b/src/egretstep/pooling/connections.py
@@ -37,7 +37,9 @@
             collections.deque()
         )
         self._open = 0
-        self._freed = asyncio.Condition()
+        self._waiting: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
 
     @property
     def server(self) -> identifiers.ServerName:
@@ -66,7 +68,7 @@
         """
         while True:
             connection = await self._take()
-            if await self._bind(connection, term):
+            if await self._bind_or_drop(connection, term):
                 return connection
 
     async def release(
@@ -77,40 +79,37 @@
 
         An open transaction is rolled back before the next user gets it.
         """
-        if connection.is_usable and connection.in_transaction:
-            await _run_or_close(connection, 'ROLLBACK')
+        try:
+            if connection.is_usable and connection.in_transaction:
+                await _run_or_close(connection, 'ROLLBACK')
+        except BaseException:
+            self._drop(connection)
+            raise
         if connection.is_usable:
             self._idle.append(connection)
+            self._wake_next()
         else:
-            connection.close()
-            self._open -= 1
-        async with self._freed:
-            self._freed.notify()
+            self._drop(connection)
 
     async def warm(self, count: int, term: identifiers.Term) -> None:
         """Open connections ahead of demand; failures are left for later."""
         while self._open < min(count, self._limit):
-            self._open += 1
             try:
-                connection = await database.ServerConnection.open(
-                    endpoint=self._endpoint,
-                    server=self._server,
-                )
+                connection = await self._connect()
             except errors.DatabaseServerError:
-                self._open -= 1
                 return
             self._idle.append(connection)
-        for connection in list(self._idle):
+        for connection in tuple(self._idle):
             if connection.term != term and connection in self._idle:
                 self._idle.remove(connection)
-                if await self._bind(connection, term):
+                if await self._bind_or_drop(connection, term):
                     self._idle.append(connection)
+                    self._wake_next()
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            self._idle.pop().close()
-            self._open -= 1
+            self._drop(self._idle.pop())
 
     async def _take(self) -> database.ServerConnection:
         while True:
@@ -118,11 +117,32 @@
                 return self._idle.pop()
             if self._open < self._limit:
                 return await self._connect()
-            async with self._freed:
-                await self._freed.wait_for(self._may_take)
+            await self._wait_turn()
+
+    async def _wait_turn(self) -> None:
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if not turn.cancelled():
+                self._wake_next()
+            raise
+
+    def _wake_next(self) -> None:
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
 
-    def _may_take(self) -> bool:
-        return bool(self._idle) or self._open < self._limit
+    def _drop(self, connection: database.ServerConnection) -> None:
+        connection.close()
+        self._free_place()
+
+    def _free_place(self) -> None:
+        self._open -= 1
+        self._wake_next()
 
     async def _connect(self) -> database.ServerConnection:
         self._open += 1
@@ -132,8 +152,22 @@
                 server=self._server,
             )
         except BaseException:
-            self._open -= 1
+            self._free_place()
+            raise
+
+    async def _bind_or_drop(
+        self,
+        connection: database.ServerConnection,
+        term: identifiers.Term,
+    ) -> bool:
+        try:
+            is_bound = await self._bind(connection, term)
+        except BaseException:
+            self._drop(connection)
             raise
+        if not is_bound:
+            self._drop(connection)
+        return is_bound
 
     async def _bind(
         self,
@@ -147,7 +181,6 @@
             f"CALL group_session({term}, '{self._owner}')",
         )
         if not connection.is_usable:
-            self._open -= 1
             return False
         connection.term = term
         return True
--- a/src/egretstep/pooling/reading.py
+++ b/src/egretstep/pooling/reading.py
@@ -63,8 +63,9 @@
             (job.deadline - self._clock.now()) / 2,
         )
         try:
-            connection = await source.acquire(tenure.term)
-        except errors.DatabaseServerError:
+            async with asyncio.timeout(wait_seconds):
+                connection = await source.acquire(tenure.term)
+        except (TimeoutError, errors.DatabaseServerError):
             return False
         try:
             async with asyncio.timeout(2 * wait_seconds):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -227,6 +227,15 @@
         """Return the names of all processes."""
         return list(self._processes)
 
+    def last_lines(self, count: int) -> str:
+        """Return the last lines that each quiet process has written."""
+        paths = sorted(pathlib.Path(self._directory.name).glob('*.log'))
+        return '\n'.join(
+            f'{path.stem}: {line}'
+            for path in paths
+            for line in path.read_text().splitlines()[-count:]
+        )
+
     def stop(self) -> None:
         """End every process and remove the files."""
         # Hosts end before what they work on, as in a planned stop.
@@ -307,7 +316,7 @@
         )
 
     def _spawn(self, name: str, arguments: list[str]) -> None:
-        output = subprocess.DEVNULL if self._quiet else None
+        output = self._log_path(name).open('ab') if self._quiet else None
         environment = {
             **os.environ,
             'PYTHONPATH': f'{ROOT / "src"}{os.pathsep}{ROOT}',
@@ -319,6 +328,12 @@
             stdout=output,
             stderr=output,
         )
+        if output:
+            output.close()
+
+    def _log_path(self, name: str) -> pathlib.Path:
+        file_name = name.replace('/', '-')
+        return pathlib.Path(self._directory.name) / f'{file_name}.log'
 
     def _control_ports(self) -> list[int]:
         ports = [
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -18,6 +18,7 @@
 from standins import line_server, platform_store
 
 ZONES = ('north', 'middle', 'south')
+PRINTED_LINES = 60
 READY_SECONDS = 15.0
 DATABASE = 'loans'
 BOUNDED_DATABASE = 'stock'
@@ -132,20 +133,19 @@
 
     async def __aenter__(self) -> 'PlatformFleet':
         """Start everything and wait until the hosts serve."""
-        for group in self.groups:
-            await group.start()
-        await self.store.start()
-        self.store.register_all()
-        self.configure()
-        for index in range(self._hosts):
-            await self.start_host(index)
-        await self.wait_serving()
+        try:
+            await self._start()
+        except BaseException as error:
+            await self.__aexit__(error)
+            raise
         return self
 
-    async def __aexit__(self, *_error: object) -> None:
-        """Stop everything."""
+    async def __aexit__(self, *error: object) -> None:
+        """Stop everything; after an error, print what the hosts logged."""
         for index in list(self._processes):
             await self.stop_host(index, signal.SIGKILL)
+        if any(error):
+            self._print_logs()
         await self.store.stop()
         for group in self.groups:
             await group.stop()
@@ -207,6 +207,22 @@
                 while not await self._serves(index):
                     await asyncio.sleep(0.1)
 
+    async def _start(self) -> None:
+        for group in self.groups:
+            await group.start()
+        await self.store.start()
+        self.store.register_all()
+        self.configure()
+        for index in range(self._hosts):
+            await self.start_host(index)
+        await self.wait_serving()
+
+    def _print_logs(self) -> None:
+        for path in sorted(pathlib.Path(self._folder.name).glob('*.log')):
+            lines = path.read_text().splitlines()[-PRINTED_LINES:]
+            text = '\n'.join(lines)
+            sys.stderr.write(f'last lines of {path.name}:\n{text}\n')
+
     async def _serves(self, index: int) -> bool:
         try:
             caller = await Caller.connect(self.port(index))
