A pause of the owner itself gives up no statement

Cause: the watchdog gave up on all statements of servers that had not answered for 0.5 s, also when this process had stood still itself; writes then ended as 'outcome unknown'. The owner's loop had a guard for that, the watchdog none. Change: the guard is one class (replication/pauses), used by both. Ruled out: the gate (it closes only when no write runs) and the fence of the new term (it ends sessions of other owners only). Test: tests/pooling/test_watchdog; it fails without the guard.

--- a/src/egretstep/pooling/owned.py
+++ b/src/egretstep/pooling/owned.py
@@ -16,6 +16,7 @@
     pins,
     reading,
     servers,
+    watchdog,
 )
 from egretstep.replication import group, owner
 from egretstep.settings import schema
@@ -23,7 +24,7 @@
 
 DRAIN_SECONDS = 8.0
 CLAIM_SECONDS = 2.0
-WATCHDOG_SECONDS = 0.05
+POLL_SECONDS = 0.05
 _logger = logbook.Logger('owned')
 
 
@@ -86,12 +87,17 @@
             write_gate=self._executor.gate,
             time_source=time_source,
         )
+        watching = watchdog.Watchdog(
+            servers=self._group.monitors,
+            abort=self._executor.abort,
+            time_source=time_source,
+        )
         self._supervisor = supervisor.Supervisor(
             name=f'database-{database}',
             children=[
                 *self._group.children(),
                 supervisor.Child(name='owner', run=self._owner.run),
-                supervisor.Child(name='watchdog', run=self._abort_down),
+                supervisor.Child(name='watchdog', run=watching.run),
             ],
         )
         self._warming: asyncio.Task[None] | None = None
@@ -159,7 +165,7 @@
         """Wait for a claim under way, so that a whole term is released."""
         deadline = self._clock.now() + CLAIM_SECONDS
         while self._group.is_claiming and self._clock.now() < deadline:
-            await asyncio.sleep(WATCHDOG_SECONDS)
+            await asyncio.sleep(POLL_SECONDS)
         return self._group.tenure
 
     def is_pinned(self, pin_key: pins.PinKey) -> bool:
@@ -200,14 +206,6 @@
         except database_module.ServerRefusalError as error:
             return _relay_error(request, error, self._executor, pin_key)
 
-    async def _abort_down(self) -> None:
-        """Give up at once on what runs on servers that are down."""
-        while True:
-            for watched in self._group.monitors:
-                if not watched.is_up:
-                    self._executor.abort(watched.name)
-            await asyncio.sleep(WATCHDOG_SECONDS)
-
     def _settings(self) -> schema.Database:
         return self._view().tree.fleet.databases[self._database]
 
--- a/src/egretstep/replication/owner.py
+++ b/src/egretstep/replication/owner.py
@@ -13,15 +13,13 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.observability import metrics
-from egretstep.replication import group, lease
+from egretstep.replication import group, lease, pauses
 
 CLAIM_PAUSE_SECONDS = 0.1
 CLAIM_JITTER = (0.5, 1.5)
 FIRST_LOSS_SECONDS = 0.1
 MOST_LOSS_SECONDS = 3.0
 POLL_SECONDS = 0.05
-PAUSE_SECONDS = 0.3
-REFRESH_SECONDS = 0.3
 HANDOVER_WAIT_SECONDS = 9.0
 HANDOVER_POLL_SECONDS = 0.01
 MOVE_PAUSE_SECONDS = 5.0
@@ -169,22 +167,18 @@
 
     async def _serve(self) -> None:
         """Return when another term is needed."""
-        checked_at = self._clock.now()
+        watch = pauses.PauseWatch(time_source=self._clock)
         while not self._group.lost.is_set():
-            paused = self._clock.now() - checked_at > PAUSE_SECONDS
-            if paused:
-                # All servers look silent to a process that was stopped
-                # itself; it must hear from them before it judges.
-                await asyncio.sleep(REFRESH_SECONDS)
-            checked_at = self._clock.now()
-            if paused:
+            if watch.was_paused():
+                await asyncio.sleep(pauses.REFRESH_SECONDS)
+                watch.restart()
                 continue
             if not self._group.is_primary_up():
                 _logger.warning('{}: primary lost', self._group.database)
                 return
             if self._should_move() and await self._prepare_move():
                 return
-            checked_at = self._clock.now()
+            watch.restart()
             await asyncio.sleep(POLL_SECONDS)
 
     def _should_move(self) -> bool:
