Stand-in deployment: the first settings are applied when all hosts know each other

Cause: a record names as witnesses the hosts that its host knows at that moment. Change: wait until every agent knows all hosts; a change with fewer than three witnesses is logged as a warning with what to do. Processes of the stand-in deployment move to standins/processes.

--- a/src/egretstep/settings/changes.py
+++ b/src/egretstep/settings/changes.py
@@ -9,6 +9,7 @@
 import asyncio
 import uuid
 
+import logbook
 from returns import result
 
 from egretstep import errors, identifiers
@@ -18,8 +19,11 @@
 from egretstep.storage import interfaces
 
 WITNESS_COUNT = 7
+# The least number of which one may be lost.
+SAFE_WITNESS_COUNT = 3
 READ_BACK_TRIES = 5
 READ_BACK_PAUSE_SECONDS = 0.3
+_logger = logbook.Logger('settings')
 
 
 class SettingsChanger:
@@ -72,6 +76,14 @@
             text=text,
             document=fleet.model_dump_json(exclude_defaults=True),
         )
+        if len(record.witnesses) < SAFE_WITNESS_COUNT:
+            _logger.warning(
+                'version {} has only the witnesses {}; while the store is '
+                'down, the loss of one leaves no majority; apply again when '
+                'all hosts are up',
+                record.version,
+                record.witnesses,
+            )
         await self._swap(record)
         await self._reach_witnesses(record)
         return record
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,13 +7,8 @@
 import asyncio
 import contextlib
 import dataclasses
-import os
 import pathlib
-import signal
 import socket
-import subprocess
-import sys
-import tempfile
 import time
 import typing
 
@@ -21,9 +16,10 @@
 
 from egretstep.operators import client
 from egretstep.settings import freshness, schema
+from standins import processes
 
 START_SECONDS = 30.0
-STOP_SECONDS = 12.0
+POLL_SECONDS = 0.05
 PROGRAMS = ('agent', 'pool', 'entry')
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -38,7 +34,7 @@
     apply_lag: float = 0
 
 
-class Fleet:
+class Fleet(processes.ProcessTable):
     """A running deployment; processes are ended by their own ids."""
 
     def __init__(
@@ -50,12 +46,10 @@
         quiet: bool = True,
         database_options: typing.Sequence[str] = (),
     ) -> None:
+        super().__init__(quiet=quiet)
         self._folder = ROOT / 'examples' / example
         self._offset = port_offset
-        self._quiet = quiet
         self._database_options = tuple(database_options)
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._directory = tempfile.TemporaryDirectory(prefix='egretstep-')
         self.delays = Delays(**self._read('standins.yaml'))
         self.document = self._read('fleet.yaml')
         self._move_ports()
@@ -87,6 +81,8 @@
         for host in self.hosts:
             self.start_host(host)
         await self._wait_ports(self._control_ports())
+        # The first record names as witnesses the hosts that are known then.
+        await self._wait_acquainted()
         await self.apply(expected=0)
         await self.wait_serving()
         await self._wait_ports(
@@ -114,9 +110,19 @@
         while time.monotonic() < deadline:
             if await self.serving() >= wanted and await self.all_fresh():
                 return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(POLL_SECONDS)
         raise TimeoutError(f'not all of {wanted} are served')
 
+    async def _wait_acquainted(self) -> None:
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            statuses = await self.statuses()
+            known = [len(status['hosts']) for status in statuses]
+            if len(known) == len(self.hosts) == min(known):
+                return
+            await asyncio.sleep(POLL_SECONDS)
+        raise TimeoutError(f'the hosts know {known} of {len(self.hosts)}')
+
     async def all_fresh(self) -> bool:
         """Tell whether every running host can vouch for its settings."""
         limit = freshness.FRESHNESS_LIMIT_SECONDS / 2
@@ -176,92 +182,15 @@
 
     def start_program(self, host: str, program: str) -> None:
         """Start one program of a host."""
-        path = pathlib.Path(self._directory.name) / f'{host}.yaml'
+        path = self.folder / f'{host}.yaml'
         path.write_text(
             yaml.safe_dump(self.hosts[host].model_dump(mode='json')),
         )
-        self._spawn(
+        self.spawn(
             f'{host}/{program}',
             [f'egretstep.programs.{program}', str(path)],
         )
 
-    def send_signal(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to one process, by its name."""
-        process = self._processes[name]
-        if process.poll() is None:
-            process.send_signal(number)
-
-    def kill(self, name: str) -> None:
-        """Kill one process, by its name."""
-        self.send_signal(name, signal.SIGKILL)
-        self._processes.pop(name).wait()
-
-    def terminate(self, name: str) -> None:
-        """Stop one process on plan, and wait for its end."""
-        self.send_signal(name, signal.SIGTERM)
-        self._processes.pop(name).wait(STOP_SECONDS)
-
-    def kill_host(self, host: str) -> None:
-        """Kill all programs of a host at once."""
-        names = [
-            name for name in self._processes if name.startswith(f'{host}/')
-        ]
-        for name in names:
-            self.send_signal(name, signal.SIGKILL)
-        for name in names:
-            self._processes.pop(name).wait()
-
-    def freeze(self, name: str) -> None:
-        """Stop a process without ending it."""
-        self.send_signal(name, signal.SIGSTOP)
-
-    def thaw(self, name: str) -> None:
-        """Let a frozen process go on."""
-        self.send_signal(name, signal.SIGCONT)
-
-    def process_id(self, name: str) -> int:
-        """Return the id of a process."""
-        return self._processes[name].pid
-
-    def names(self) -> list[str]:
-        """Return the names of all processes."""
-        return list(self._processes)
-
-    def last_lines(self, count: int) -> str:
-        """Return the last lines that each quiet process has written."""
-        paths = sorted(pathlib.Path(self._directory.name).glob('*.log'))
-        return '\n'.join(
-            f'{path.stem}: {line}'
-            for path in paths
-            for line in path.read_text().splitlines()[-count:]
-        )
-
-    def stop(self) -> None:
-        """End every process and remove the files."""
-        # Hosts end before what they work on, as in a planned stop.
-        names = sorted(self._processes, key=lambda name: '/' not in name)
-        for name in names:
-            self.thaw(name)
-            self.send_signal(name, signal.SIGTERM)
-        deadline = time.monotonic() + STOP_SECONDS
-        for process in self._processes.values():
-            with contextlib.suppress(subprocess.TimeoutExpired):
-                process.wait(max(0.1, deadline - time.monotonic()))
-            if process.poll() is None:
-                process.kill()
-                process.wait()
-        self._processes.clear()
-        self._directory.cleanup()
-
-    def kill_all(self) -> None:
-        """Kill every process at once, for tests that need no clean end."""
-        for process in self._processes.values():
-            process.kill()
-        for process in self._processes.values():
-            process.wait()
-        self._processes.clear()
-        self._directory.cleanup()
-
     def _read(self, name: str) -> dict[str, typing.Any]:
         return yaml.safe_load((self._folder / name).read_text())
 
@@ -291,7 +220,7 @@
 
     def _start_platform(self) -> None:
         port = self.delays.platform_port + self._offset
-        self._spawn('platform', ['standins.platform', '--port', str(port)])
+        self.spawn('platform', ['standins.platform', '--port', str(port)])
 
     def _start_server(
         self,
@@ -310,31 +239,11 @@
             '--group-size': len(database.servers),
         }
         arguments = [str(part) for pair in options.items() for part in pair]
-        self._spawn(
+        self.spawn(
             name,
             ['standins.database', *arguments, *self._database_options],
         )
 
-    def _spawn(self, name: str, arguments: list[str]) -> None:
-        output = self._log_path(name).open('ab') if self._quiet else None
-        environment = {
-            **os.environ,
-            'PYTHONPATH': f'{ROOT / "src"}{os.pathsep}{ROOT}',
-        }
-        self._processes[name] = subprocess.Popen(
-            [sys.executable, '-m', *arguments],
-            cwd=ROOT,
-            env=environment,
-            stdout=output,
-            stderr=output,
-        )
-        if output:
-            output.close()
-
-    def _log_path(self, name: str) -> pathlib.Path:
-        file_name = name.replace('/', '-')
-        return pathlib.Path(self._directory.name) / f'{file_name}.log'
-
     def _control_ports(self) -> list[int]:
         ports = [
             server.port
@@ -351,7 +260,7 @@
             while not _is_listening(port):
                 if time.monotonic() > deadline:
                     raise TimeoutError(f'nothing listens on port {port}')
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(POLL_SECONDS)
 
 
 def _is_listening(port: int) -> bool:
