--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -250,6 +250,7 @@
             for database in self.fleet.databases.values()
             for server in database.servers.values()
         ]
+        ports.append(self.delays.platform_port + self._offset)
         for host in self.hosts.values():
             ports.extend((host.agent_port, host.operator_port, host.pool_port))
         return ports
