Leases of 1.25 s, detection after 0.7 s, and no wait for lost hosts when claiming

Change: a majority's confirmation does not wait for hosts that do not answer; lease 2.0 to 1.25 s, renewed every 0.4 s (0.7), the store's answer awaited for 0.3 s (0.5) before the hosts are asked; a holder is found lost after 0.7 s of silence (1.0), looked at every 0.2 s (0.3), still judged by a majority.

--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -15,8 +15,8 @@
 from egretstep.membership import claims, directory, leases
 
 LOOK_SECONDS = 0.1
-WATCH_SECONDS = 0.3
-DETECTION_SECONDS = 1.0
+WATCH_SECONDS = 0.2
+DETECTION_SECONDS = 0.7
 RANK_DELAY_SECONDS = 1.0
 WATCHERS = 3
 RETRY_SECONDS = 0.5
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -5,7 +5,8 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.backends import answers
-from egretstep.membership import claims, directory
+from egretstep.membership import claims as claims_module
+from egretstep.membership import directory
 from egretstep.peers import fleet_messages, fleet_schema, links
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
@@ -13,6 +14,8 @@
 CONTROL_SECONDS = 0.4
 ANSWER_ALLOWANCE_SECONDS = 0.2
 SILENCE_SECONDS = 0.4
+# For answers that are under way when a majority has answered.
+GRACE_SECONDS = 0.05
 _LINK_ERRORS = (errors.LinkError, errors.LinkLostError)
 
 
@@ -32,6 +35,7 @@
             heartbeat=lambda host: host.heartbeat(),
             heartbeat_timeout=SILENCE_SECONDS,
         )
+        self._asking: set[asyncio.Future[typing.Any]] = set()
 
     async def call(
         self,
@@ -123,14 +127,33 @@
 
     async def confirm(
         self,
-        claims: typing.Sequence[claims.Claim],
-    ) -> list[typing.Sequence[claims.Claim]]:
-        """Return, for each host that answered, the later claims it knows."""
+        claims: typing.Sequence[claims_module.Claim],
+    ) -> list[typing.Sequence[claims_module.Claim]]:
+        """Return, for each host that answered, the later claims it knows.
+
+        All hosts are asked; a majority does not wait long for the others.
+        """
         fields = [fleet_messages.encode_claim(claim) for claim in claims]
-        replies = await asyncio.gather(
-            *(self._ask_confirm(each, fields) for each in self._others())
-        )
-        return [reply for reply in replies if reply is not None]
+        pending = {
+            asyncio.ensure_future(self._ask_confirm(each, fields))
+            for each in self._others()
+        }
+        self._asking |= pending
+        for asking in pending:
+            asking.add_done_callback(self._asking.discard)
+        replies: list[typing.Sequence[claims_module.Claim]] = []
+        while pending:
+            is_enough = len(replies) >= self.majority()
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=GRACE_SECONDS if is_enough else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            answered = [asking.result() for asking in done]
+            replies.extend(reply for reply in answered if reply is not None)
+        return replies
 
     def majority(self) -> int:
         """Return how many other hosts make a majority with this one."""
@@ -144,7 +167,7 @@
         self,
         host: identifiers.HostName,
         fields: list[dict[str, typing.Any]],
-    ) -> typing.Sequence[claims.Claim] | None:
+    ) -> typing.Sequence[claims_module.Claim] | None:
         try:
             reply = await self.call(
                 host,
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -18,9 +18,9 @@
 from egretstep.membership import claim_rows, claims, directory
 from egretstep.storage import tables
 
-LEASE_SECONDS = 2.0
-RENEWAL_SECONDS = 0.7
-STORE_ANSWER_SECONDS = 0.5
+LEASE_SECONDS = 1.25
+RENEWAL_SECONDS = 0.4
+STORE_ANSWER_SECONDS = 0.3
 _logger = logbook.Logger('leases')
 
 
--- /dev/null
+++ b/tests/membership/test_fleet_links.py
@@ -0,0 +1,64 @@
+"""Calls to the other hosts, of which some do not answer."""
+
+import asyncio
+import typing
+import unittest
+import unittest.mock
+
+from egretstep import clock, errors, identifiers
+from egretstep.membership import claims, fleet_links
+
+HOSTS = [identifiers.HostName(f'host-{number}') for number in range(5)]
+CLAIM = claims.Claim(
+    task=claims.TaskName('service-ledger'),
+    host=HOSTS[0],
+    boot=1,
+    epoch=2,
+)
+SILENT_SECONDS = 0.4
+
+
+def make_links(silent: typing.Collection[str]) -> fleet_links.FleetLinks:
+    hosts = unittest.mock.MagicMock()
+    hosts.own.host = HOSTS[0]
+    hosts.hosts = dict.fromkeys(HOSTS)
+    links = fleet_links.FleetLinks(
+        hosts=hosts,
+        time_source=clock.MonotonicClock(),
+    )
+
+    async def call(host: str, *_call: typing.Any, **_options: typing.Any):
+        if host in silent:
+            await asyncio.sleep(SILENT_SECONDS)
+            raise errors.LinkLostError('silent')
+        return unittest.mock.MagicMock(confirmed=True, newer=[], reached=False)
+
+    links.call = call  # type: ignore[method-assign]
+    return links
+
+
+class ConfirmTest(unittest.IsolatedAsyncioTestCase):
+    async def _time(self, silent: typing.Collection[str]) -> tuple[int, float]:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        replies = await make_links(silent).confirm([CLAIM])
+        return len(replies), loop.time() - started
+
+    async def test_a_majority_is_not_held_up_by_a_lost_host(self) -> None:
+        replies, seconds = await self._time(HOSTS[4:])
+        self.assertEqual(replies, 3)
+        self.assertLess(seconds, SILENT_SECONDS / 2)
+
+    async def test_all_who_answer_are_heard(self) -> None:
+        replies, _seconds = await self._time([])
+        self.assertEqual(replies, 4)
+
+    async def test_without_a_majority_all_are_waited_for(self) -> None:
+        replies, seconds = await self._time(HOSTS[2:])
+        self.assertEqual(replies, 1)
+        self.assertGreaterEqual(seconds, SILENT_SECONDS * 0.9)
+
+    async def test_a_lost_host_is_judged_by_a_majority(self) -> None:
+        links = make_links(HOSTS[4:])
+        self.assertTrue(await links.is_lost(HOSTS[1]))
+        self.assertFalse(await make_links(HOSTS[2:]).is_lost(HOSTS[1]))
