Tasks are spread over the hosts; a lost host is judged by the first majority

Change: membership/spread ranks the zone first, then the host with the fewest tasks, then the hash; tasks without a usable holder count for their first host. Both claims and planned hand-overs use it. The hash scores are cached. `is_lost` no longer waits for hosts that do not answer. Tests: tests/membership/test_spread (the tasks of a lost host, new tasks, zone before spread).

--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -6,13 +6,12 @@
 """
 
 import asyncio
-import dataclasses
 import typing
 
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.membership import claims, directory, leases
+from egretstep.membership import claims, directory, leases, spread
 
 LOOK_SECONDS = 0.1
 WATCH_SECONDS = 0.2
@@ -34,14 +33,6 @@
         """Tell whether a majority answers that most can't reach a host."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Task:
-    """A task that one host must do, best one of a zone."""
-
-    name: claims.TaskName
-    zone: identifiers.ZoneName
-
-
 class Claimant:
     """Watches the tasks of the fleet and starts those of this host.
 
@@ -55,7 +46,7 @@
         keeper: leases.LeaseKeeper,
         hosts: directory.Directory,
         prober: Prober,
-        wanted: typing.Callable[[], typing.Sequence[Task]],
+        wanted: typing.Callable[[], typing.Sequence[spread.Task]],
         start: typing.Callable[[claims.Claim], None],
         time_source: clock.Clock,
     ) -> None:
@@ -86,7 +77,7 @@
                     self._busy.add(task.name)
                     asyncio.ensure_future(self._look_at(task))
 
-    async def _look_at(self, task: Task) -> None:
+    async def _look_at(self, task: spread.Task) -> None:
         try:
             await self._consider(task)
         except Exception:
@@ -94,12 +85,14 @@
         finally:
             self._busy.discard(task.name)
 
-    async def _consider(self, task: Task) -> None:
+    async def _consider(self, task: spread.Task) -> None:
         claim = self._keeper.known.get(task.name)
         if claim is not None and claim.host == self._hosts.own.host:
             if not self._keeper.is_renewing(task.name):
                 await self._take(task, claim, 'this host held it or got it')
             return
+        if not self._is_watch_due(task):
+            return
         rank = self._rank(task, claim)
         if rank is None:
             return
@@ -107,14 +100,23 @@
             delay = SETTLE_SECONDS + rank * RANK_DELAY_SECONDS
             if self._clock.now() - self._started_at > delay:
                 await self._take(task, claim, 'nobody holds it')
-        elif self._is_watch_due(task) and await self._is_lost(claim, rank):
+        elif await self._is_lost(claim, rank):
             await self._take(task, claim, f'{claim.host} does not answer')
 
-    def _rank(self, task: Task, claim: claims.Claim | None) -> int | None:
+    def _rank(
+        self,
+        task: spread.Task,
+        claim: claims.Claim | None,
+    ) -> int | None:
         """Return this host's place among those that may take over."""
+        ranking = spread.rank_hosts(
+            tasks=self._wanted(),
+            known=self._keeper.known,
+            hosts=self._hosts,
+        )
         ranked = [
             host.host
-            for host in self._hosts.preferred(task.name, task.zone)
+            for host in ranking.get(task.name, ())
             if claim is None or host.host != claim.host
         ]
         own = self._hosts.own.host
@@ -122,7 +124,7 @@
             return None
         return ranked.index(own)
 
-    def _is_watch_due(self, task: Task) -> bool:
+    def _is_watch_due(self, task: spread.Task) -> bool:
         now = self._clock.now()
         if now - self._watched_at.get(task.name, 0) < WATCH_SECONDS:
             return False
@@ -142,7 +144,7 @@
 
     async def _take(
         self,
-        task: Task,
+        task: spread.Task,
         judged: claims.Claim | None,
         reason: str,
     ) -> None:
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -16,6 +16,7 @@
 SILENCE_SECONDS = 0.4
 # For answers that are under way when a majority has answered.
 GRACE_SECONDS = 0.05
+_Reply = typing.TypeVar('_Reply')
 _LINK_ERRORS = (errors.LinkError, errors.LinkLostError)
 
 
@@ -117,10 +118,9 @@
         Where no majority answers, this host is cut off as well.
         """
         asked = [each for each in self._others() if each != host]
-        replies = await asyncio.gather(
-            *(self._ask_reaches(each, host) for each in asked)
+        known = await self._gather_majority(
+            self._ask_reaches(each, host) for each in asked
         )
-        known = [reply for reply in replies if reply is not None]
         if len(known) < self.majority():
             return False
         return sum(known) * 2 <= len(known)
@@ -134,14 +134,24 @@
         All hosts are asked; a majority does not wait long for the others.
         """
         fields = [fleet_messages.encode_claim(claim) for claim in claims]
-        pending = {
-            asyncio.ensure_future(self._ask_confirm(each, fields))
-            for each in self._others()
-        }
+        return await self._gather_majority(
+            self._ask_confirm(each, fields) for each in self._others()
+        )
+
+    def majority(self) -> int:
+        """Return how many other hosts make a majority with this one."""
+        return len(self._hosts.hosts) // 2
+
+    async def _gather_majority(
+        self,
+        calls: typing.Iterable[typing.Coroutine[None, None, _Reply | None]],
+    ) -> list[_Reply]:
+        """Return the replies that came until shortly after a majority."""
+        pending = {asyncio.ensure_future(call) for call in calls}
         self._asking |= pending
         for asking in pending:
             asking.add_done_callback(self._asking.discard)
-        replies: list[typing.Sequence[claims_module.Claim]] = []
+        replies: list[_Reply] = []
         while pending:
             is_enough = len(replies) >= self.majority()
             done, pending = await asyncio.wait(
@@ -155,10 +165,6 @@
             replies.extend(reply for reply in answered if reply is not None)
         return replies
 
-    def majority(self) -> int:
-        """Return how many other hosts make a majority with this one."""
-        return len(self._hosts.hosts) // 2
-
     def _others(self) -> list[identifiers.HostName]:
         own = self._hosts.own.host
         return [each for each in self._hosts.hosts if each != own]
--- a/src/egretstep/membership/ranking.py
+++ b/src/egretstep/membership/ranking.py
@@ -4,6 +4,7 @@
 or leaves, only what it owns or wins changes its owner.
 """
 
+import functools
 import typing
 
 import xxhash
@@ -12,7 +13,10 @@
 from egretstep.membership import members
 from egretstep.settings import schema
 
+SCORES_KEPT = 65_536
 
+
+@functools.lru_cache(maxsize=SCORES_KEPT)
 def score(*, key: str, host: str) -> int:
     """Return the weight of a host for a key; the highest one wins."""
     return xxhash.xxh3_64_intdigest(f'{key}\0{host}'.encode())
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -7,7 +7,7 @@
 
 from egretstep import clock, identifiers
 from egretstep.limits import bucket, grants
-from egretstep.membership import claiming, claims, directory, leases, registry
+from egretstep.membership import claims, directory, leases, registry, spread
 from egretstep.pooling import brokers
 from egretstep.replication import primary, succession
 from egretstep.routing import dispatcher
@@ -49,7 +49,7 @@
         self._counting_claim: claims.Claim | None = None
         self._supervisor = supervisor.Supervisor(name='owners')
 
-    def wanted(self) -> list[claiming.Task]:
+    def wanted(self) -> list[spread.Task]:
         """Return the tasks that the configuration asks for."""
         current = self._current()
         tasks = []
@@ -57,9 +57,9 @@
             zone = self._servers.primary_zone(service)
             if zone is not None:
                 name = dispatcher.task_of(service)
-                tasks.append(claiming.Task(name=name, zone=zone))
+                tasks.append(spread.Task(name=name, zone=zone))
         if current.workspaces:
-            tasks.append(claiming.Task(name=COUNTING, zone=_ANY_ZONE))
+            tasks.append(spread.Task(name=COUNTING, zone=_ANY_ZONE))
         return tasks
 
     def start(self, claim: claims.Claim) -> None:
@@ -67,9 +67,7 @@
         if claim.task == COUNTING:
             self._start_counting(claim)
             return
-        service = deployment.ServiceName(
-            claim.task.removeprefix(dispatcher.TASK_PREFIX),
-        )
+        service = _service_of(claim.task)
         owner = primary.PrimaryOwner(
             service=service,
             claim=claim,
@@ -138,30 +136,39 @@
 
     async def hand_over(self) -> None:
         """Give all tasks to other hosts."""
+        others = {
+            task: claim
+            for task, claim in self._keeper.known.items()
+            if not self._keeper.is_mine(claim)
+        }
+        successors = spread.rank_hosts(
+            tasks=self.wanted(),
+            known=others,
+            hosts=self._hosts,
+        )
         mine = [
             claim
             for claim in self._keeper.known.values()
             if self._keeper.is_mine(claim)
         ]
-        await asyncio.gather(*(self._hand_over(claim) for claim in mine))
+        await asyncio.gather(
+            *(self._hand_over(each, successors) for each in mine)
+        )
 
-    async def _hand_over(self, claim: claims.Claim) -> None:
-        zone = _ANY_ZONE
+    async def _hand_over(
+        self,
+        claim: claims.Claim,
+        successors: spread.Ranking,
+    ) -> None:
         if claim.task != COUNTING:
-            service = deployment.ServiceName(
-                claim.task.removeprefix(dispatcher.TASK_PREFIX),
-            )
-            zone = self._servers.primary_zone(service) or _ANY_ZONE
-            owner = self._owners.get(service)
+            owner = self._owners.get(_service_of(claim.task))
             if owner is not None:
                 await owner.stop(longest_wait=HAND_OVER_SECONDS)
-        ranked = [
-            host
-            for host in self._hosts.preferred(claim.task, zone)
-            if host.host != self._hosts.own.host
-        ]
-        if ranked:
-            await self._keeper.release(claim.task, ranked[0])
+        own = self._hosts.own.host
+        ranked = successors.get(claim.task, ())
+        following = [host for host in ranked if host.host != own]
+        if following:
+            await self._keeper.release(claim.task, following[0])
 
     async def _replace_owner(
         self,
@@ -176,3 +183,9 @@
 
 
 _ANY_ZONE = identifiers.ZoneName('')
+
+
+def _service_of(task: claims.TaskName) -> deployment.ServiceName:
+    return deployment.ServiceName(
+        task.removeprefix(dispatcher.TASK_PREFIX),
+    )
--- /dev/null
+++ b/tests/membership/test_spread.py
@@ -0,0 +1,84 @@
+import collections
+import typing
+import unittest
+import unittest.mock
+
+from egretstep import identifiers
+from egretstep.membership import claims, directory, ranking, spread
+
+ZONES = ('a', 'a', 'a', 'b', 'b')
+HOSTS = [
+    unittest.mock.MagicMock(
+        host=identifiers.HostName(f'host-{number}'),
+        zone=identifiers.ZoneName(zone),
+    )
+    for number, zone in enumerate(ZONES)
+]
+TASKS = [
+    spread.Task(
+        name=claims.TaskName(f'service-{number}'),
+        zone=identifiers.ZoneName('a'),
+    )
+    for number in range(3)
+]
+
+
+class Hosts:
+    """Ranks as the directory does, without the lost hosts."""
+
+    def __init__(self, *lost: str) -> None:
+        self._lost = lost
+
+    def is_usable(self, name: str) -> bool:
+        return name not in self._lost
+
+    def preferred(self, key: str, zone: str) -> list[typing.Any]:
+        return sorted(
+            (host for host in HOSTS if self.is_usable(host.host)),
+            key=lambda host: (
+                host.zone != zone,
+                -ranking.score(key=key, host=host.host),
+            ),
+        )
+
+
+def make_claims(*hosts: str) -> dict[claims.TaskName, claims.Claim]:
+    return {
+        task.name: claims.Claim(
+            task=task.name,
+            host=identifiers.HostName(host),
+            boot=1,
+            epoch=1,
+        )
+        for task, host in zip(TASKS, hosts, strict=False)
+    }
+
+
+class SpreadTest(unittest.TestCase):
+    def _first(
+        self,
+        known: dict[claims.TaskName, claims.Claim],
+        *lost: str,
+    ) -> list[str]:
+        found = spread.rank_hosts(
+            tasks=TASKS,
+            known=known,
+            hosts=typing.cast(directory.Directory, Hosts(*lost)),
+        )
+        return [found[task.name][0].host for task in TASKS]
+
+    def test_no_host_of_the_zone_gets_two_of_three_new_tasks(self) -> None:
+        first = self._first({})
+        self.assertEqual(set(first), {'host-0', 'host-1', 'host-2'})
+
+    def test_the_tasks_of_a_lost_host_are_shared_out(self) -> None:
+        known = make_claims('host-0', 'host-0', 'host-1')
+        first = self._first(known, 'host-0')
+        counted = collections.Counter((*first[:2], 'host-1'))
+        self.assertEqual(max(counted.values()), 2)
+        self.assertNotIn('host-0', first)
+        self.assertEqual(first[0], 'host-2')
+
+    def test_the_zone_goes_before_an_even_spread(self) -> None:
+        first = self._first({}, 'host-0', 'host-1')
+        self.assertEqual(set(first), {'host-2'})
