Hosts that ended on plan count for no majority

Cause: rows of hosts stay in the table, and majorities were taken of all rows; a fleet whose hosts are replaced one by one would lose its majority while the store is down. Change: a host that stops writes the state 'gone' as its last act; such hosts are neither asked nor counted. A smaller view and a larger one still share a host, since a host that is gone answers nobody. Test: tests/membership/test_fleet_links (failed before: the state was unknown). Left: rows of hosts that were killed for good still count.

--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -23,10 +23,14 @@
 
 
 class HostState(enum.Enum):
-    """Whether a host takes new work."""
+    """Whether a host takes new work.
+
+    A host that is gone has ended on plan; its row keeps its boot number.
+    """
 
     UP = 'up'
     LEAVING = 'leaving'
+    GONE = 'gone'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -93,6 +97,14 @@
         """Return all registered hosts by name."""
         return self._hosts
 
+    def others(self) -> list[identifiers.HostName]:
+        """Return the other hosts that may answer and count for majorities."""
+        return [
+            host.host
+            for host in self._hosts.values()
+            if host.host != self.own.host and host.state is not HostState.GONE
+        ]
+
     def names_up(self) -> list[identifiers.HostName]:
         """Return the hosts that are not leaving."""
         return [
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -117,7 +117,7 @@
 
         Where no majority answers, this host is cut off as well.
         """
-        asked = [each for each in self._others() if each != host]
+        asked = [each for each in self._hosts.others() if each != host]
         known = await self._gather_majority(
             self._ask_reaches(each, host) for each in asked
         )
@@ -135,12 +135,12 @@
         """
         fields = [fleet_messages.encode_claim(claim) for claim in claims]
         return await self._gather_majority(
-            self._ask_confirm(each, fields) for each in self._others()
+            self._ask_confirm(each, fields) for each in self._hosts.others()
         )
 
     def majority(self) -> int:
         """Return how many other hosts make a majority with this one."""
-        return len(self._hosts.hosts) // 2
+        return (len(self._hosts.others()) + 1) // 2
 
     async def _gather_majority(
         self,
@@ -165,10 +165,6 @@
             replies.extend(reply for reply in answered if reply is not None)
         return replies
 
-    def _others(self) -> list[identifiers.HostName]:
-        own = self._hosts.own.host
-        return [each for each in self._hosts.hosts if each != own]
-
     async def _ask_confirm(
         self,
         host: identifiers.HostName,
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -41,6 +41,8 @@
 FLEET_PAUSE_SECONDS = 0.5
 SERVERS_PAUSE_SECONDS = 0.1
 SETTINGS_PAUSE_SECONDS = 0.15
+ANNOUNCE_SECONDS = 0.4
+_NOT_ANNOUNCED = (TimeoutError, *directory.WRITE_FAILURES)
 STOP_MARGIN_SECONDS = 1.0
 STOP_POLL_SECONDS = 0.05
 _logger = logbook.Logger('node')
@@ -300,20 +302,21 @@
             self._clock.now() + self._settings.grace - STOP_MARGIN_SECONDS
         )
         await asyncio.gather(
-            self._announce_leaving(),
+            self._announce(directory.HostState.LEAVING),
             self._tasks.hand_over(),
             self._close_sessions(deadline),
         )
         self._brokers.close()
+        await self._announce(directory.HostState.GONE)
         _logger.info('stopped')
 
-    async def _announce_leaving(self) -> None:
+    async def _announce(self, state: directory.HostState) -> None:
         registration = directory.Registration(store=self._store)
-        leaving = directory.HostState.LEAVING
         try:
-            await registration.change(self._hosts.own, leaving)
-        except directory.WRITE_FAILURES as error:
-            _logger.warning('leaving is not announced: {}', error)
+            async with asyncio.timeout(ANNOUNCE_SECONDS):
+                await registration.change(self._hosts.own, state)
+        except _NOT_ANNOUNCED as error:
+            _logger.warning('{} is not announced: {!r}', state.value, error)
 
     async def _close_sessions(self, deadline: float) -> None:
         while self._ingress.close_idle() and self._clock.now() < deadline:
