--- a/Makefile
+++ b/Makefile
@@ -32,19 +32,19 @@
 	$(BIN)/python -m specifications
 
 capacity: install
-	$(BIN)/python -m standins.capacity
+	$(BIN)/python -m measurements.capacity
 
 bench-sharing: install
-	$(BIN)/python -m standins.sharing
+	$(BIN)/python -m measurements.sharing
 
 bench-gaps: install
-	$(BIN)/python -m standins.gaps
+	$(BIN)/python -m measurements.gaps
 
 mutants: install
 	$(BIN)/python tests/mutants.py
 
 bench-reads: install
-	$(BIN)/python -m standins.reads
+	$(BIN)/python -m measurements.reads
 
 bench-overhead: install
-	$(BIN)/python -m standins.overhead
+	$(BIN)/python -m measurements.overhead
--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product and of its baselines, run by hand."""
--- a/src/egretstep/backends/connection.py
+++ b/src/egretstep/backends/connection.py
@@ -91,9 +91,6 @@
     async def status(self) -> ServerStatus:
         """Ask for role, term and log position."""
 
-    async def step_down(self, term: identifiers.Term) -> ServerStatus:
-        """Make a primary of a lower term a replica."""
-
     def close(self) -> None:
         """Close at once; an open transaction is rolled back."""
 
--- a/src/egretstep/platform/backend.py
+++ b/src/egretstep/platform/backend.py
@@ -72,14 +72,6 @@
         """Ask for role, term and log position."""
         return self._status(await self._query(OWN_STATEMENT, b'STATUS'))
 
-    async def step_down(
-        self,
-        term: identifiers.Term,
-    ) -> connection.ServerStatus:
-        """Make a primary of a lower term a replica."""
-        text = b'STEPDOWN %d' % term
-        return self._status(await self._query(OWN_STATEMENT, text))
-
     def close(self) -> None:
         """Close at once; an open transaction is rolled back."""
         self._is_closed = True
--- a/src/egretstep/platform/operator_settings.py
+++ b/src/egretstep/platform/operator_settings.py
@@ -87,7 +87,6 @@
     return deployment.Service(
         name=deployment.ServiceName(fields['name']),
         connection_limit=fields['max_conns'],
-        has_synchronous_replica=bool(fields.get('sync_replicas')),
     )
 
 
--- a/src/egretstep/platform/process_settings.py
+++ b/src/egretstep/platform/process_settings.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from egretstep import clock, errors, identifiers
+from egretstep import errors, identifiers
 from egretstep.settings import node
 
 PATH_VARIABLE = 'EGRETSTEP_CONFIG'
@@ -55,11 +55,7 @@
         is_first_start=bool(fields['bootstrap']),
         # `cpu_share` is of one core that runs `cores` times as fast.
         processor=fields['limits']['cpu_share'] * fields['limits']['cores'],
-        link=fields['limits']['link_mbps'],
         grace=float(fields['bounds']['grace_s']),
-        row_bytes=fields['platform']['row_bytes'],
-        history=float(fields['platform']['history_s']),
-        report_interval=clock.to_seconds(fields['heartbeat_ms']),
     )
 
 
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -20,6 +20,7 @@
     outcomes,
     pins,
     reading,
+    replies,
     running,
     servers,
 )
@@ -343,30 +344,16 @@
         tenure: group.Tenure,
         server: identifiers.ServerName,
     ) -> messages.Answer:
-        position = _read_position(done.information)
-        if position > identifiers.LOG_START:
-            self._group.floors.acknowledge(
-                session_id=job.request.session_id,
-                position=position,
-            )
-        pin = self.pins.get(job.pin_key)
-        return messages.Answer(
+        answer = replies.make_answer(
             request_id=job.request.request_id,
-            outcome=identifiers.Outcome.DONE,
-            affected_rows=done.affected_rows,
-            insert_id=done.insert_id,
-            columns=done.columns,
-            rows=done.rows,
-            pinned=pin is not None and pin.is_needed,
-            in_transaction=done.in_transaction,
-            position=position,
+            done=done,
+            pin=self.pins.get(job.pin_key),
             server=server,
-            primary=server == tenure.primary,
+            is_primary=server == tenure.primary,
         )
-
-
-def _read_position(information: bytes) -> identifiers.LogPosition:
-    term, found, index = information.partition(b':')
-    if not found or not term.isdigit() or not index.isdigit():
-        return identifiers.LOG_START
-    return identifiers.LogPosition(term=int(term), offset=int(index))
+        if answer.position > identifiers.LOG_START:
+            self._group.floors.acknowledge(
+                session_id=job.request.session_id,
+                position=answer.position,
+            )
+        return answer
--- /dev/null
+++ b/src/egretstep/pooling/replies.py
@@ -0,0 +1,45 @@
+"""Answers to entries, made of what a server answered."""
+
+from egretstep import identifiers
+from egretstep.backends import mysql as database
+from egretstep.peers import messages
+from egretstep.pooling import pins
+
+
+def make_answer(
+    *,
+    request_id: identifiers.RequestId,
+    done: database.StatementResult,
+    pin: pins.Pin | None,
+    server: identifiers.ServerName,
+    is_primary: bool,
+) -> messages.Answer:
+    """Make the answer to a statement that a server has run.
+
+    `pin` is the connection that the caller holds after it, if any.
+    """
+    return messages.Answer(
+        request_id=request_id,
+        outcome=identifiers.Outcome.DONE,
+        affected_rows=done.affected_rows,
+        insert_id=done.insert_id,
+        columns=done.columns,
+        rows=done.rows,
+        pinned=pin is not None and pin.is_needed,
+        in_transaction=done.in_transaction,
+        position=read_position(done.information),
+        server=server,
+        primary=is_primary,
+    )
+
+
+def read_position(information: bytes) -> identifiers.LogPosition:
+    """Read the log position of a commit; the log's start if there is none.
+
+    >>> read_position(b'3:17')
+    LogPosition(term=3, offset=17)
+    """
+    term, found, index = information.partition(b':')
+    if not found or not term.isdigit() or not index.isdigit():
+        return identifiers.LOG_START
+    return identifiers.LogPosition(term=int(term), offset=int(index))
--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -9,19 +9,17 @@
 import orjson
 
 from egretstep import clock, errors, identifiers
-from egretstep.membership import gossip, members, pool_watch
+from egretstep.membership import gossip, members
 from egretstep.observability import metrics_endpoint
 from egretstep.operators import endpoint
 from egretstep.peers import links, schema
-from egretstep.programs import agent_link, runner
+from egretstep.programs import agent_link, agent_news, runner
 from egretstep.settings import changes, distribution, freshness
 from egretstep.settings import schema as settings_schema
 from egretstep.storage import client, interfaces
 from egretstep.supervision import supervisor
 
 HOST_LIST_SECONDS = 10.0
-WATCH_SECONDS = 0.5
-NEWS_POLL_SECONDS = 0.03
 STATUS_SECONDS = 0.5
 # JSON has no infinity; this age stands for 'never confirmed'.
 LONGEST_AGE_SECONDS = 1e9
@@ -42,24 +40,28 @@
         self._settings = settings
         self._clock = clock.MonotonicClock()
         self._platform = client.PlatformClient(url=settings.platform_url)
-        self.keeper = freshness.SettingsKeeper(time_source=self._clock)
-        self._programs: set[str] = set()
-        self.pool_watch = pool_watch.PoolWatch(time_source=self._clock)
+        self._keeper = freshness.SettingsKeeper(time_source=self._clock)
         self._table = members.MemberTable(
             own=_own_member(settings),
             time_source=self._clock,
         )
-        self.gossip = gossip.Gossip(
+        self._gossip = gossip.Gossip(
             table=self._table,
-            keeper=self.keeper,
+            keeper=self._keeper,
             time_source=self._clock,
             on_vouch=self._on_vouch,
             seeds=[_seed(peer) for peer in settings.peers],
         )
+        self._told = agent_news.AgentNews(
+            keeper=self._keeper,
+            table=self._table,
+            gossip=self._gossip,
+            time_source=self._clock,
+        )
         self._distribution = distribution.Distribution(
-            keeper=self.keeper,
+            keeper=self._keeper,
             table=self._table,
-            gossip=self.gossip,
+            gossip=self._gossip,
             service=self._platform,
             time_source=self._clock,
         )
@@ -75,7 +77,7 @@
         listener = links.Listener(
             address=self._settings.address,
             port=self._settings.agent_port,
-            make_server=lambda: agent_link.AgentServer(agent=self),
+            make_server=lambda: agent_link.AgentServer(told=self._told),
         )
         endpoint_of_metrics = metrics_endpoint.MetricsEndpoint(
             address=self._settings.address,
@@ -86,7 +88,7 @@
             children=[
                 supervisor.Child(name='listener', run=listener.run),
                 supervisor.Child(name='hosts', run=self._follow_host_list),
-                supervisor.Child(name='gossip', run=self.gossip.run),
+                supervisor.Child(name='gossip', run=self._gossip.run),
                 supervisor.Child(name='pool-watch', run=self._watch_pool),
                 supervisor.Child(name='settings', run=self._distribution.run),
                 supervisor.Child(name='operators', run=self._endpoint.run),
@@ -104,67 +106,13 @@
         finally:
             await self._platform.close()
 
-    def forget_name(self, program: str) -> None:
-        """Note that a program goes on under another name."""
-        self._programs.discard(program)
-
-    def note_program(self, program: str, *, up: bool) -> None:
-        """Note that a program of this host has come or gone."""
-        if up:
-            self._programs.add(program)
-        else:
-            self._programs.discard(program)
-        state = pool_watch.POOL_STATES.get(program)
-        if state is None:
-            return
-        if not up:
-            state = members.PoolState.DOWN
-        if state is not self._table.own.pool:
-            self.gossip.announce_own(pool=state)
-
-    async def wait_news(
-        self,
-        version: int,
-        revision: int,
-        confirmed_at: float,
-    ) -> None:
-        """Wait until settings, hosts or the confirmation are news."""
-        deadline = self._clock.now() + WATCH_SECONDS
-        while self._clock.now() < deadline:
-            changed = (
-                self.keeper.version != version
-                or self._table.revision != revision
-                or self.keeper.confirmed_at - confirmed_at > WATCH_SECONDS
-            )
-            if changed:
-                return
-            await asyncio.sleep(NEWS_POLL_SECONDS)
-
-    def fill_view(
-        self,
-        view: typing.Any,
-        version: int,
-        revision: int,
-    ) -> None:
-        """Write what changed since a known version and revision."""
-        view.settingsVersion = self.keeper.version
-        if self.keeper.version != version:
-            view.record = self.keeper.encoded
-        confirmed = max(self.keeper.confirmed_at, 0)
-        view.confirmedAtMs = clock.to_milliseconds(confirmed)
-        view.membersRevision = self._table.revision
-        if self._table.revision != revision:
-            view.members = [
-                members.to_message(member) for member in self._table.all()
-            ]
-
     async def _leave(self) -> None:
         """Tell the fleet, then serve this host's programs until they end."""
-        self.gossip.announce_own(state=members.MemberState.LEAVING)
+        self._gossip.announce_own(state=members.MemberState.LEAVING)
         with contextlib.suppress(errors.PlatformError):
             await self._report_own()
         deadline = self._clock.now() + LEAVE_SECONDS
-        while self._programs and self._clock.now() < deadline:
+        while self._told.programs and self._clock.now() < deadline:
             await asyncio.sleep(PROGRAM_POLL_SECONDS)
 
     async def _on_vouch(
@@ -180,16 +128,16 @@
             with contextlib.suppress(errors.PlatformError):
                 await self._report_own()
                 for listed in await self._platform.list_hosts():
-                    self.gossip.introduce(_from_listed(listed))
+                    self._gossip.introduce(_from_listed(listed))
             await asyncio.sleep(HOST_LIST_SECONDS)
 
     async def _watch_pool(self) -> None:
         while True:
             await asyncio.sleep(PROGRAM_POLL_SECONDS)
             is_up = self._table.own.pool is not members.PoolState.DOWN
-            if is_up and self.pool_watch.is_silent:
+            if is_up and self._told.pool_watch.is_silent:
                 _logger.warning('the pool of this host is silent')
-                self.gossip.announce_own(pool=members.PoolState.DOWN)
+                self._gossip.announce_own(pool=members.PoolState.DOWN)
 
     async def _report_own(self) -> None:
         own = self._table.own
@@ -206,7 +154,7 @@
 
     def _make_endpoint(self, token: str) -> endpoint.OperatorEndpoint:
         changer = changes.SettingsChanger(
-            keeper=self.keeper,
+            keeper=self._keeper,
             table=self._table,
             distribution=self._distribution,
             service=self._platform,
@@ -216,16 +164,16 @@
             port=self._settings.operator_port,
             token=token or self._settings.operator_token,
             changer=changer,
-            keeper=self.keeper,
+            keeper=self._keeper,
             status=self._status,
         )
 
     async def _status(self) -> dict[str, typing.Any]:
-        record = self.keeper.record
-        vouch = self.keeper.vouch()
+        record = self._keeper.record
+        vouch = self._keeper.vouch()
         return {
             'host': self._settings.host,
-            'settings_version': self.keeper.version,
+            'settings_version': self._keeper.version,
             'settings_age_seconds': round(
                 min(vouch.age, LONGEST_AGE_SECONDS), 3
             ),
--- a/src/egretstep/programs/agent_link.py
+++ b/src/egretstep/programs/agent_link.py
@@ -4,17 +4,15 @@
 
 from egretstep import identifiers
 from egretstep.peers import schema
+from egretstep.programs import agent_news
 from egretstep.settings import freshness
 
-if typing.TYPE_CHECKING:
-    from egretstep.programs import agent
-
 
 class AgentServer(schema.Agent.Server):
     """One link to the agent, from a program of its host or another agent."""
 
-    def __init__(self, *, agent: 'agent.Agent') -> None:
-        self._agent = agent
+    def __init__(self, *, told: agent_news.AgentNews) -> None:
+        self._told = told
         self._program = ''
         self._told_confirmed_at = freshness.NEVER
 
@@ -28,22 +26,22 @@
     ) -> None:
         """Answer when there is news, or after a short while."""
         if program != self._program:
-            self._agent.forget_name(self._program)
+            self._told.forget_name(self._program)
         self._program = program
-        self._agent.note_program(program, up=True)
-        self._agent.pool_watch.begin(program)
-        await self._agent.wait_news(
+        self._told.note_program(program, up=True)
+        self._told.pool_watch.begin(program)
+        await self._told.wait_news(
             settingsVersion,
             membersRevision,
             self._told_confirmed_at,
         )
-        self._told_confirmed_at = self._agent.keeper.confirmed_at
-        self._agent.fill_view(
+        self._told_confirmed_at = self._told.keeper.confirmed_at
+        self._told.fill_view(
             _context.results.init('view'),
             settingsVersion,
             membersRevision,
         )
-        self._agent.pool_watch.end(program)
+        self._told.pool_watch.end(program)
 
     async def probe(
         self,
@@ -52,11 +50,11 @@
         **_kwargs: typing.Any,
     ) -> None:
         """Answer another agent's probe."""
-        _context.results.gossip = self._agent.gossip.answer(gossip)
+        _context.results.gossip = self._told.gossip.answer(gossip)
 
     async def probeFor(self, host: str, **_kwargs: typing.Any) -> bool:
         """Probe a host for an agent that can't reach it."""
-        return await self._agent.gossip.probe_for_other(
+        return await self._told.gossip.probe_for_other(
             identifiers.HostName(host),
         )
 
@@ -67,7 +65,7 @@
         **_kwargs: typing.Any,
     ) -> None:
         """Give the record when it is later than the known one."""
-        keeper = self._agent.keeper
+        keeper = self._told.keeper
         versioned = _context.results.init('versioned')
         versioned.version = keeper.version
         if keeper.version > knownVersion:
@@ -79,12 +77,12 @@
         **_kwargs: typing.Any,
     ) -> int:
         """Take a record in and return the version held."""
-        self._agent.keeper.adopt(bytes(versioned.record))
-        return self._agent.keeper.version
+        self._told.keeper.adopt(bytes(versioned.record))
+        return self._told.keeper.version
 
     async def witnessVersion(self, **_kwargs: typing.Any) -> int:
         """Return the version held, for other witnesses."""
-        return self._agent.keeper.version
+        return self._told.keeper.version
 
     async def statusJson(self, **_kwargs: typing.Any) -> str:
         """Return nothing yet; operators use the HTTP endpoint."""
@@ -93,4 +91,4 @@
     async def link_closed(self) -> None:
         """Note that a program of this host has ended."""
         if self._program:
-            self._agent.note_program(self._program, up=False)
+            self._told.note_program(self._program, up=False)
--- a/src/egretstep/settings/deployment.py
+++ b/src/egretstep/settings/deployment.py
@@ -51,7 +51,6 @@
 
     name: ServiceName
     connection_limit: int
-    has_synchronous_replica: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/egretstep/settings/node.py
+++ b/src/egretstep/settings/node.py
@@ -21,8 +21,8 @@
 class NodeSettings:
     """Addresses, size and times of one host.
 
-    Times are in seconds. `processor` is the share of a core that the host
-    has, and `link` the bandwidth of its network link in Mbit/s.
+    `grace`, the time for a planned stop, is in seconds. `processor` is the
+    share of a core that the host has.
     """
 
     host: identifiers.HostName
@@ -36,8 +36,4 @@
     promotions: Address
     is_first_start: bool
     processor: float
-    link: float
     grace: float
-    row_bytes: int
-    history: float
-    report_interval: float
--- a/standins/database.py
+++ b/standins/database.py
@@ -18,7 +18,7 @@
 from mysql_mimic import auth, errors, results, types
 
 from standins import member as member_module
-from standins import mysql_server, storage
+from standins import mysql_server
 
 CODE_STALE_TERM = 1290
 CODE_READ_ONLY = 1792
@@ -125,12 +125,14 @@
         arguments = json.loads(f'[{text}]'.replace("'", '"'))
         if name == 'group_pull':
             pulled = await self._member.pull(*arguments)
-            return _text_reply('entries', json.dumps(pulled))
+            return mysql_server.text_reply('entries', json.dumps(pulled))
         if name == 'group_counters':
             counters = {'most_connections': self._member.most_connections}
-            return _text_reply('counters', json.dumps(counters))
+            return mysql_server.text_reply('counters', json.dumps(counters))
         if name == 'group_received':
-            return _text_reply('received', json.dumps(self._member.received))
+            return mysql_server.text_reply(
+                'received', json.dumps(self._member.received)
+            )
         accepted = await self._run_control(name, arguments)
         row = self._member.status_row(accepted)
         columns = [
@@ -186,7 +188,7 @@
             if _READ.match(sql):
                 self._check_term()
                 visible = member.working if self._holds_lock else member.storage
-                return _rows_reply(visible.execute(sql))
+                return mysql_server.rows_reply(visible.execute(sql))
         return await self._write(sql)
 
     async def _write(self, sql: str) -> mysql_server.Reply:
@@ -195,7 +197,7 @@
             await self._lock()
             done = self._member.working.execute(sql)
             self._transaction.append(sql)
-            return _rows_reply(done)
+            return mysql_server.rows_reply(done)
         await self._begin()
         try:
             self._check_primary()
@@ -206,7 +208,9 @@
             self._rollback()
             raise
         committed = await self._commit()
-        return _rows_reply(done)._replace(information=committed.information)
+        return mysql_server.rows_reply(done)._replace(
+            information=committed.information
+        )
 
     async def _begin(self) -> None:
         self._check_term()
@@ -282,20 +286,6 @@
             )
 
 
-def _text_reply(name: str, text: str) -> mysql_server.Reply:
-    column = results.ResultColumn(name, types.ColumnType.VARCHAR)
-    return mysql_server.Reply(columns=[column], rows=[(text,)])
-
-
-def _rows_reply(done: storage.StatementResult) -> mysql_server.Reply:
-    return mysql_server.Reply(
-        columns=done.columns,
-        rows=done.rows,
-        affected_rows=done.affected_rows,
-        insert_id=done.insert_id,
-    )
-
-
 class AnyUser(auth.SimpleIdentityProvider):
     """Accepts the system's own credentials, whatever they are."""
 
--- a/standins/mysql_server.py
+++ b/standins/mysql_server.py
@@ -16,6 +16,8 @@
 )
 from mysql_mimic import stream as mimic_stream
 
+from standins import storage
+
 SQLSTATES = {1062: b'23000', 1146: b'42S02', 1290: b'HY000', 1040: b'08004'}
 _SQLSTATE_START = 4
 _SQLSTATE_END = 9
@@ -138,3 +140,19 @@
         finally:
             writer.close()
             await self.control.remove(served.connection_id)
+
+
+def text_reply(name: str, text: str) -> Reply:
+    """Make an answer of one row with one text."""
+    column = results.ResultColumn(name, types.ColumnType.VARCHAR)
+    return Reply(columns=[column], rows=[(text,)])
+
+
+def rows_reply(done: storage.StatementResult) -> Reply:
+    """Make the answer to a statement that the storage has run."""
+    return Reply(
+        columns=done.columns,
+        rows=done.rows,
+        affected_rows=done.affected_rows,
+        insert_id=done.insert_id,
+    )
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -124,14 +124,6 @@
             received=self._server.position,
         )
 
-    async def step_down(
-        self,
-        term: identifiers.Term,
-    ) -> connection.ServerStatus:
-        """Become a replica."""
-        self._server.role = connection.Role.REPLICA
-        return await self.status()
-
     def close(self) -> None:
         """Close."""
         self.is_closed = True
--- a/tests/run.py
+++ b/tests/run.py
@@ -17,6 +17,7 @@
 SOURCES = (
     'src',
     'standins',
+    'measurements',
     'tests',
     'properties',
     'specifications',
@@ -48,7 +49,10 @@
     Step('format', (str(BIN / 'ruff'), 'format', '--check', *SOURCES)),
     Step('lint', (str(BIN / 'ruff'), 'check', *SOURCES)),
     Step('style', (str(BIN / 'flake8'), *SOURCES)),
-    Step('types', (str(BIN / 'mypy'), 'src/egretstep', 'standins')),
+    Step(
+        'types',
+        (str(BIN / 'mypy'), 'src/egretstep', 'standins', 'measurements'),
+    ),
     Step(
         'models',
         (sys.executable, '-m', 'specifications'),
