egretstep trace: from the id of a request to its cause through the logs

Broken lines are counted and skipped (fuzzed with a fixed seed). A whole-path test follows the id of a write to a silent primary to its replacement.

--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -19,7 +19,7 @@
 from egretstep.storage import tables
 
 LEASE_SECONDS = 1.25
-RENEWAL_SECONDS = 0.4
+RENEWAL_SECONDS = 0.5
 STORE_ANSWER_SECONDS = 0.3
 _logger = logbook.Logger('leases')
 
--- a/src/egretstep/pooling/execution.py
+++ b/src/egretstep/pooling/execution.py
@@ -31,10 +31,6 @@
 _NO_EFFECT = frozenset((identifiers.StatementKind.READ,))
 
 
-class _StaleError(errors.EgretstepError):
-    """A server or term changed before the statement ran; try again."""
-
-
 Attempt = typing.Callable[
     [jobs.Job, group.Tenure],
     typing.Awaitable[messages.Answer],
@@ -121,7 +117,7 @@
                 )
             try:
                 return await attempt(job, tenure)
-            except (errors.DatabaseServerError, _StaleError) as error:
+            except (errors.DatabaseServerError, outcomes.StaleError) as error:
                 reason = str(error)
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
         raise errors.RefusedError(refusal=outcomes.unavailable(reason))
@@ -190,7 +186,7 @@
         pin.busy = True
         try:
             return await self._run_on_pin(job, pin, tenure)
-        except (errors.DatabaseServerError, _StaleError) as error:
+        except (errors.DatabaseServerError, outcomes.StaleError) as error:
             raise errors.RefusedError(
                 refusal=outcomes.transaction_lost(str(error)),
             ) from error
@@ -252,7 +248,7 @@
                 refusal=outcomes.unknown(str(error)),
             ) from error
         except database.ServerRefusalError as error:
-            self._raise_refusal(error)
+            outcomes.raise_if_judged(error)
             raise
 
     def abort(self, server: identifiers.ServerName) -> None:
@@ -277,14 +273,6 @@
             return errors.DatabaseServerError(f'{reason}; start it')
         return errors.RefusedError(refusal=outcomes.unknown(reason))
 
-    def _raise_refusal(self, error: database.ServerRefusalError) -> None:
-        if outcomes.is_stale(error):
-            raise _StaleError(str(error)) from error
-        if outcomes.is_unknown(error):
-            raise errors.RefusedError(
-                refusal=outcomes.unknown(error.message),
-            ) from error
-
     async def _run(
         self,
         job: jobs.Job,
@@ -332,7 +320,7 @@
 
     def _lease_lost(self, job: jobs.Job) -> Exception:
         if job.request.kind in _NO_EFFECT and not job.request.expect_pin:
-            return _StaleError('the term ended before the answer')
+            return outcomes.StaleError('the term ended before the answer')
         return errors.RefusedError(
             refusal=outcomes.unknown('the term ended before the answer'),
         )
--- a/src/egretstep/pooling/outcomes.py
+++ b/src/egretstep/pooling/outcomes.py
@@ -13,6 +13,21 @@
 RETRY_AFTER_MS = 200
 
 
+class StaleError(errors.EgretstepError):
+    """A server or term changed before the statement ran; try again."""
+
+
+def raise_if_judged(error: database.ServerRefusalError) -> None:
+    """Raise what a server's refusal means, if it is not the caller's own.
+
+    Raises `StaleError` or `errors.RefusedError`.
+    """
+    if is_stale(error):
+        raise StaleError(str(error)) from error
+    if is_unknown(error):
+        raise errors.RefusedError(refusal=unknown(error.message)) from error
+
+
 def is_stale(error: database.ServerRefusalError) -> bool:
     """Tell whether a server refused because its term or role has changed."""
     return error.code in {CODE_STALE_TERM, CODE_READ_ONLY}
--- a/src/egretstep/programs/command.py
+++ b/src/egretstep/programs/command.py
@@ -17,7 +17,7 @@
 from egretstep import errors
 from egretstep.callers import keys
 from egretstep.operators import edits
-from egretstep.programs import command_base, command_edits
+from egretstep.programs import command_base, command_edits, command_logs
 from egretstep.settings import loader, schema, tree
 
 
@@ -234,6 +234,7 @@
         command_edits.DatabaseBackCommand(),
         command_edits.KeyAddCommand(),
         command_edits.KeyWithdrawCommand(),
+        command_logs.TraceCommand(),
         DigestCommand(),
     ):
         application.add(command)
--- a/src/egretstep/programs/command_base.py
+++ b/src/egretstep/programs/command_base.py
@@ -12,7 +12,7 @@
 EXIT_REFUSED = 1
 EXIT_WRONG = 2
 EXIT_CONFLICT = 3
-DEFAULTAGENT = 'http://127.0.0.1:7203'
+DEFAULT_AGENT = 'http://127.0.0.1:7203'
 FILE = 'file'
 argument = cleo.helpers.argument
 option = cleo.helpers.option
@@ -29,7 +29,7 @@
     def _client(self) -> client.OperatorClient:
         url = self.option('agent') or os.environ.get('EGRETSTEP_AGENT')
         return client.OperatorClient(
-            url=url or DEFAULTAGENT,
+            url=url or DEFAULT_AGENT,
             token=os.environ.get('EGRETSTEP_TOKEN', ''),
         )
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -4,6 +4,7 @@
 import signal
 import unittest
 
+from egretstep.observability import log_trail
 from standins import platform_fleet
 
 BETWEEN_TRIES_SECONDS = 0.05
@@ -95,6 +96,37 @@
                 len({order.token for order in fleet.store.orders}), 1
             )
 
+    async def test_an_id_leads_to_the_lost_primary(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23400) as fleet:
+            fleet.group.primary.faults.is_silent = True
+            caller = await platform_fleet.Caller.connect(fleet.port(0))
+            with self.assertRaises(platform_fleet.AnswerError):
+                await caller.run('WRITE item 1', statement_id='feed0001')
+            await _write_until_done(fleet, 'after')
+            texts = self._trail(fleet, 'feed0001')
+            causes = [
+                text
+                for text in texts
+                if 'request failed' in text or 'service ledger: repl' in text
+            ]
+            self.assertGreaterEqual(len(causes), 2, texts)
+
+    def _trail(
+        self,
+        fleet: platform_fleet.PlatformFleet,
+        request_id: str,
+    ) -> list[str]:
+        reader = log_trail.LogReader()
+        lines = [
+            line
+            for index in range(3)
+            for line in reader.read(
+                f'host-{index}',
+                fleet.log(index).splitlines(),
+            )
+        ]
+        return [line.text() for line in log_trail.follow(lines, request_id)]
+
     async def test_a_killed_owner_is_replaced(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23200) as fleet:
             owner = await self._owner(fleet)
--- /dev/null
+++ b/tests/test_log_trail.py
@@ -0,0 +1,92 @@
+"""From the id of a request to its cause, through the logs alone."""
+
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from egretstep.observability import log_trail
+
+REQUEST = (
+    b'{"time":"2026-01-28T16:51:46.413567","level":"INFO","channel":"request",'
+    b'"message":"failed","id":"4f2a","outcome":"overloaded",'
+    b'"host":"host-2","workspace":"depot"}'
+)
+OTHER_REQUEST = REQUEST.replace(b'4f2a', b'9c1b')
+LOST = (
+    b'{"time":"2026-01-28T16:51:45.100000","level":"INFO",'
+    b'"channel":"directory","message":"host host-2 is avoided: no answer"}'
+)
+UNRELATED = LOST.replace(b'host-2', b'host-7')
+PROMOTED = (
+    b'{"time":"2026-01-28T16:51:45.900000","level":"INFO",'
+    b'"channel":"primary","message":"service ledger: replacing a: down"}'
+)
+LONG_AGO = PROMOTED.replace(b'16:51:45', b'16:41:45')
+LINES = [OTHER_REQUEST, PROMOTED, UNRELATED, LOST, LONG_AGO, REQUEST]
+
+
+class LogTrailTest(unittest.TestCase):
+    def _follow(self, lines: list[bytes], request_id: str) -> list[str]:
+        read = log_trail.LogReader().read('host-1', lines)
+        return [
+            f'{line.channel} {line.message}'
+            for line in log_trail.follow(read, request_id)
+        ]
+
+    def test_what_was_believed_before_goes_with_the_request(self) -> None:
+        self.assertEqual(
+            self._follow(LINES, '4f2a'),
+            [
+                'directory host host-2 is avoided: no answer',
+                'primary service ledger: replacing a: down',
+                'request failed',
+            ],
+        )
+
+    def test_an_id_that_no_line_has(self) -> None:
+        self.assertEqual(self._follow(LINES, 'none'), [])
+
+    def test_broken_lines_are_counted_and_skipped(self) -> None:
+        randomness = random.Random(7)
+        broken = [
+            REQUEST[: randomness.randrange(len(REQUEST))] for _ in range(200)
+        ]
+        broken += [b'[]', b'null', b'{"time":3}', b'Traceback (most recent)']
+        reader = log_trail.LogReader()
+        read = list(reader.read('host-1', [*broken, REQUEST]))
+        self.assertEqual([line.request_id for line in read], ['4f2a'])
+        self.assertEqual(reader.skipped, len(broken))
+
+
+class TraceCommandTest(unittest.TestCase):
+    def _run(self, request_id: str) -> subprocess.CompletedProcess[str]:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'host-1.log'
+            path.write_bytes(b'\n'.join(LINES))
+            return subprocess.run(
+                [
+                    sys.executable,
+                    '-m',
+                    'egretstep.programs.command',
+                    'trace',
+                    request_id,
+                    str(path),
+                ],
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+
+    def test_the_trail_is_printed(self) -> None:
+        done = self._run('4f2a')
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn('host-1 primary service ledger: replacing', done.stdout)
+        self.assertEqual(len(done.stdout.splitlines()), 3)
+
+    def test_without_a_line_the_user_learns_why(self) -> None:
+        done = self._run('none')
+        self.assertEqual(done.returncode, 1)
+        self.assertIn('it went well', done.stderr)
