--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := src:.
 
-.PHONY: bench-reads mutants capacity bench-sharing bench-gaps demo fleet test check unit scenarios model bench-overhead install
+.PHONY: reference bench-reads mutants capacity bench-sharing bench-gaps demo fleet test check unit scenarios model bench-overhead install
 
 install: $(VENV)/installed
 
@@ -48,3 +48,6 @@
 
 bench-overhead: install
 	$(BIN)/python -m measurements.overhead
+
+reference: install
+	$(BIN)/python -m egretstep.settings.reference > docs/CONFIGURATION.md
