Fault soak: real programs, stand-ins, and seeded faults that overlap

Callers keep their connections; at the end every item is compared with the log: no acknowledged write lost, none stored that was told as not run, none twice, own writes seen, service back within 12 s, no process ended alone.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := src:.
 
-.PHONY: reference bench-reads mutants capacity bench-sharing bench-gaps demo fleet test check unit scenarios model bench-overhead install
+.PHONY: soak reference bench-reads mutants capacity bench-sharing bench-gaps demo fleet test check unit scenarios model bench-overhead install
 
 install: $(VENV)/installed
 
@@ -51,3 +51,6 @@
 
 reference: install
 	$(BIN)/python -m egretstep.settings.reference > docs/CONFIGURATION.md
+
+soak: install
+	$(BIN)/python -m soak --seeds 50
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real programs, stand-ins, and seeded faults from outside."""
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -65,6 +65,7 @@
         self.log: list[Entry] = []
         self.faults = Faults()
         self.port = 0
+        self.announced_port = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self._listener: asyncio.Server | None = None
 
@@ -105,7 +106,7 @@
         """Return what the server writes of itself into the store."""
         return {
             'service': self.group.service,
-            'address': f'127.0.0.1:{self.port}',
+            'address': f'127.0.0.1:{self.announced_port or self.port}',
             'zone': self.zone,
             'version': 'v1',
             'slots': self.group.slots,
@@ -260,6 +261,8 @@
         if len(self._server.writers) > self._server.faults.connection_limit:
             self._send(f'ERROR CONNLIMIT {self._server.name}')
             return False
+        if not fields:
+            return False
         service = self._server.group.service
         if fields[1] != service or fields[3] != self._server.name:
             self._send(f'ERROR WRONGNODE {self._server.name}')
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -131,7 +131,7 @@
         """Return the first service's servers."""
         return self.groups[0]
 
-    async def __aenter__(self) -> 'PlatformFleet':
+    async def __aenter__(self) -> typing.Self:
         """Start everything and wait until the hosts serve."""
         try:
             await self._start()
@@ -159,6 +159,14 @@
         """Return the port on which a host serves its metrics."""
         return self.port(index) + _PORTS_FOR_HOST - 1
 
+    def store_port(self, _index: int) -> int:
+        """Return the port on which a host reaches the store."""
+        return self.store.port
+
+    def exit_code(self, index: int) -> int | None:
+        """Return how a host's process ended, none while it runs."""
+        return self._processes[index].returncode
+
     def log(self, index: int) -> str:
         """Return what a host has written to its log."""
         return self._log_path(index).read_text()
@@ -211,12 +219,16 @@
         for group in self.groups:
             await group.start()
         await self.store.start()
+        await self._prepare()
         self.store.register_all()
         self.configure()
         for index in range(self._hosts):
             await self.start_host(index)
         await self.wait_serving()
 
+    async def _prepare(self) -> None:
+        """Do what must be done before the servers are registered."""
+
     def _print_logs(self) -> None:
         for path in sorted(pathlib.Path(self._folder.name).glob('*.log')):
             lines = path.read_text().splitlines()[-PRINTED_LINES:]
@@ -251,11 +263,11 @@
             'heartbeat_ms': 1200,
             'bounds': {'grace_s': 6},
             'platform': {
-                'address': f'127.0.0.1:{self.store.port}',
+                'address': f'127.0.0.1:{self.store_port(index)}',
                 'row_bytes': 65536,
                 'history_s': 20,
             },
-            'cloud_api': {'address': f'127.0.0.1:{self.store.port}'},
+            'cloud_api': {'address': f'127.0.0.1:{self.store_port(index)}'},
         }
 
     def _configuration(self) -> dict[str, typing.Any]:
--- a/tests/run.py
+++ b/tests/run.py
@@ -18,6 +18,7 @@
     'src',
     'standins',
     'measurements',
+    'soak',
     'tests',
     'properties',
     'specifications',
@@ -51,7 +52,13 @@
     Step('style', (str(BIN / 'flake8'), *SOURCES)),
     Step(
         'types',
-        (str(BIN / 'mypy'), 'src/egretstep', 'standins', 'measurements'),
+        (
+            str(BIN / 'mypy'),
+            'src/egretstep',
+            'standins',
+            'measurements',
+            'soak',
+        ),
     ),
     Step(
         'models',
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,72 @@
+"""The soak's comparison, and a short soak with the seeds that ever failed."""
+
+import pathlib
+import unittest
+
+from soak import callers, run
+
+REGRESSIONS = pathlib.Path(__file__).parents[1] / 'soak' / 'regressions.txt'
+SECONDS = 6.0
+FIRST_PORT = 25_000
+FRESH_SEED = 1
+
+
+def _seeds() -> list[int]:
+    lines = REGRESSIONS.read_text().splitlines()
+    return [
+        int(line.partition('|')[0])
+        for line in lines
+        if line and not line.startswith('#')
+    ]
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = callers.Ledger()
+
+    def test_kept_promises(self) -> None:
+        self.ledger.acknowledged = {'a-1'}
+        self.ledger.unknown = {'a-2', 'a-3'}
+        self.ledger.not_run = {'a-4'}
+        self.assertEqual(self.ledger.compare(['a-1', 'a-3']), [])
+
+    def test_a_lost_write(self) -> None:
+        self.ledger.acknowledged = {'a-1'}
+        self.assertIn('not stored', self.ledger.compare([])[0])
+
+    def test_a_refused_write_that_ran(self) -> None:
+        self.ledger.not_run = {'a-1'}
+        self.assertIn('not run', self.ledger.compare(['a-1'])[0])
+
+    def test_a_write_that_ran_twice(self) -> None:
+        self.ledger.unknown = {'a-1'}
+        self.assertIn('more than once', self.ledger.compare(['a-1', 'a-1'])[0])
+
+    def test_a_stale_read(self) -> None:
+        self.ledger.acknowledged = {'a-1', 'a-2'}
+        self._read('a-1')
+        self.assertIn('not seen', self.ledger.compare(['a-1', 'a-2'])[0])
+
+    def test_a_write_of_unknown_outcome_that_came_late(self) -> None:
+        self.ledger.unknown = {'a-1'}
+        self.ledger.acknowledged = {'a-2'}
+        self._read('a-1')
+        self.assertEqual(self.ledger.compare(['a-2', 'a-1']), [])
+        self.assertIn('not seen', self.ledger.compare(['a-1', 'a-2'])[0])
+
+    def _read(self, seen: str) -> None:
+        self.ledger.earlier_reads.append(
+            callers.EarlierRead(expected='a-2', seen=seen),
+        )
+
+
+class SoakTest(unittest.IsolatedAsyncioTestCase):
+    async def test_seeds(self) -> None:
+        for place, seed in enumerate([FRESH_SEED, *_seeds()]):
+            with self.subTest(seed=seed):
+                report = await run.soak(
+                    seed=seed,
+                    seconds=SECONDS,
+                    first_port=FIRST_PORT + 100 * place,
+                )
+                self.assertEqual(report.broken, [], report.text())
