A host that claims a task is called again at once

Change: a new epoch of a claim ends the suspicion of its holder. Ruled out: the claims (all held 0.3 s after the first start) and the patience of the dispatcher (it does not wait for a host that is avoided). Test: LeaseTest.test_who_claims_is_called_again_at_once, failed before.

--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -131,6 +131,10 @@
             _logger.info('host {} is avoided: {}', host, reason)
         self._suspected_until[host] = self._clock.now() + SUSPECT_SECONDS
 
+    def trust(self, host: identifiers.HostName) -> None:
+        """Call a host again at once, since it was heard of."""
+        self._suspected_until.pop(host, None)
+
     def is_suspected(self, host: identifiers.HostName) -> bool:
         """Tell whether a host failed to answer lately."""
         until = self._suspected_until.get(host)
@@ -163,7 +167,7 @@
     def _welcome(self, host: Host) -> None:
         known = self._hosts.get(host.host)
         if known is not None and known.boot != host.boot:
-            self._suspected_until.pop(host.host, None)
+            self.trust(host.host)
 
 
 class Registration:
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -84,6 +84,9 @@
     ) -> None:
         if not self.is_mine(claim):
             self._valid_until.pop(claim.task, None)
+        if known is not None:
+            # A host that has just claimed something is up.
+            self._hosts.trust(claim.host)
         _logger.info(
             'task {} is held by {} in epoch {} (before: {})',
             claim.task,
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -38,6 +38,7 @@
         self.clock = clock.ManualClock(start=100)
         self.store = platform_fakes.FakeTables()
         self.confirmers = {name: _Confirmers() for name in 'xyz'}
+        self.directories: dict[str, directory.Directory] = {}
         self.keepers = {name: self._keeper(name) for name in 'xyz'}
         for name, confirmers in self.confirmers.items():
             confirmers.keepers = [
@@ -59,6 +60,17 @@
         self.clock.advance(leases.LEASE_SECONDS)
         self.assertFalse(self.keepers['x'].is_held(TASK, claim.epoch))
 
+    async def test_who_claims_is_called_again_at_once(self) -> None:
+        """After all hosts were off, the owner was refused a second longer."""
+        former = await self._claim('x')
+        hosts = self.directories['y']
+        self.keepers['y'].note(former)
+        hosts.suspect(former.host, 'refused')
+        taken = await self._claim('x')
+        self.keepers['y'].note(taken)
+        self.assertGreater(taken.epoch, former.epoch)
+        self.assertFalse(hosts.is_suspected(former.host))
+
     async def test_the_store_renews(self) -> None:
         claim = await self._claim('x')
         self.clock.advance(1)
@@ -164,12 +176,13 @@
         self.clock.advance(seconds)
 
     def _keeper(self, name: str) -> leases.LeaseKeeper:
+        self.directories[name] = directory.Directory(
+            own=platform_fakes.host(name),
+            time_source=self.clock,
+        )
         keeper = leases.LeaseKeeper(
             store=self.store,
-            hosts=directory.Directory(
-                own=platform_fakes.host(name),
-                time_source=self.clock,
-            ),
+            hosts=self.directories[name],
             confirmers=self.confirmers[name],
             time_source=self.clock,
         )
