A planned stop goes on with its tasks while the store is away

Cause: on SIGTERM a host stopped its owners, then tried once to record the successor. With the store away that failed, the process ended, and nobody could take its tasks before the store was back. Change: the hand-over waits for the store, up to the grace time less 3 s, and serves meanwhile. 'leaving' is announced until the grace ends, not for 0.4 s, which a slow store needs. Test: WholePathTest.test_a_planned_stop_waits_for_the_store (failed before).

--- a/src/egretstep/membership/claim_rows.py
+++ b/src/egretstep/membership/claim_rows.py
@@ -18,6 +18,11 @@
         key = f'{claims.PREFIX}{task}'
         return await self._store.read_row(directory.TABLE, key)
 
+    async def read_all(self) -> dict[str, tables.Row]:
+        """Return the rows of all tasks by key."""
+        snapshot = await self._store.read(directory.TABLE, claims.PREFIX)
+        return {row.key: row for row in snapshot.rows}
+
     async def swap(
         self,
         task: claims.TaskName,
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -35,7 +35,6 @@
         confirmers: claims.Confirmers,
         time_source: clock.Clock,
     ) -> None:
-        self._store = store
         self._rows = claim_rows.ClaimRows(store=store)
         self._hosts = hosts
         self._confirmers = confirmers
@@ -50,6 +49,11 @@
         """Return the latest known claim of each task."""
         return self._claims
 
+    @property
+    def store_answers(self) -> bool:
+        """Tell whether the store answered the last renewal."""
+        return self._store_answers
+
     def follow(self, rows: typing.Mapping[str, tables.Row]) -> None:
         """Take over the rows of the store."""
         for key, row in rows.items():
@@ -61,7 +65,7 @@
     def note(self, claim: claims.Claim) -> bool:
         """Learn of a claim; returns whether no later one is known."""
         known = self._claims.get(claim.task)
-        if known is not None and known.order > claim.order:
+        if known and known.order > claim.order:
             return known.epoch == claim.epoch
         if known != claim:
             self._claims[claim.task] = claim
@@ -80,7 +84,9 @@
         ]
 
     def _log_change(
-        self, claim: claims.Claim, known: claims.Claim | None
+        self,
+        claim: claims.Claim,
+        known: claims.Claim | None,
     ) -> None:
         if not self.is_mine(claim):
             self._valid_until.pop(claim.task, None)
@@ -196,9 +202,7 @@
     async def _renew_at_store(self, asked_at: float) -> bool:
         try:
             async with asyncio.timeout(STORE_ANSWER_SECONDS):
-                snapshot = await self._store.read(
-                    directory.TABLE, claims.PREFIX
-                )
+                stored = await self._rows.read_all()
         except (errors.PlatformError, TimeoutError) as error:
             if self._store_answers:
                 _logger.warning(
@@ -209,7 +213,6 @@
         if not self._store_answers:
             _logger.info('leases: the store answers again')
         self._store_answers = True
-        stored = {row.key: row for row in snapshot.rows}
         self.follow(stored)
         for claim in stored.values():
             held = claims.decode(claim.content)
@@ -289,7 +292,9 @@
         return taken
 
     def _next_claim(
-        self, task: claims.TaskName, former: claims.Claim | None
+        self,
+        task: claims.TaskName,
+        former: claims.Claim | None,
     ) -> claims.Claim:
         own = self._hosts.own
         first = claims.Claim(
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -16,6 +16,7 @@
 
 COUNTING = claims.TaskName('counting')
 HAND_OVER_SECONDS = 2.0
+STORE_POLL_SECONDS = 0.05
 _logger = logbook.Logger('tasks')
 
 
@@ -134,8 +135,15 @@
         if self._counter is not None:
             self._counter.note_call(caller)
 
-    async def hand_over(self) -> None:
-        """Give all tasks to other hosts."""
+    async def hand_over(self, deadline: float) -> None:
+        """Give all tasks to other hosts, by a monotonic time.
+
+        While the store is away no successor can be recorded, so that this
+        host goes on with its tasks for as long as it may.
+        """
+        latest = deadline - HAND_OVER_SECONDS
+        while not self._keeper.store_answers and self._clock.now() < latest:
+            await asyncio.sleep(STORE_POLL_SECONDS)
         others = {
             task: claim
             for task, claim in self._keeper.known.items()
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -302,18 +302,25 @@
             self._clock.now() + self._settings.grace - STOP_MARGIN_SECONDS
         )
         await asyncio.gather(
-            self._announce(directory.HostState.LEAVING),
-            self._tasks.hand_over(),
+            self._announce(directory.HostState.LEAVING, deadline),
+            self._tasks.hand_over(deadline),
             self._close_sessions(deadline),
         )
         self._brokers.close()
-        await self._announce(directory.HostState.GONE)
+        await self._announce(
+            directory.HostState.GONE,
+            self._clock.now() + ANNOUNCE_SECONDS,
+        )
         _logger.info('stopped')
 
-    async def _announce(self, state: directory.HostState) -> None:
+    async def _announce(
+        self,
+        state: directory.HostState,
+        deadline: float,
+    ) -> None:
         registration = directory.Registration(store=self._store)
         try:
-            async with asyncio.timeout(ANNOUNCE_SECONDS):
+            async with asyncio.timeout(deadline - self._clock.now()):
                 await registration.change(self._hosts.own, state)
         except _NOT_ANNOUNCED as error:
             _logger.warning('{} is not announced: {!r}', state.value, error)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -150,6 +150,21 @@
             self.assertLess(gap, 1.5)
             await stopping
 
+    async def test_a_planned_stop_waits_for_the_store(self) -> None:
+        """No successor can be recorded while the store is away."""
+        async with platform_fleet.PlatformFleet(first_port=23450) as fleet:
+            owner = await self._owner(fleet)
+            fleet.store.faults.is_silent = True
+            await asyncio.sleep(1)
+            stopping = asyncio.ensure_future(fleet.stop_host(owner))
+            await asyncio.sleep(1)
+            self.assertLess(await _write_until_done(fleet, 'meanwhile'), 1)
+            await asyncio.sleep(0.5)
+            fleet.store.faults.is_silent = False
+            await asyncio.sleep(0.5)
+            self.assertLess(await _write_until_done(fleet, 'after'), 1.5)
+            await stopping
+
     async def _owner(self, fleet: platform_fleet.PlatformFleet) -> int:
         content, _ = fleet.store.rows['fleet', 'task/service-ledger']
         name = content.decode().partition('"host":"host-')[2][0]
