--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -238,9 +238,8 @@
     def _extend(self, claim: claims.Claim, asked_at: float) -> None:
         task = claim.task
         known = self._claims.get(task)
-        if known is None or known.epoch != claim.epoch:
-            return
-        if task not in self._valid_until:
+        is_same = known is not None and known.epoch == claim.epoch
+        if not is_same or task not in self._valid_until:
             return
         self._valid_until[task] = max(
             self._valid_until[task],
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1,7 +1,8 @@
-"""Shows that scenarios can fail: each mechanism is taken out in a copy.
+"""Shows that scenarios and tests can fail: a mechanism is taken out in a copy.
 
 `make mutants` copies the project, removes one mechanism, and runs the
-scenario that is meant for it, which must then fail.
+scenario or the tests that are meant for it, which must then fail. Names of
+features or test modules after the command choose among them.
 """
 
 import dataclasses
@@ -13,20 +14,21 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-COPIED = ('src', 'standins', 'tests', 'features', 'examples')
+COPIED = ('src', 'standins', 'soak', 'tests', 'features', 'examples')
 PORT_OFFSET = '7000'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Mutant:
-    """A mechanism taken out, and the scenario that must notice."""
+    """A mechanism taken out, and the scenario or tests that must notice."""
 
     name: str
     path: str
     old: str
     new: str
-    feature: str
-    scenario: str
+    feature: str = ''
+    scenario: str = ''
+    tests: str = ''
 
 
 MUTANTS = (
@@ -126,15 +128,78 @@
         feature='old_primary',
         scenario='The primary goes silent',
     ),
+    Mutant(
+        name='a taker does not wait for the former lease',
+        path='src/egretstep/membership/leases.py',
+        old='await asyncio.sleep(LEASE_SECONDS)',
+        new='await asyncio.sleep(0)',
+        tests='tests.membership.test_leases',
+    ),
+    Mutant(
+        name='one answer stands for a majority',
+        path='src/egretstep/membership/fleet_links.py',
+        old='is_enough = len(replies) >= self.majority()',
+        new='is_enough = bool(replies)',
+        tests='tests.membership.test_fleet_links',
+    ),
+    Mutant(
+        name='hosts that are gone count for majorities',
+        path='src/egretstep/membership/directory.py',
+        old='host.state is not HostState.GONE',
+        new='host.state is not None',
+        tests='tests.membership.test_fleet_links',
+    ),
+    Mutant(
+        name='waiting tasks count for no host',
+        path='src/egretstep/membership/spread.py',
+        old='held.update(host.host for host in ranking[task.name][:1])',
+        new='held.update(())',
+        tests='tests.membership.test_spread',
+    ),
+    Mutant(
+        name='what ran is refused when its key lapses',
+        path='src/egretstep/callers/session.py',
+        old='        if self._may_have_run:\n',
+        new='        if not self._may_have_run and self._may_have_run:\n',
+        tests='tests.callers.test_session',
+    ),
+    Mutant(
+        name='an own pause gives statements up',
+        path='src/egretstep/pooling/watchdog.py',
+        old='if watch.was_paused():',
+        new='if watch.was_paused() and not self._servers:',
+        tests='tests.pooling.test_watchdog',
+    ),
+    Mutant(
+        name='lost connections stay counted',
+        path='src/egretstep/pooling/connections.py',
+        old='        self._open -= 1\n        self._wake_next()',
+        new='        self._wake_next()',
+        tests='tests.pooling.test_connections',
+    ),
+    Mutant(
+        name='samples of any age are evidence',
+        path='src/egretstep/replication/evidence.py',
+        old='if sample.asked_at >= oldest:',
+        new='if sample.asked_at >= 0:',
+        tests='tests.replication.test_evidence',
+    ),
+    Mutant(
+        name='patience without end',
+        path='src/egretstep/routing/patience.py',
+        old='return waited + pause <= allowed',
+        new='return waited + pause <= remaining + allowed',
+        tests='tests.routing',
+    ),
 )
 
 
 def main() -> int:
     """Run every mutant and return how many were not noticed."""
-    wanted = sys.argv[1:]
+    wanted = set(sys.argv[1:])
     unnoticed = 0
     for mutant in MUTANTS:
-        if wanted and mutant.feature not in wanted:
+        if wanted and not {mutant.feature, mutant.tests} & wanted:
             continue
         noticed = _is_noticed(mutant)
         unnoticed += not noticed
@@ -159,15 +224,7 @@
 
 def _fails(mutant: Mutant, copy: pathlib.Path) -> bool:
     done = subprocess.run(
-        [
-            str(pathlib.Path(sys.executable).parent / 'behave'),
-            '--no-capture',
-            '--format',
-            'progress2',
-            '--name',
-            mutant.scenario,
-            f'features/{mutant.feature}.feature',
-        ],
+        _command(mutant),
         cwd=copy,
         env={
             **os.environ,
@@ -178,8 +235,24 @@
         stderr=subprocess.STDOUT,
         text=True,
     )
-    # A scenario that could not even start proves nothing.
-    return done.returncode != 0 and 'ASSERT FAILED' in done.stdout
+    # A scenario or test that could not even start proves nothing.
+    failed = ('ASSERT FAILED', 'FAILED (')
+    return done.returncode != 0 and any(text in done.stdout for text in failed)
+
+
+def _command(mutant: Mutant) -> list[str]:
+    if mutant.tests:
+        unit = ['-W', 'ignore', '-m', 'nose2', '-s', '.', '-t', '.']
+        return [sys.executable, *unit, mutant.tests]
+    return [
+        str(pathlib.Path(sys.executable).parent / 'behave'),
+        '--no-capture',
+        '--format',
+        'progress2',
+        '--name',
+        mutant.scenario,
+        f'features/{mutant.feature}.feature',
+    ]
 
 
 if __name__ == '__main__':
