--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import itertools
 import random
@@ -201,6 +200,5 @@
 
     def _note_unanswered(self, item: str) -> None:
         """A host that stands still or is down may stay silent."""
-        with contextlib.suppress(KeyError):
-            if self._host in self._fleet.answering():
-                self._ledger.unanswered.append(item)
+        if self._host in self._fleet.answering():
+            self._ledger.unanswered.append(item)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -145,9 +145,7 @@
     seconds: float,
 ) -> None:
     """Let the store answer nobody."""
-    fleet.store.faults.is_silent = True
-    await asyncio.sleep(seconds)
-    fleet.store.faults.is_silent = False
+    await _disturb_store(fleet, seconds, 'is_silent')
 
 
 async def refuse_store(
@@ -156,9 +154,7 @@
     seconds: float,
 ) -> None:
     """Let the store refuse everybody."""
-    fleet.store.faults.is_busy = True
-    await asyncio.sleep(seconds)
-    fleet.store.faults.is_busy = False
+    await _disturb_store(fleet, seconds, 'is_busy')
 
 
 async def lose_store_writes(
@@ -248,6 +244,16 @@
     await fleet.bring_up(index)
 
 
+async def _disturb_store(
+    fleet: deployment.SoakedFleet,
+    seconds: float,
+    fault: str,
+) -> None:
+    setattr(fleet.store.faults, fault, True)
+    await asyncio.sleep(seconds)
+    setattr(fleet.store.faults, fault, False)
+
+
 async def _disturb(
     chosen: proxy.Proxy,
     seconds: float,
