The pause after a change of the fleet table grows with its rows

Change: 0.02 s for each row, at least 0.5 s, so that fleets of up to 25 rows are as before. Claims still reach all hosts by message. Not measured yet.

--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -39,6 +39,7 @@
 SWEEP_SECONDS = 0.5
 # News of claims travels between the hosts as well.
 FLEET_PAUSE_SECONDS = 0.5
+FLEET_ROW_PAUSE_SECONDS = 0.02
 SERVERS_PAUSE_SECONDS = 0.1
 SETTINGS_PAUSE_SECONDS = 0.15
 ANNOUNCE_SECONDS = 0.4
@@ -85,7 +86,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await running
 
-    def _watch(self, table: str, pause: float) -> watching.TableWatch:
+    def _watch(self, table: str, pause: watching.Pause) -> watching.TableWatch:
         return watching.TableWatch(
             store=self._store,
             table=table,
@@ -106,14 +107,17 @@
             time_source=self._clock,
         )
         self._servers = registry.ServerRegistry(time_source=self._clock)
-        self._fleet_watch = self._watch(directory.TABLE, FLEET_PAUSE_SECONDS)
+        self._fleet_watch = self._watch(
+            directory.TABLE,
+            watching.pausing(FLEET_PAUSE_SECONDS, FLEET_ROW_PAUSE_SECONDS),
+        )
         self._servers_watch = self._watch(
             registrations.TABLE,
-            SERVERS_PAUSE_SECONDS,
+            watching.pausing(SERVERS_PAUSE_SECONDS),
         )
         self._settings_watch = self._watch(
             operator_settings.TABLE,
-            SETTINGS_PAUSE_SECONDS,
+            watching.pausing(SETTINGS_PAUSE_SECONDS),
         )
         self._configuration = following.ConfigurationFollower(
             watch=self._settings_watch,
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -15,13 +15,25 @@
 _logger = logbook.Logger('store')
 
 Rows = typing.Mapping[str, tables.Row]
+Pause = typing.Callable[[Rows], float]
+
+
+def pausing(shortest: float, for_each_row: float = 0) -> Pause:
+    """Make a pause that grows with the rows, in seconds.
+
+    In a large table more rows change a second, and more hosts ask.
+
+    >>> pausing(0.5, for_each_row=0.1)({})
+    0.5
+    """
+    return lambda rows: max(shortest, for_each_row * len(rows))
 
 
 class TableWatch:
     """Keeps a copy of a table and publishes each change of it.
 
     Subscribers of `changes` get the rows as they are now, then again after
-    every change. After one, the next question waits for `pause` seconds, so
+    every change. After one, the next question waits for the pause, so
     that changes in quick succession cost the fleet one call for each host.
     """
 
@@ -31,11 +43,11 @@
         store: tables.Tables,
         table: str,
         time_source: clock.Clock,
-        pause: float = 0,
+        pause: Pause | None = None,
     ) -> None:
         self._store = store
         self._table = table
-        self._pause = pause
+        self._pause = pause or pausing(0)
         self._clock = time_source
         self._rows: dict[str, tables.Row] = {}
         self._version: int | None = None
@@ -94,7 +106,7 @@
             else:
                 self._rows[row.key] = row
         self._publish(snapshot)
-        await asyncio.sleep(self._pause)
+        await asyncio.sleep(self._pause(self._rows))
 
     def _publish(self, snapshot: tables.Snapshot) -> None:
         self._version = snapshot.version
