--- a/specifications/checking.py
+++ b/specifications/checking.py
@@ -27,7 +27,17 @@
 
 
 State = typing.Any
-Moves = typing.Callable[[State, typing.Any], list[tuple[str, State]]]
+MoveList = list[tuple[str, State]]
+
+
+def tick(state: State, last: int) -> MoveList:
+    """Return the move of a clock that stops at the last tick."""
+    if state.now >= last:
+        return []
+    return [('tick', state._replace(now=state.now + 1))]
+
+
+Moves = typing.Callable[[State, typing.Any], MoveList]
 Invariants = dict[str, typing.Callable[[dict[str, typing.Any]], bool]]
 
 
--- a/specifications/failover.py
+++ b/specifications/failover.py
@@ -56,19 +56,13 @@
 
 def _moves(state: State, variant: Variant) -> Moves:
     return [
-        *_tick(state),
+        *checking.tick(state, LAST_TICK),
         *_old_owner(state, variant),
         *_replicate(state),
         *_new_owner(state, variant),
     ]
 
 
-def _tick(state: State) -> Moves:
-    if state.now >= LAST_TICK:
-        return []
-    return [('tick', state._replace(now=state.now + 1))]
-
-
 def _old_owner(state: State, variant: Variant) -> Moves:
     moves: Moves = []
     for server in range(SERVERS):
--- a/specifications/freshness.py
+++ b/specifications/freshness.py
@@ -68,18 +68,12 @@
 
 def _moves(state: State, variant: Variant) -> Moves:
     return [
-        *_tick(state),
+        *checking.tick(state, LAST_TICK),
         *_operator(state, variant),
         *_host(state, variant),
     ]
 
 
-def _tick(state: State) -> Moves:
-    if state.now >= LAST_TICK:
-        return []
-    return [('tick', state._replace(now=state.now + 1))]
-
-
 def _operator(state: State, variant: Variant) -> Moves:
     moves: Moves = []
     may_change = state.accepted == state.stored
--- a/specifications/leases.py
+++ b/specifications/leases.py
@@ -54,7 +54,7 @@
 
 def _moves(state: State, variant: Variant) -> Moves:
     return [
-        *_tick(state),
+        *checking.tick(state, LAST_TICK),
         *_holder(state, variant),
         *_answers(state),
         *_taker(state, variant),
@@ -62,12 +62,6 @@
     ]
 
 
-def _tick(state: State) -> Moves:
-    if state.now >= LAST_TICK:
-        return []
-    return [('tick', state._replace(now=state.now + 1))]
-
-
 def _holder(state: State, variant: Variant) -> Moves:
     if state.known[_HOLDER] != FIRST_EPOCH:
         return []
--- a/src/egretstep/membership/claim_rows.py
+++ b/src/egretstep/membership/claim_rows.py
@@ -23,6 +23,15 @@
         snapshot = await self._store.read(directory.TABLE, claims.PREFIX)
         return {row.key: row for row in snapshot.rows}
 
+    async def replace(self, epoch: int, following: claims.Claim) -> bool:
+        """Replace the claim of an epoch; false where another one stands."""
+        row = await self.read(following.task)
+        stored = claims.decode(row.content)
+        if stored is None or stored.epoch != epoch:
+            return False
+        await self.swap(following.task, row.version, following)
+        return True
+
     async def swap(
         self,
         task: claims.TaskName,
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -165,11 +165,8 @@
             detail=claim.detail,
         )
         try:
-            row = await self._rows.read(task)
-            stored = claims.decode(row.content)
-            if stored is None or stored.epoch != claim.epoch:
+            if not await self._rows.replace(claim.epoch, following):
                 return False
-            await self._rows.swap(task, row.version, following)
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.warning('task {} is not handed over: {}', task, error)
             return False
@@ -335,15 +332,10 @@
         self.note(revised)
         asyncio.ensure_future(self._confirmers.confirm([revised]))
         try:
-            row = await self._rows.read(claim.task)
-            stored = claims.decode(row.content)
-            if stored is None or stored.epoch != claim.epoch:
-                return False
-            await self._rows.swap(claim.task, row.version, revised)
+            return await self._rows.replace(claim.epoch, revised)
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.info('task {}: not recorded: {}', claim.task, error)
             return False
-        return True
 
 
 def _tasks(asked: typing.Sequence[claims.Claim]) -> set[claims.TaskName]:
--- a/src/egretstep/observability/decisions.py
+++ b/src/egretstep/observability/decisions.py
@@ -1,5 +1,7 @@
 """One log line for each decision that touches a request."""
 
+import typing
+
 import logbook
 
 from egretstep import identifiers
@@ -17,15 +19,13 @@
 ) -> None:
     """Log that a workspace is above its rate."""
     metrics.refusals.inc(workspace, 'rate')
-    _logger.info(
+    _note(
         'refused',
-        extra={
-            'id': statement_id.decode(errors='replace'),
-            'reason': 'rate',
-            'workspace': workspace,
-            'retry_after_s': round(wait, 3),
-            'settings_version': version,
-        },
+        statement_id,
+        reason='rate',
+        workspace=workspace,
+        retry_after_s=round(wait, 3),
+        settings_version=version,
     )
 
 
@@ -36,17 +36,15 @@
     version: identifiers.SettingsVersion,
 ) -> None:
     """Log the answer to a statement that did not succeed."""
-    _logger.info(
+    _note(
         'failed',
-        extra={
-            'id': statement_id.decode(errors='replace'),
-            'outcome': answer.code.value,
-            'database': database,
-            'sent_to_server': answer.was_sent,
-            'reason': answer.message,
-            'retry_after_ms': answer.retry_after_ms,
-            'settings_version': version,
-        },
+        statement_id,
+        outcome=answer.code.value,
+        database=database,
+        sent_to_server=answer.was_sent,
+        reason=answer.message,
+        retry_after_ms=answer.retry_after_ms,
+        settings_version=version,
     )
 
 
@@ -57,15 +55,13 @@
     answer: answers.Answer,
 ) -> None:
     """Log where a statement that took longer than its aim spent its time."""
-    _logger.info(
+    _note(
         'late',
-        extra={
-            'id': statement_id.decode(errors='replace'),
-            'database': database,
-            'took_s': round(elapsed, 3),
-            'queued_ms': answer.queued_ms,
-            'ran_ms': answer.ran_ms,
-        },
+        statement_id,
+        database=database,
+        took_s=round(elapsed, 3),
+        queued_ms=answer.queued_ms,
+        ran_ms=answer.ran_ms,
     )
 
 
@@ -78,16 +74,14 @@
 ) -> None:
     """Log that a try without effect is repeated or given up."""
     metrics.retries.inc(answer.code.value)
-    _logger.info(
+    _note(
         'try without effect',
-        extra={
-            'id': statement_id.decode(errors='replace'),
-            'outcome': answer.code.value,
-            'reason': answer.message,
-            'host': host,
-            'server': server or 'primary',
-            'left_s': round(remaining, 3),
-        },
+        statement_id,
+        outcome=answer.code.value,
+        reason=answer.message,
+        host=host,
+        server=server or 'primary',
+        left_s=round(remaining, 3),
     )
 
 
@@ -99,13 +93,16 @@
 ) -> None:
     """Log that a session's key or database is not, or no longer, known."""
     metrics.refusals.inc(database, answer.code.value)
-    _logger.info(
+    _note(
         'denied',
-        extra={
-            'id': statement_id.decode(errors='replace'),
-            'outcome': answer.code.value,
-            'database': database,
-            'reason': answer.message,
-            'settings_version': version,
-        },
+        statement_id,
+        outcome=answer.code.value,
+        database=database,
+        reason=answer.message,
+        settings_version=version,
     )
+
+
+def _note(event: str, statement_id: bytes, **fields: typing.Any) -> None:
+    request_id = statement_id.decode(errors='replace')
+    _logger.info(event, extra={'id': request_id, **fields})
--- a/src/egretstep/pooling/connections.py
+++ b/src/egretstep/pooling/connections.py
@@ -12,6 +12,7 @@
 
 from egretstep import errors, identifiers
 from egretstep.backends import mysql as database
+from egretstep.pooling import turns
 
 RESERVED_FOR_CONTROL = 2
 RESET_SECONDS = 0.3
@@ -37,9 +38,7 @@
             collections.deque()
         )
         self._open = 0
-        self._waiting: collections.deque[asyncio.Future[None]] = (
-            collections.deque()
-        )
+        self._turns = turns.Turns()
 
     @property
     def server(self) -> identifiers.ServerName:
@@ -87,7 +86,7 @@
             raise
         if connection.is_usable:
             self._idle.append(connection)
-            self._wake_next()
+            self._turns.wake_next()
         else:
             self._drop(connection)
 
@@ -104,7 +103,7 @@
                 self._idle.remove(connection)
                 if await self._bind_or_drop(connection, term):
                     self._idle.append(connection)
-                    self._wake_next()
+                    self._turns.wake_next()
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -117,24 +116,7 @@
                 return self._idle.pop()
             if self._open < self._limit:
                 return await self._connect()
-            await self._wait_turn()
-
-    async def _wait_turn(self) -> None:
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.append(turn)
-        try:
-            await turn
-        except asyncio.CancelledError:
-            if not turn.cancelled():
-                self._wake_next()
-            raise
-
-    def _wake_next(self) -> None:
-        while self._waiting:
-            turn = self._waiting.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                return
+            await self._turns.wait()
 
     def _drop(self, connection: database.ServerConnection) -> None:
         connection.close()
@@ -142,7 +124,7 @@
 
     def _free_place(self) -> None:
         self._open -= 1
-        self._wake_next()
+        self._turns.wake_next()
 
     async def _connect(self) -> database.ServerConnection:
         self._open += 1
--- a/src/egretstep/pooling/workspace_connections.py
+++ b/src/egretstep/pooling/workspace_connections.py
@@ -5,11 +5,9 @@
 connection that has rested longest makes room.
 """
 
-import asyncio
-import collections
-
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands, connection
+from egretstep.pooling import turns
 from egretstep.pooling import work as work_module
 
 RESERVED_FOR_CONTROL = 2
@@ -111,9 +109,7 @@
         self._highest = max(SMALLEST_LIMIT, limit - RESERVED_FOR_CONTROL)
         self._limit = self._highest
         self._refused_at = float('-inf')
-        self._waiters: collections.deque[asyncio.Future[None]] = (
-            collections.deque()
-        )
+        self._turns = turns.Turns()
 
     @property
     def open_count(self) -> int:
@@ -138,7 +134,7 @@
                 self._evict_one()
             if self._open < self._limit:
                 return await self._connect(workspace)
-            await self._wait()
+            await self._turns.wait()
 
     def release(self, held: SessionConnection) -> None:
         """Give a connection back; a broken one is closed."""
@@ -147,12 +143,12 @@
             self._idle.append(held)
         else:
             self._discard(held)
-        self._wake()
+        self._turns.wake_next()
 
     def discard(self, held: SessionConnection) -> None:
         """Close a connection whose state is in doubt."""
         self._discard(held)
-        self._wake()
+        self._turns.wake_next()
 
     def note_full(self) -> None:
         """Use fewer connections, since others hold the server's.
@@ -215,29 +211,10 @@
             opened = await self._opener.open(self._server, workspace)
         except BaseException:
             self._open -= 1
-            self._wake()
+            self._turns.wake_next()
             raise
         return SessionConnection(server_connection=opened, workspace=workspace)
 
     def _discard(self, held: SessionConnection) -> None:
         held.raw.close()
         self._open -= 1
-
-    async def _wait(self) -> None:
-        waiter: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._waiters.append(waiter)
-        try:
-            await waiter
-        except asyncio.CancelledError:
-            if waiter.done() and not waiter.cancelled():
-                self._wake()
-            raise
-
-    def _wake(self) -> None:
-        while self._waiters:
-            waiter = self._waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -17,6 +17,7 @@
 COUNTING = claims.TaskName('counting')
 HAND_OVER_SECONDS = 2.0
 STORE_POLL_SECONDS = 0.05
+_ANY_ZONE = identifiers.ZoneName('')
 _logger = logbook.Logger('tasks')
 
 
@@ -68,7 +69,7 @@
         if claim.task == COUNTING:
             self._start_counting(claim)
             return
-        service = _service_of(claim.task)
+        service = dispatcher.service_of(claim.task)
         owner = primary.PrimaryOwner(
             service=service,
             claim=claim,
@@ -169,7 +170,7 @@
         successors: spread.Ranking,
     ) -> None:
         if claim.task != COUNTING:
-            owner = self._owners.get(_service_of(claim.task))
+            owner = self._owners.get(dispatcher.service_of(claim.task))
             if owner is not None:
                 await owner.stop(longest_wait=HAND_OVER_SECONDS)
         own = self._hosts.own.host
@@ -188,12 +189,3 @@
         self._supervisor.start(
             supervisor.Child(name=service, run=owner.run),
         )
-
-
-_ANY_ZONE = identifiers.ZoneName('')
-
-
-def _service_of(task: claims.TaskName) -> deployment.ServiceName:
-    return deployment.ServiceName(
-        task.removeprefix(dispatcher.TASK_PREFIX),
-    )
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -25,12 +25,17 @@
 LONGEST_PAUSE_SECONDS = 0.15
 NO_OWNER_RETRY_MS = 300
 AVOID_SERVER_SECONDS = 1.0
-TASK_PREFIX = 'service-'
+_TASK_PREFIX = 'service-'
 
 
 def task_of(service: deployment.ServiceName) -> claims.TaskName:
     """Return the name of the task of owning a service."""
-    return claims.TaskName(TASK_PREFIX + service)
+    return claims.TaskName(_TASK_PREFIX + service)
+
+
+def service_of(task: claims.TaskName) -> deployment.ServiceName:
+    """Return the service of a task of owning one."""
+    return deployment.ServiceName(task.removeprefix(_TASK_PREFIX))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -173,8 +173,8 @@
     Mutant(
         name='lost connections stay counted',
         path='src/egretstep/pooling/connections.py',
-        old='        self._open -= 1\n        self._wake_next()',
-        new='        self._wake_next()',
+        old='        self._open -= 1\n        self._turns.wake_next()',
+        new='        self._turns.wake_next()',
         tests='tests.pooling.test_connections',
     ),
     Mutant(
