--- a/src/egretstep/callers/server.py
+++ b/src/egretstep/callers/server.py
@@ -11,7 +11,7 @@
 from mysql_mimic import variables
 
 from egretstep import errors
-from egretstep.callers import connection, keys, session
+from egretstep.callers import connection, keys, session, surroundings
 from egretstep.membership import view
 from egretstep.observability import metrics
 
@@ -39,14 +39,14 @@
         *,
         address: str,
         port: int,
-        surroundings: session.Surroundings,
+        shared: surroundings.Surroundings,
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        directory = keys.KeyDirectory(current_view=surroundings.current_view)
+        directory = keys.KeyDirectory(current_view=shared.current_view)
         super().__init__(identity_provider=directory, ssl=tls)
         self._address = address
         self._port = port
-        self._surroundings = surroundings
+        self._shared = shared
         self._global_variables = variables.GlobalVariables()
         self._open: set[connection.CallerConnection] = set()
 
@@ -85,7 +85,7 @@
         caller = connection.CallerConnection(
             stream=mimic_stream.MysqlStream(reader, writer),
             session=session.CallerSession(
-                surroundings=self._surroundings,
+                shared=self._shared,
                 global_variables=self._global_variables,
             ),
             control=self.control,
--- a/src/egretstep/callers/session.py
+++ b/src/egretstep/callers/session.py
@@ -10,9 +10,15 @@
 from returns import result
 
 from egretstep import clock, errors, identifiers
-from egretstep.callers import hints, keys, local_answers, placement, refusals
+from egretstep.callers import (
+    hints,
+    keys,
+    local_answers,
+    placement,
+    refusals,
+    surroundings,
+)
 from egretstep.membership import view
-from egretstep.observability import traces
 from egretstep.peers import messages
 from egretstep.pooling import outcomes
 from egretstep.routing import relay, statements
@@ -29,19 +35,6 @@
 _pin_ids = itertools.count(1)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Surroundings:
-    """What all sessions of an entry share."""
-
-    current_view: typing.Callable[[], view.FleetView | None]
-    relay: relay.Relay
-    classifier: statements.StatementClassifier
-    tracer: traces.Tracer
-    time_source: clock.Clock
-    zone: identifiers.ZoneName
-    is_stopping: typing.Callable[[], bool]
-
-
 class CallerSession(mimic_session.BaseSession):
     """State of one caller's connection."""
 
@@ -64,14 +57,14 @@
     def __init__(
         self,
         *,
-        surroundings: Surroundings,
+        shared: surroundings.Surroundings,
         global_variables: variables.GlobalVariables,
     ) -> None:
         self.variables = variables.SessionVariables(global_variables)
         self.username: str | None = None
         self.database: str | None = None
         self.in_transaction = False
-        self._shared = surroundings
+        self._shared = shared
         self._hints = hints.Hints()
         self._autocommit = True
         self._insert_id = 0
--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import typing
 
 import logbook
@@ -20,6 +21,7 @@
 WATCHERS = 3
 RETRY_SECONDS = 0.5
 SETTLE_SECONDS = 1.0
+_MakeRanking = typing.Callable[[], spread.Ranking]
 _logger = logbook.Logger('claiming')
 
 
@@ -72,20 +74,37 @@
             await asyncio.sleep(LOOK_SECONDS)
             if not self._keeper.is_synced or self._is_leaving:
                 continue
-            for task in self._wanted():
-                if task.name not in self._busy:
-                    self._busy.add(task.name)
-                    asyncio.ensure_future(self._look_at(task))
+            self._look()
+
+    def _look(self) -> None:
+        tasks = self._wanted()
+        # Made once for all tasks of this look, and only if one needs it.
+        ranking = functools.cache(
+            functools.partial(
+                spread.rank_hosts,
+                tasks=tasks,
+                known=self._keeper.known,
+                hosts=self._hosts,
+            ),
+        )
+        for task in tasks:
+            if task.name not in self._busy:
+                self._busy.add(task.name)
+                asyncio.ensure_future(self._look_at(task, ranking))
 
-    async def _look_at(self, task: spread.Task) -> None:
+    async def _look_at(self, task: spread.Task, ranking: _MakeRanking) -> None:
         try:
-            await self._consider(task)
+            await self._consider(task, ranking)
         except Exception:
             _logger.exception('task {} could not be looked at', task.name)
         finally:
             self._busy.discard(task.name)
 
-    async def _consider(self, task: spread.Task) -> None:
+    async def _consider(
+        self,
+        task: spread.Task,
+        ranking: _MakeRanking,
+    ) -> None:
         claim = self._keeper.known.get(task.name)
         if claim is not None and claim.host == self._hosts.own.host:
             if not self._keeper.is_renewing(task.name):
@@ -93,7 +112,7 @@
             return
         if not self._is_watch_due(task):
             return
-        rank = self._rank(task, claim)
+        rank = self._rank(ranking().get(task.name, ()), claim)
         if rank is None:
             return
         if claim is None or claim.host not in self._hosts.hosts:
@@ -105,18 +124,13 @@
 
     def _rank(
         self,
-        task: spread.Task,
+        hosts: typing.Sequence[directory.Host],
         claim: claims.Claim | None,
     ) -> int | None:
         """Return this host's place among those that may take over."""
-        ranking = spread.rank_hosts(
-            tasks=self._wanted(),
-            known=self._keeper.known,
-            hosts=self._hosts,
-        )
         ranked = [
             host.host
-            for host in ranking.get(task.name, ())
+            for host in hosts
             if claim is None or host.host != claim.host
         ]
         own = self._hosts.own.host
--- a/src/egretstep/pooling/local_host.py
+++ b/src/egretstep/pooling/local_host.py
@@ -3,7 +3,8 @@
 import typing
 
 from egretstep import identifiers
-from egretstep.backends import answers, connection
+from egretstep.backends import answers
+from egretstep.membership import registry
 from egretstep.pooling import brokers
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
@@ -33,19 +34,6 @@
         """Return the position that data of an accepted age must include."""
 
 
-class Servers(typing.Protocol):
-    """The registered servers."""
-
-    def find(
-        self,
-        server: connection.ServerId,
-    ) -> connection.BackendServer | None:
-        """Return a server, or none if it is gone."""
-
-    def takes_work(self, server: connection.BackendServer) -> bool:
-        """Tell whether a server is to get new work."""
-
-
 class LocalHost:
     """Finds the owner or broker on this host that runs a statement."""
 
@@ -53,7 +41,7 @@
         self,
         *,
         broker_table: brokers.BrokerTable,
-        servers: Servers,
+        servers: registry.ServerRegistry,
         owner: typing.Callable[[deployment.ServiceName], Owner | None],
         floors: typing.Callable[[deployment.ServiceName], Floors],
     ) -> None:
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -3,46 +3,12 @@
 import typing
 
 from egretstep import clock, identifiers
-from egretstep.limits import grants
 from egretstep.membership import fleet_links, leases
 from egretstep.peers import fleet_messages, fleet_schema
 from egretstep.pooling import brokers, local_host
 from egretstep.pooling import work as work_module
-from egretstep.replication import primary
-from egretstep.settings import deployment
-
-
-class Tasks(typing.Protocol):
-    """The tasks that this host does for the fleet."""
-
-    def owner(
-        self,
-        service: deployment.ServiceName,
-    ) -> primary.PrimaryOwner | None:
-        """Return the owner of a service, if it is this host."""
-
-    def note_call(self, caller: identifiers.HostName) -> None:
-        """Remember that a host takes its tokens here."""
-
-    def take_tokens(
-        self,
-        workspace: identifiers.WorkspaceName,
-        wanted: int,
-        caller: identifiers.HostName,
-    ) -> grants.Grant | None:
-        """Give tokens of a workspace, if this host counts."""
-
-
-class Configuration(typing.Protocol):
-    """The configuration as this host has it."""
-
-    @property
-    def version(self) -> int:
-        """Return the version in force."""
-
-    @property
-    def content(self) -> bytes:
-        """Return the configuration as the store keeps it."""
+from egretstep.programs import tasks
+from egretstep.settings import deployment, following
 
 
 class HostEndpoint(fleet_schema.Host.Server):
@@ -56,15 +22,15 @@
         broker_table: brokers.BrokerTable,
         keeper: leases.LeaseKeeper,
         peers: fleet_links.FleetLinks,
-        tasks: Tasks,
-        configuration: Configuration,
+        fleet_tasks: tasks.FleetTasks,
+        configuration: following.ConfigurationFollower,
     ) -> None:
         self._link = link
         self._local = local
         self._brokers = broker_table
         self._keeper = keeper
         self._peers = peers
-        self._tasks = tasks
+        self._tasks = fleet_tasks
         self._configuration = configuration
 
     async def execute(
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -74,7 +74,7 @@
             service=service,
             claim=claim,
             keeper=self._keeper,
-            brokers=self._brokers,
+            broker_table=self._brokers,
             successions=self._make_succession(),
             time_source=self._clock,
         )
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -258,7 +258,7 @@
             broker_table=self._brokers,
             keeper=self._keeper,
             peers=self._peers,
-            tasks=self._tasks,
+            fleet_tasks=self._tasks,
             configuration=self._configuration,
         )
 
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -15,7 +15,7 @@
 from egretstep.backends import answers, commands, connection
 from egretstep.membership import claims, leases
 from egretstep.pooling import broker as broker_module
-from egretstep.pooling import gate, verdicts
+from egretstep.pooling import brokers, gate, verdicts
 from egretstep.pooling import work as work_module
 from egretstep.replication import succession
 from egretstep.settings import deployment
@@ -27,16 +27,6 @@
 _logger = logbook.Logger('primary')
 
 
-class Brokers(typing.Protocol):
-    """The brokers of this host."""
-
-    def get(
-        self,
-        server: connection.BackendServer,
-    ) -> broker_module.Broker:
-        """Return the broker of a server, made on first use."""
-
-
 class PrimaryOwner:
     """Serves the primary of one service for the whole fleet."""
 
@@ -46,14 +36,14 @@
         service: deployment.ServiceName,
         claim: claims.Claim,
         keeper: leases.LeaseKeeper,
-        brokers: Brokers,
+        broker_table: brokers.BrokerTable,
         successions: succession.Succession,
         time_source: clock.Clock,
     ) -> None:
         self._service = service
         self._claim = claim
         self._keeper = keeper
-        self._brokers = brokers
+        self._brokers = broker_table
         self._succession = successions
         self._clock = time_source
         self._gate = gate.WriteGate(
--- a/src/egretstep/replication/succession.py
+++ b/src/egretstep/replication/succession.py
@@ -8,6 +8,7 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.backends import answers, connection
+from egretstep.membership import registry
 from egretstep.settings import deployment
 
 STATUS_SECONDS = 0.4
@@ -36,25 +37,6 @@
         """Make a server the primary; raises `errors.PlatformError`."""
 
 
-class Servers(typing.Protocol):
-    """The registered servers."""
-
-    def of_service(
-        self,
-        service: deployment.ServiceName,
-    ) -> list[connection.BackendServer]:
-        """Return the servers of a service."""
-
-    def find(
-        self,
-        server: connection.ServerId,
-    ) -> connection.BackendServer | None:
-        """Return a server, or none if it is gone."""
-
-    def takes_work(self, server: connection.BackendServer) -> bool:
-        """Tell whether a server is to get new work."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
     """A server with what it said of itself."""
@@ -77,7 +59,7 @@
     def __init__(
         self,
         *,
-        servers: Servers,
+        servers: registry.ServerRegistry,
         opener: connection.Opener,
         promotions: Promotions,
         time_source: clock.Clock,
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from standins import line_server, platform_store
+from standins import line_group, line_server, platform_store
 
 ZONES = ('north', 'middle', 'south')
 PRINTED_LINES = 60
@@ -114,8 +114,7 @@
         rate: float = 500,
     ) -> None:
         self.groups = [
-            line_server.Group(service=service, zones=ZONES)
-            for service in services
+            line_server.make_group(service, ZONES) for service in services
         ]
         self.store = platform_store.PlatformStore(groups=self.groups)
         self.version = 1
@@ -127,7 +126,7 @@
         self._processes: dict[int, asyncio.subprocess.Process] = {}
 
     @property
-    def group(self) -> line_server.Group:
+    def group(self) -> line_group.Group:
         """Return the first service's servers."""
         return self.groups[0]
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from standins import line_server
+from standins import line_group
 
 Key = tuple[str, str]
 SHUTDOWN_SECONDS = 0.05
@@ -40,7 +40,7 @@
     def __init__(
         self,
         *,
-        groups: typing.Sequence[line_server.Group],
+        groups: typing.Sequence[line_group.Group],
     ) -> None:
         self.rows: dict[Key, tuple[bytes, int]] = {}
         self.faults = StoreFaults()
--- a/tests/callers/test_session.py
+++ b/tests/callers/test_session.py
@@ -6,7 +6,7 @@
 from mysql_mimic import variables
 
 from egretstep import errors, identifiers
-from egretstep.callers import keys, session
+from egretstep.callers import keys, session, surroundings
 from egretstep.membership import view
 from egretstep.observability import traces
 from egretstep.peers import messages
@@ -94,7 +94,7 @@
     ) -> errors.RefusalKind | None:
         self.relay = Answering(after)
         caller = session.CallerSession(
-            surroundings=session.Surroundings(
+            shared=surroundings.Surroundings(
                 current_view=self.settings.current,
                 relay=typing.cast(relay.Relay, self.relay),
                 classifier=statements.StatementClassifier(),
