--- a/soak/faults.py
+++ b/soak/faults.py
@@ -92,7 +92,7 @@
     seconds: float,
 ) -> None:
     """Hold everything from and to one server."""
-    chosen = randomness.choice(list(fleet.server_proxies.values()))
+    chosen = _any_server(fleet, randomness)
     await _disturb(chosen, seconds, holds_requests=True, holds_answers=True)
 
 
@@ -102,7 +102,7 @@
     seconds: float,
 ) -> None:
     """Hold the answers of one server, then reset its connections."""
-    chosen = randomness.choice(list(fleet.server_proxies.values()))
+    chosen = _any_server(fleet, randomness)
     await _disturb(chosen, seconds, holds_answers=True)
 
 
@@ -112,7 +112,7 @@
     seconds: float,
 ) -> None:
     """Delay what one server gets and sends."""
-    chosen = randomness.choice(list(fleet.server_proxies.values()))
+    chosen = _any_server(fleet, randomness)
     await _disturb(
         chosen,
         seconds,
@@ -126,7 +126,7 @@
     _seconds: float,
 ) -> None:
     """Reset the connections of one server."""
-    randomness.choice(list(fleet.server_proxies.values())).reset()
+    _any_server(fleet, randomness).reset()
 
 
 async def cut_store(
@@ -244,6 +244,13 @@
     await fleet.bring_up(index)
 
 
+def _any_server(
+    fleet: deployment.SoakedFleet,
+    randomness: random.Random,
+) -> proxy.Proxy:
+    return randomness.choice(list(fleet.server_proxies.values()))
+
+
 async def _disturb_store(
     fleet: deployment.SoakedFleet,
     seconds: float,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import pathlib
 import socket
 import time
 import typing
@@ -21,7 +20,6 @@
 START_SECONDS = 30.0
 POLL_SECONDS = 0.05
 PROGRAMS = ('agent', 'pool', 'entry')
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,7 +45,7 @@
         database_options: typing.Sequence[str] = (),
     ) -> None:
         super().__init__(quiet=quiet)
-        self._folder = ROOT / 'examples' / example
+        self._folder = processes.ROOT / 'examples' / example
         self._offset = port_offset
         self._database_options = tuple(database_options)
         self.delays = Delays(**self._read('standins.yaml'))
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from standins import line_group, line_server, platform_store
+from standins import line_group, line_server, platform_store, processes
 
 ZONES = ('north', 'middle', 'south')
 PRINTED_LINES = 60
@@ -144,12 +144,17 @@
         for index in list(self._processes):
             await self.stop_host(index, signal.SIGKILL)
         if any(error):
-            self._print_logs()
+            lines = processes.last_lines(self._log_folder, PRINTED_LINES)
+            sys.stderr.write(f'{lines}\n')
         await self.store.stop()
         for group in self.groups:
             await group.stop()
         self._folder.cleanup()
 
+    @property
+    def _log_folder(self) -> pathlib.Path:
+        return pathlib.Path(self._folder.name)
+
     def port(self, index: int) -> int:
         """Return the port on which a host takes callers."""
         return self._first_port + index * _PORTS_FOR_HOST
@@ -177,7 +182,7 @@
 
     async def start_host(self, index: int) -> None:
         """Start the process of a host."""
-        path = pathlib.Path(self._folder.name) / f'host-{index}.json'
+        path = self._log_folder / f'host-{index}.json'
         path.write_bytes(orjson.dumps(self._settings(index)))
         with self._log_path(index).open('ab') as log:
             self._processes[index] = await asyncio.create_subprocess_exec(
@@ -228,12 +233,6 @@
     async def _prepare(self) -> None:
         """Do what must be done before the servers are registered."""
 
-    def _print_logs(self) -> None:
-        for path in sorted(pathlib.Path(self._folder.name).glob('*.log')):
-            lines = path.read_text().splitlines()[-PRINTED_LINES:]
-            text = '\n'.join(lines)
-            sys.stderr.write(f'last lines of {path.name}:\n{text}\n')
-
     async def _serves(self, index: int) -> bool:
         try:
             caller = await Caller.connect(self.port(index))
@@ -244,7 +243,7 @@
         return True
 
     def _log_path(self, index: int) -> pathlib.Path:
-        return pathlib.Path(self._folder.name) / f'host-{index}.log'
+        return self._log_folder / f'host-{index}.log'
 
     def _settings(self, index: int) -> dict[str, typing.Any]:
         port = self.port(index)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -13,6 +13,15 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
+def last_lines(folder: pathlib.Path, count: int) -> str:
+    """Return the last lines of each log in a folder, with its name."""
+    return '\n'.join(
+        f'{path.stem}: {line}'
+        for path in sorted(folder.glob('*.log'))
+        for line in path.read_text().splitlines()[-count:]
+    )
+
+
 class ProcessTable:
     """Starts processes and ends them by their own ids.
 
@@ -90,12 +99,7 @@
 
     def last_lines(self, count: int) -> str:
         """Return the last lines that each quiet process has written."""
-        paths = sorted(self.folder.glob('*.log'))
-        return '\n'.join(
-            f'{path.stem}: {line}'
-            for path in paths
-            for line in path.read_text().splitlines()[-count:]
-        )
+        return last_lines(self.folder, count)
 
     def stop(self) -> None:
         """End every process and remove the files."""
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -6,16 +6,16 @@
 import tempfile
 import unittest
 
-from standins import fleet
+from standins import fleet, processes
 from tests import fixtures
 
-EXAMPLE = fleet.ROOT / 'examples' / 'ausili-brambilla' / 'fleet.yaml'
+EXAMPLE = processes.ROOT / 'examples' / 'ausili-brambilla' / 'fleet.yaml'
 
 
 def run(*arguments: str, **environment: str) -> subprocess.CompletedProcess:
     return subprocess.run(
         [sys.executable, '-m', 'egretstep.programs.command', *arguments],
-        cwd=fleet.ROOT,
+        cwd=processes.ROOT,
         env={**os.environ, **environment},
         capture_output=True,
         text=True,
