Dead names of this change are gone

Nothing used SESSION_ENDED and the logger of dialogue, the session count of the ingress, REQUEST_CHANNEL, commands.ROLLBACK, and a parameter of acquire whose promise was not kept by any code.

--- a/src/egretstep/backends/commands.py
+++ b/src/egretstep/backends/commands.py
@@ -58,4 +58,3 @@
 
 BEGIN = Command(action=Action.BEGIN, text=b'BEGIN')
 BEGIN_READ = Command(action=Action.BEGIN_READ, text=b'BEGIN READ')
-ROLLBACK = Command(action=Action.ROLLBACK, text=b'ROLLBACK')
--- a/src/egretstep/callers/dialogue.py
+++ b/src/egretstep/callers/dialogue.py
@@ -10,8 +10,6 @@
 import time
 import typing
 
-import logbook
-
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
 from egretstep.callers import access, names, parts
@@ -19,12 +17,10 @@
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
 
-SESSION_ENDED = 'the session can not go on; connect again'
 SHOWN_BYTES = 40
 _State = answers.TransactionState
 _Action = commands.Action
 _pin_ids = itertools.count(1)
-_logger = logbook.Logger('dialogue')
 
 
 class Dialogue:
--- a/src/egretstep/observability/log_trail.py
+++ b/src/egretstep/observability/log_trail.py
@@ -14,7 +14,6 @@
 BEFORE_SECONDS = 10.0
 # A cause is often found out only when the request has ended.
 AFTER_SECONDS = 3.0
-REQUEST_CHANNEL = 'request'
 _FLEET_CHANNELS = frozenset((
     'claiming',
     'configuration',
--- a/src/egretstep/platform/ingress.py
+++ b/src/egretstep/platform/ingress.py
@@ -30,11 +30,6 @@
         self._sessions: set[_Session] = set()
         self._server: asyncio.Server | None = None
 
-    @property
-    def session_count(self) -> int:
-        """Return how many callers are connected."""
-        return len(self._sessions)
-
     async def run(self) -> None:
         """Accept callers until cancelled."""
         self._server = await asyncio.start_server(
--- a/src/egretstep/pooling/workspace_connections.py
+++ b/src/egretstep/pooling/workspace_connections.py
@@ -119,12 +119,10 @@
     async def acquire(
         self,
         workspace: identifiers.WorkspaceName,
-        session_values: work_module.SessionValues = (),
     ) -> SessionConnection:
         """Return a connection of a workspace; the caller bounds the wait.
 
-        One whose values already fit is preferred. Raises
-        `connection.BrokenError` or `connection.RefusedConnectionError`.
+        Raises `connection.BrokenError` or `connection.RefusedConnectionError`.
         """
         while True:
             idle = self._take_idle(workspace)
