The program of a host starts with what its deploy file installs

Cause: membership/ranking and pooling/fair_queue imported the schema of the MySQL side's settings, and with it pydantic, which deploy/requirements.txt does not name. It was found on this machine only because the interpreter's own site folder happens to have it: with python -S the program ended with ModuleNotFoundError. On a machine that starts clean no host would start.

--- a/measurements/sharing.py
+++ b/measurements/sharing.py
@@ -15,8 +15,7 @@
 
 from egretstep import clock, identifiers
 from egretstep.bench import measures
-from egretstep.pooling import fair_queue
-from egretstep.settings import schema
+from egretstep.pooling import fair_queue, queueing
 
 HOSTS = 9
 SLOTS = 3
@@ -48,7 +47,7 @@
     return fair_queue.FairQueue(
         slots=slots,
         time_source=clock.MonotonicClock(),
-        policy=schema.QueuePolicy.FAIR,
+        policy=queueing.QueuePolicy.FAIR,
     )
 
 
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -12,7 +12,7 @@
 import orjson
 
 from egretstep import clock, errors, identifiers
-from egretstep.membership import ranking
+from egretstep.membership import rendezvous
 from egretstep.settings import node
 from egretstep.storage import tables
 
@@ -160,7 +160,7 @@
             usable,
             key=lambda host: (
                 host.zone != zone,
-                -ranking.score(key=key, host=host.host),
+                -rendezvous.score(key=key, host=host.host),
             ),
         )
 
--- a/src/egretstep/membership/ownership.py
+++ b/src/egretstep/membership/ownership.py
@@ -9,7 +9,7 @@
 import typing
 
 from egretstep import identifiers
-from egretstep.membership import members, ranking
+from egretstep.membership import members, ranking, rendezvous
 from egretstep.settings import schema
 
 
@@ -43,7 +43,7 @@
             if owner in left:
                 self._owners.pop(database)
             elif joined:
-                self._owners[database] = ranking.best(
+                self._owners[database] = rendezvous.best(
                     key=database,
                     hosts=[owner, *joined],
                 )
@@ -57,7 +57,7 @@
             return None
         host = self._owners.get(database)
         if host is None:
-            host = ranking.best(key=database, hosts=self._hosts)
+            host = rendezvous.best(key=database, hosts=self._hosts)
             self._owners[database] = host
         return self._hosts[host]
 
--- a/src/egretstep/membership/ranking.py
+++ b/src/egretstep/membership/ranking.py
@@ -1,35 +1,11 @@
-"""Rendezvous hashing, and the ring on which agents probe each other.
+"""The order of hosts for a key, and the ring on which agents probe."""
 
-Every host computes the same order from the same names. When a host joins
-or leaves, only what it owns or wins changes its owner.
-"""
-
-import functools
 import typing
 
-import xxhash
-
 from egretstep import identifiers
-from egretstep.membership import members
+from egretstep.membership import members, rendezvous
 from egretstep.settings import schema
 
-SCORES_KEPT = 65_536
-
-
-@functools.lru_cache(maxsize=SCORES_KEPT)
-def score(*, key: str, host: str) -> int:
-    """Return the weight of a host for a key; the highest one wins."""
-    return xxhash.xxh3_64_intdigest(f'{key}\0{host}'.encode())
-
-
-def best(
-    *,
-    key: str,
-    hosts: typing.Iterable[identifiers.HostName],
-) -> identifiers.HostName:
-    """Return the preferred host for a key."""
-    return max(hosts, key=lambda host: (score(key=key, host=host), host))
-
 
 def rank(
     *,
@@ -39,7 +15,10 @@
     """Return the hosts from the most to the least preferred for a key."""
     return sorted(
         hosts,
-        key=lambda member: (score(key=key, host=member.host), member.host),
+        key=lambda member: (
+            rendezvous.score(key=key, host=member.host),
+            member.host,
+        ),
         reverse=True,
     )
 
--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -13,7 +13,7 @@
 import typing
 
 from egretstep import clock, errors, identifiers
-from egretstep.settings import schema
+from egretstep.pooling import queueing
 
 FIRST_SERVICE_SECONDS = 0.002
 AVERAGE_SHARE_OF_NEWEST = 0.2
@@ -40,12 +40,12 @@
         *,
         slots: int,
         time_source: clock.Clock,
-        policy: schema.QueuePolicy = schema.QueuePolicy.FAIR,
+        policy: queueing.QueuePolicy = queueing.QueuePolicy.FAIR,
     ) -> None:
         self._free = slots
         self._slots = slots
         self._clock = time_source
-        self._is_first_come = policy is schema.QueuePolicy.FIRST_COME
+        self._is_first_come = policy is queueing.QueuePolicy.FIRST_COME
         self._virtual_time = 0.0
         self._flows: dict[identifiers.WorkspaceName, _Flow] = {}
         self._waiting = 0
--- a/src/egretstep/pooling/owned.py
+++ b/src/egretstep/pooling/owned.py
@@ -14,6 +14,7 @@
     jobs,
     outcomes,
     pins,
+    queueing,
     reading,
     servers,
     watchdog,
@@ -209,7 +210,7 @@
     def _settings(self) -> schema.Database:
         return self._view().tree.fleet.databases[self._database]
 
-    def _queue_policy(self) -> schema.QueuePolicy:
+    def _queue_policy(self) -> queueing.QueuePolicy:
         return (
             self
             ._view()
--- a/src/egretstep/pooling/servers.py
+++ b/src/egretstep/pooling/servers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from egretstep import clock, identifiers
-from egretstep.pooling import connections, fair_queue
+from egretstep.pooling import connections, fair_queue, queueing
 from egretstep.replication import group
 from egretstep.settings import schema
 
@@ -30,7 +30,7 @@
         database_group: group.DatabaseGroup,
         settings: schema.Database,
         owner: str,
-        queue_policy: schema.QueuePolicy,
+        queue_policy: queueing.QueuePolicy,
         time_source: clock.Clock,
     ) -> None:
         self._slots = settings.slots
--- a/src/egretstep/settings/schema.py
+++ b/src/egretstep/settings/schema.py
@@ -13,6 +13,8 @@
 
 import pydantic
 
+from egretstep.pooling import queueing
+
 MAXIMUM_PORT = 65535
 NAME_PATTERN = '^[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}$'
 PEER_PATTERN = r'^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$'
@@ -46,13 +48,6 @@
     RANDOM_REPLICA = 'random-replica'
 
 
-class QueuePolicy(enum.Enum):
-    """Order of waiting requests; `first-come` is a baseline."""
-
-    FAIR = 'fair'
-    FIRST_COME = 'first-come'
-
-
 class Tunables(Model):
     """Values that pass down the tree; a level sets only what differs.
 
@@ -66,7 +61,7 @@
     request_timeout_ms: Positive | None = None
     replica_wait_ms: Positive | None = None
     read_policy: ReadPolicy | None = None
-    queue_policy: QueuePolicy | None = None
+    queue_policy: queueing.QueuePolicy | None = None
 
 
 class ZoneTunables(Tunables):
--- a/src/egretstep/settings/tree.py
+++ b/src/egretstep/settings/tree.py
@@ -9,6 +9,7 @@
 import typing
 
 from egretstep import identifiers
+from egretstep.pooling import queueing
 from egretstep.settings import schema
 
 DEFAULT_RATE = 1000
@@ -22,7 +23,7 @@
     request_timeout_ms=DEFAULT_TIMEOUT_MS,
     replica_wait_ms=DEFAULT_REPLICA_WAIT_MS,
     read_policy=schema.ReadPolicy.SESSION,
-    queue_policy=schema.QueuePolicy.FAIR,
+    queue_policy=queueing.QueuePolicy.FAIR,
 )
 
 
@@ -45,7 +46,7 @@
     request_timeout_ms: int
     replica_wait_ms: int
     read_policy: schema.ReadPolicy
-    queue_policy: schema.QueuePolicy
+    queue_policy: queueing.QueuePolicy
 
 
 class SettingsTree:
--- a/tests/membership/test_spread.py
+++ b/tests/membership/test_spread.py
@@ -4,7 +4,7 @@
 import unittest.mock
 
 from egretstep import identifiers
-from egretstep.membership import claims, directory, ranking, spread
+from egretstep.membership import claims, directory, rendezvous, spread
 
 ZONES = ('a', 'a', 'a', 'b', 'b')
 HOSTS = [
@@ -37,7 +37,7 @@
             (host for host in HOSTS if self.is_usable(host.host)),
             key=lambda host: (
                 host.zone != zone,
-                -ranking.score(key=key, host=host.host),
+                -rendezvous.score(key=key, host=host.host),
             ),
         )
 
--- a/tests/pooling/test_execution.py
+++ b/tests/pooling/test_execution.py
@@ -6,7 +6,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.backends import mysql as database
 from egretstep.peers import messages
-from egretstep.pooling import execution, jobs, outcomes, pins, reading
+from egretstep.pooling import execution, jobs, outcomes, pins, queueing, reading
 from egretstep.replication import floors, group, lease
 from egretstep.settings import schema, tree
 
@@ -109,7 +109,7 @@
                 request_timeout_ms=1,
                 replica_wait_ms=1,
                 read_policy=schema.ReadPolicy.SESSION,
-                queue_policy=schema.QueuePolicy.FAIR,
+                queue_policy=queueing.QueuePolicy.FAIR,
             ),
             deadline=self.clock.now() + seconds,
             pin_key=(pins.LinkId(1), identifiers.PinId(1)),
--- a/tests/pooling/test_fair_queue.py
+++ b/tests/pooling/test_fair_queue.py
@@ -2,8 +2,7 @@
 import unittest
 
 from egretstep import clock, errors, identifiers
-from egretstep.pooling import fair_queue
-from egretstep.settings import schema
+from egretstep.pooling import fair_queue, queueing
 
 SERVICE_SECONDS = 0.002
 SHORT = identifiers.WorkspaceName('short')
@@ -21,7 +20,7 @@
             await asyncio.sleep(SERVICE_SECONDS)
             order.append(workspace)
 
-    async def _order(self, policy: schema.QueuePolicy) -> list[str]:
+    async def _order(self, policy: queueing.QueuePolicy) -> list[str]:
         queue = fair_queue.FairQueue(
             slots=1,
             time_source=clock.MonotonicClock(),
@@ -36,11 +35,11 @@
         return order
 
     async def test_small_workspace_is_not_behind_a_large_one(self) -> None:
-        order = await self._order(schema.QueuePolicy.FAIR)
+        order = await self._order(queueing.QueuePolicy.FAIR)
         self.assertLess(order.index(SHORT), 4)
 
     async def test_first_come_is_the_baseline(self) -> None:
-        order = await self._order(schema.QueuePolicy.FIRST_COME)
+        order = await self._order(queueing.QueuePolicy.FIRST_COME)
         self.assertEqual(order.index(SHORT), 20)
 
     async def test_what_cannot_be_served_in_time_is_refused_at_once(
--- a/tests/pooling/test_hot_workspace.py
+++ b/tests/pooling/test_hot_workspace.py
@@ -5,8 +5,7 @@
 import unittest
 
 from egretstep import errors, identifiers
-from egretstep.pooling import fair_queue
-from egretstep.settings import schema
+from egretstep.pooling import fair_queue, queueing
 from tests import virtual_time
 
 SLOTS = 3
@@ -32,17 +31,17 @@
 class HotWorkspaceTest(unittest.TestCase):
     def test_the_worst_served_keeps_its_service(self) -> None:
         self.assertGreaterEqual(
-            _worst_share(schema.QueuePolicy.FAIR),
+            _worst_share(queueing.QueuePolicy.FAIR),
             LEAST_SERVED,
         )
 
     def test_it_waits_less_than_when_first_come_is_first_served(self) -> None:
-        fair = _longest_mean_wait(schema.QueuePolicy.FAIR)
-        first_come = _longest_mean_wait(schema.QueuePolicy.FIRST_COME)
+        fair = _longest_mean_wait(queueing.QueuePolicy.FAIR)
+        first_come = _longest_mean_wait(queueing.QueuePolicy.FIRST_COME)
         self.assertLess(fair, first_come / 2)
 
 
-def _worst_share(policy: schema.QueuePolicy) -> float:
+def _worst_share(policy: queueing.QueuePolicy) -> float:
     counts = virtual_time.run(_play(policy))
     return min(
         count.served / count.sent
@@ -51,7 +50,7 @@
     )
 
 
-def _longest_mean_wait(policy: schema.QueuePolicy) -> float:
+def _longest_mean_wait(policy: queueing.QueuePolicy) -> float:
     counts = virtual_time.run(_play(policy))
     return max(
         count.waited / count.served
@@ -61,7 +60,7 @@
 
 
 async def _play(
-    policy: schema.QueuePolicy,
+    policy: queueing.QueuePolicy,
 ) -> dict[identifiers.WorkspaceName, _Count]:
     queue = fair_queue.FairQueue(
         slots=SLOTS,
