Tasks are ranked after a change only, and go where the processor is

Cause: each host ranked all hosts for every task five times a second.

Changed: membership/candidacies.py works out which tasks concern this host after a change of hosts, claims or tasks, and a look costs what concerns it; hosts know a revision; the best host for a replica is kept until it changes; a row is read once for each version. Tasks go to the host with the most processor for each of its tasks (15 of the 195 hosts have four times the processor of the others).

Ruled out: longer pauses between looks, which would slow every takeover.

--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -7,22 +7,27 @@
 
 import asyncio
 import contextlib
-import functools
 import typing
 
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.membership import claims, directory, leases, spread
+from egretstep.membership import (
+    candidacies,
+    claims,
+    directory,
+    leases,
+    spread,
+)
 
 LOOK_SECONDS = 0.1
+# A host that no task concerns waits for news of claims and hosts.
+IDLE_LOOK_SECONDS = 0.3
 WATCH_SECONDS = 0.2
 DETECTION_SECONDS = 0.7
 RANK_DELAY_SECONDS = 1.0
-WATCHERS = 3
 RETRY_SECONDS = 0.5
 SETTLE_SECONDS = 1.0
-_MakeRanking = typing.Callable[[], spread.Ranking]
 _logger = logbook.Logger('claiming')
 
 
@@ -56,7 +61,12 @@
         self._keeper = keeper
         self._hosts = hosts
         self._prober = prober
-        self._wanted = wanted
+        self._candidacies = candidacies.Candidacies(
+            keeper=keeper,
+            hosts=hosts,
+            wanted=wanted,
+        )
+        self._look_seconds = LOOK_SECONDS
         self._start = start
         self._clock = time_source
         self._silent_since: dict[identifiers.HostName, float] = {}
@@ -81,47 +91,45 @@
         """Wait for the next look; a task that was given cuts it short."""
         given = self._keeper.was_given
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LOOK_SECONDS):
+            async with asyncio.timeout(self._look_seconds):
                 await given.wait()
         given.clear()
 
     def _look(self) -> None:
-        tasks = self._wanted()
-        # Made once for all tasks of this look, and only if one needs it.
-        ranking = functools.cache(
-            functools.partial(
-                spread.rank_hosts,
-                tasks=tasks,
-                known=self._keeper.known,
-                hosts=self._hosts,
-            ),
-        )
-        for task in tasks:
-            if task.name not in self._busy:
-                self._busy.add(task.name)
-                asyncio.ensure_future(self._look_at(task, ranking))
+        found = self._candidacies.current()
+        self._look_seconds = LOOK_SECONDS if found else IDLE_LOOK_SECONDS
+        for candidacy in found:
+            if self._is_due(candidacy):
+                self._busy.add(candidacy.task.name)
+                asyncio.ensure_future(self._look_at(candidacy))
+
+    def _is_due(self, candidacy: candidacies.Candidacy) -> bool:
+        task = candidacy.task
+        if task.name in self._busy:
+            return False
+        if self._is_own(candidacy.claim):
+            return not self._keeper.is_renewing(task.name)
+        return self._is_watch_due(task)
 
-    async def _look_at(self, task: spread.Task, ranking: _MakeRanking) -> None:
+    def _is_own(self, claim: claims.Claim | None) -> bool:
+        return claim is not None and claim.host == self._hosts.own.host
+
+    async def _look_at(self, candidacy: candidacies.Candidacy) -> None:
+        task = candidacy.task
         try:
-            await self._consider(task, ranking)
+            await self._consider(candidacy)
         except Exception:
             _logger.exception('task {} could not be looked at', task.name)
         finally:
             self._busy.discard(task.name)
 
-    async def _consider(
-        self,
-        task: spread.Task,
-        ranking: _MakeRanking,
-    ) -> None:
-        claim = self._keeper.known.get(task.name)
-        if claim is not None and claim.host == self._hosts.own.host:
-            if not self._keeper.is_renewing(task.name):
-                await self._take(task, claim, 'this host held it or got it')
-            return
-        if not self._is_watch_due(task):
+    async def _consider(self, candidacy: candidacies.Candidacy) -> None:
+        task = candidacy.task
+        claim = candidacy.claim
+        rank = candidacy.rank
+        if self._is_own(claim):
+            await self._take(task, claim, 'this host held it or got it')
             return
-        rank = self._rank(ranking().get(task.name, ()), claim)
         if rank is None:
             return
         if claim is None or claim.host not in self._hosts.hosts:
@@ -131,22 +139,6 @@
         elif await self._is_lost(claim, rank):
             await self._take(task, claim, f'{claim.host} does not answer')
 
-    def _rank(
-        self,
-        hosts: typing.Sequence[directory.Host],
-        claim: claims.Claim | None,
-    ) -> int | None:
-        """Return this host's place among those that may take over."""
-        ranked = [
-            host.host
-            for host in hosts
-            if claim is None or host.host != claim.host
-        ]
-        own = self._hosts.own.host
-        if own not in ranked[:WATCHERS]:
-            return None
-        return ranked.index(own)
-
     def _is_watch_due(self, task: spread.Task) -> bool:
         now = self._clock.now()
         if now - self._watched_at.get(task.name, 0) < WATCH_SECONDS:
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -89,9 +89,19 @@
     ) -> None:
         self._clock = time_source
         self._hosts: dict[identifiers.HostName, Host] = {own.host: own}
+        self._decoded: dict[str, tuple[int, Host | None]] = {}
         self._suspected_until: dict[identifiers.HostName, float] = {}
+        self._revision = 0
+        self._usable: tuple[int, tuple[Host, ...]] = (-1, ())
+        self._best: dict[tuple[str, identifiers.ZoneName], Host] = {}
         self.own = own
 
+    @property
+    def revision(self) -> int:
+        """Return a number that grows with each change of the usable hosts."""
+        self._end_suspicions()
+        return self._revision
+
     @property
     def hosts(self) -> typing.Mapping[identifiers.HostName, Host]:
         """Return all registered hosts by name."""
@@ -119,21 +129,25 @@
         for key, row in rows.items():
             if not key.startswith(PREFIX):
                 continue
-            host = decode(row.content)
+            host = self._decode(row)
             if host is not None and host.host != self.own.host:
                 self._welcome(host)
                 hosts[host.host] = host
-        self._hosts = hosts
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._revision += 1
 
     def suspect(self, host: identifiers.HostName, reason: str) -> None:
         """Avoid a host for a while, since it did not answer."""
         if not self.is_suspected(host):
             _logger.info('host {} is avoided: {}', host, reason)
+            self._revision += 1
         self._suspected_until[host] = self._clock.now() + SUSPECT_SECONDS
 
     def trust(self, host: identifiers.HostName) -> None:
         """Call a host again at once, since it was heard of."""
-        self._suspected_until.pop(host, None)
+        if self._suspected_until.pop(host, None) is not None:
+            self._revision += 1
 
     def is_suspected(self, host: identifiers.HostName) -> bool:
         """Tell whether a host failed to answer lately."""
@@ -147,22 +161,54 @@
             return False
         return not self.is_suspected(name)
 
-    def preferred(
-        self,
-        key: str,
-        zone: identifiers.ZoneName,
-    ) -> list[Host]:
-        """Rank the usable hosts for a task, those of a zone first."""
-        usable = [
-            host for host in self._hosts.values() if self.is_usable(host.host)
-        ]
-        return sorted(
-            usable,
-            key=lambda host: (
-                host.zone != zone,
-                -rendezvous.score(key=key, host=host.host),
-            ),
-        )
+    def usable(self) -> tuple[Host, ...]:
+        """Return the hosts that take new work and answer."""
+        revision = self.revision
+        if self._usable[0] != revision:
+            found = tuple(
+                host
+                for host in self._hosts.values()
+                if self.is_usable(host.host)
+            )
+            self._usable = (revision, found)
+            self._best.clear()
+        return self._usable[1]
+
+    def best(self, key: str, zone: identifiers.ZoneName) -> Host:
+        """Return the usable host for a key, if possible one of a zone.
+
+        This host is the answer when there is no other.
+        """
+        usable = self.usable()
+        best = self._best.get((key, zone))
+        if best is None:
+            best = max(
+                usable,
+                key=lambda host: (
+                    host.zone == zone,
+                    rendezvous.score(key=key, host=host.host),
+                ),
+                default=self.own,
+            )
+            self._best[key, zone] = best
+        return best
+
+    def _end_suspicions(self) -> None:
+        if not self._suspected_until:
+            return
+        now = self._clock.now()
+        for host, until in tuple(self._suspected_until.items()):
+            if until <= now:
+                del self._suspected_until[host]
+                self._revision += 1
+
+    def _decode(self, row: tables.Row) -> Host | None:
+        """Read a row, once for each of its versions."""
+        known = self._decoded.get(row.key)
+        if known is None or known[0] != row.version:
+            known = (row.version, decode(row.content))
+            self._decoded[row.key] = known
+        return known[1]
 
     def _welcome(self, host: Host) -> None:
         known = self._hosts.get(host.host)
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -46,9 +46,15 @@
         self._valid_until: dict[claims.TaskName, float] = {}
         self._starts_at: dict[claims.TaskName, float] = {}
         self._store_answers = True
+        self._revision = 0
         self.is_synced = False
         self.was_given = asyncio.Event()
 
+    @property
+    def revision(self) -> int:
+        """Return a number that grows with each change of the claims."""
+        return self._revision
+
     @property
     def known(self) -> typing.Mapping[claims.TaskName, claims.Claim]:
         """Return the latest known claim of each task."""
@@ -74,6 +80,7 @@
             return known.epoch == claim.epoch
         if known != claim:
             self._claims[claim.task] = claim
+            self._revision += 1
             if claim.is_released and self.is_mine(claim):
                 self.was_given.set()
             if known is None or known.epoch != claim.epoch:
--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -23,8 +23,15 @@
         self._clock = time_source
         self._servers: Known = {}
         self._missing_since: dict[connection.ServerId, float] = {}
+        self._revision = 0
         self._zones_out: frozenset[identifiers.ZoneName] = frozenset()
 
+    @property
+    def revision(self) -> int:
+        """Return a number that grows with each change of the servers."""
+        self._forget_missing()
+        return self._revision
+
     def follow(self, current: Known) -> None:
         """Take over the entries as they are now."""
         now = self._clock.now()
@@ -35,6 +42,7 @@
             self._missing_since.pop(name, None)
             if self._servers.get(name) != server:
                 _logger.info('server {}', server)
+                self._revision += 1
         self._servers = {**self._servers, **current}
 
     def follow_zones(self, zones: frozenset[identifiers.ZoneName]) -> None:
@@ -81,4 +89,5 @@
             if since < limit:
                 _logger.info('server {} is gone', server)
                 del self._missing_since[server]
+                self._revision += 1
                 self._servers.pop(server, None)
--- a/src/egretstep/membership/spread.py
+++ b/src/egretstep/membership/spread.py
@@ -1,17 +1,18 @@
 """Spreads the fleet's tasks over its hosts.
 
 Every host computes the same order from the same rows: the hosts of the
-task's zone first, of these the ones with the fewest other tasks, and the
-hash decides among equals. Where two hosts know different rows for a moment
+task's zone first, of these the ones that have the most processor for each of
+their tasks, and the hash decides among equals. Where two hosts know different rows for a moment
 both may claim a task; the store lets one of them win.
 """
 
 import collections
 import dataclasses
+import heapq
 import typing
 
 from egretstep import identifiers
-from egretstep.membership import claims, directory
+from egretstep.membership import claims, directory, rendezvous
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,8 +31,9 @@
     tasks: typing.Iterable[Task],
     known: typing.Mapping[claims.TaskName, claims.Claim],
     hosts: directory.Directory,
+    most: int,
 ) -> Ranking:
-    """Return the usable hosts of each task, the best one first.
+    """Return up to a number of usable hosts of each task, the best one first.
 
     A task that no usable host holds counts for its first host, so that one
     host does not get all tasks of another one that was lost.
@@ -46,22 +48,30 @@
             settled.append(task)
         else:
             waiting.append(task)
+    usable = hosts.usable()
     ranking: dict[claims.TaskName, list[directory.Host]] = {}
     for task in waiting:
-        ranking[task.name] = rank_one(task, held, hosts)
+        ranking[task.name] = rank_one(task, held, usable, most)
         held.update(host.host for host in ranking[task.name][:1])
     for task in settled:
-        ranking[task.name] = rank_one(task, held, hosts)
+        ranking[task.name] = rank_one(task, held, usable, most)
     return ranking
 
 
 def rank_one(
     task: Task,
     held: typing.Mapping[identifiers.HostName, int],
-    hosts: directory.Directory,
+    usable: typing.Sequence[directory.Host],
+    most: int,
 ) -> list[directory.Host]:
-    """Return the usable hosts of one task, given how many each one holds."""
-    return sorted(
-        hosts.preferred(task.name, task.zone),
-        key=lambda host: (host.zone != task.zone, held.get(host.host, 0)),
+    """Return the first hosts of one task, given how many each one holds."""
+    near = [host for host in usable if host.zone == task.zone]
+    return heapq.nsmallest(
+        most,
+        near if len(near) >= most else usable,
+        key=lambda host: (
+            host.zone != task.zone,
+            (held.get(host.host, 0) + 1) / host.processor,
+            -rendezvous.score(key=task.name, host=host.host),
+        ),
     )
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -16,6 +16,8 @@
 
 COUNTING = claims.TaskName('counting')
 HAND_OVER_SECONDS = 2.0
+# This host and another one.
+SUCCESSORS = 2
 STORE_POLL_SECONDS = 0.05
 _ANY_ZONE = identifiers.ZoneName('')
 _logger = logbook.Logger('tasks')
@@ -50,10 +52,23 @@
         self._counter: grants.Counter | None = None
         self._counting_claim: claims.Claim | None = None
         self._supervisor = supervisor.Supervisor(name='owners')
+        self._wanted: tuple[spread.Task, ...] = ()
+        self._wanted_from: tuple[deployment.Deployment, int] | None = None
 
-    def wanted(self) -> list[spread.Task]:
+    def wanted(self) -> tuple[spread.Task, ...]:
         """Return the tasks that the configuration asks for."""
-        current = self._current()
+        basis = (self._current(), self._servers.revision)
+        former = self._wanted_from
+        is_same = former and former[0] is basis[0] and former[1] == basis[1]
+        if not is_same:
+            self._wanted_from = basis
+            self._wanted = self._find_wanted(basis[0])
+        return self._wanted
+
+    def _find_wanted(
+        self,
+        current: deployment.Deployment,
+    ) -> tuple[spread.Task, ...]:
         tasks = []
         for service in current.services:
             zone = self._servers.primary_zone(service)
@@ -62,7 +77,7 @@
                 tasks.append(spread.Task(name=name, zone=zone))
         if current.workspaces:
             tasks.append(spread.Task(name=COUNTING, zone=_ANY_ZONE))
-        return tasks
+        return tuple(tasks)
 
     def start(self, claim: claims.Claim) -> None:
         """Begin a task that this host has claimed."""
@@ -168,6 +183,7 @@
             tasks=self.wanted(),
             known=others,
             hosts=self._hosts,
+            most=SUCCESSORS,
         )
         mine = [
             claim
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -202,8 +202,7 @@
         if replica is None:
             claim = self._keeper.known.get(task_of(work.service))
             return claim.host if claim else None
-        ranked = self._hosts.preferred(replica.server, replica.zone)
-        return ranked[0].host if ranked else self._hosts.own.host
+        return self._hosts.best(replica.server, replica.zone).host
 
     def _choose_replica(
         self,
--- a/src/egretstep/settings/following.py
+++ b/src/egretstep/settings/following.py
@@ -83,8 +83,8 @@
         """Ask other hosts while the store does not answer."""
         while True:
             await asyncio.sleep(ASK_SECONDS)
-            others = self._other_hosts()
-            if self._watch.is_failing and others:
+            others = self._other_hosts() if self._watch.is_failing else []
+            if others:
                 host = random.choice(others)
                 content = await self._ask_host(host, self.version)
                 if content:
--- a/tests/membership/test_spread.py
+++ b/tests/membership/test_spread.py
@@ -4,13 +4,14 @@
 import unittest.mock
 
 from egretstep import identifiers
-from egretstep.membership import claims, directory, rendezvous, spread
+from egretstep.membership import claims, directory, spread
 
 ZONES = ('a', 'a', 'a', 'b', 'b')
 HOSTS = [
     unittest.mock.MagicMock(
         host=identifiers.HostName(f'host-{number}'),
         zone=identifiers.ZoneName(zone),
+        processor=1.0,
     )
     for number, zone in enumerate(ZONES)
 ]
@@ -24,7 +25,7 @@
 
 
 class Hosts:
-    """Ranks as the directory does, without the lost hosts."""
+    """Knows the hosts as the directory does, without the lost ones."""
 
     def __init__(self, *lost: str) -> None:
         self._lost = lost
@@ -32,14 +33,8 @@
     def is_usable(self, name: str) -> bool:
         return name not in self._lost
 
-    def preferred(self, key: str, zone: str) -> list[typing.Any]:
-        return sorted(
-            (host for host in HOSTS if self.is_usable(host.host)),
-            key=lambda host: (
-                host.zone != zone,
-                -rendezvous.score(key=key, host=host.host),
-            ),
-        )
+    def usable(self) -> list[typing.Any]:
+        return [host for host in HOSTS if self.is_usable(host.host)]
 
 
 def make_claims(*hosts: str) -> dict[claims.TaskName, claims.Claim]:
@@ -64,6 +59,7 @@
             tasks=TASKS,
             known=known,
             hosts=typing.cast(directory.Directory, Hosts(*lost)),
+            most=1,
         )
         return [found[task.name][0].host for task in TASKS]
 
