One host of a large zone asks the store, the others hear of news from it

A host whom the store refused or did not reach heard of settings from others, but not of servers that leave, nor of zones that are taken out.

News older than two waits are not believed. The call for the configuration alone is gone, since news carry it. Heartbeats of links run only while calls are under way.

Ruled out: longer pauses alone (calls would still grow with the hosts).

--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -10,6 +10,7 @@
 from egretstep.peers import fleet_messages, fleet_schema, links
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
+from egretstep.storage import news
 
 CONTROL_SECONDS = 0.4
 ANSWER_ALLOWANCE_SECONDS = 0.2
@@ -44,6 +45,7 @@
         call: links.Call,
         *,
         timeout: float = CONTROL_SECONDS,
+        waits: bool = False,
     ) -> typing.Any:
         """Call a host; raises `errors.LinkError` or `errors.LinkLostError`.
 
@@ -54,7 +56,7 @@
             raise errors.LinkError(f'{host} is not registered')
         link = self._table.get(known.address.host, known.address.port)
         try:
-            return await link.call(call, timeout=timeout)
+            return await link.call(call, timeout=timeout, waits=waits)
         except _LINK_ERRORS as error:
             self._hosts.suspect(host, str(error))
             raise
@@ -104,6 +106,26 @@
             return None
         return reply.epoch, fleet_messages.decode_position(reply.position)
 
+    async def news(
+        self,
+        host: identifiers.HostName,
+        known: news.Versions,
+        *,
+        wait: float,
+    ) -> news.News | None:
+        """Ask a host what changed in the store's tables; it may wait a while."""
+        versions = fleet_messages.encode_versions(known)
+        try:
+            reply = await self.call(
+                host,
+                lambda remote: remote.news(known=versions),
+                timeout=wait + CONTROL_SECONDS,
+                waits=True,
+            )
+        except _LINK_ERRORS:
+            return None
+        return fleet_messages.decode_news(reply)
+
     async def reaches(self, host: identifiers.HostName) -> bool:
         """Tell whether this host gets an answer from another one."""
         try:
--- a/src/egretstep/peers/fleet_messages.py
+++ b/src/egretstep/peers/fleet_messages.py
@@ -7,6 +7,7 @@
 from egretstep.membership import claims
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
+from egretstep.storage import news, tables
 
 NO_STALENESS = -1
 
@@ -151,3 +152,62 @@
         detail=fields.detail,
         revision=fields.revision,
     )
+
+
+def encode_versions(known: news.Versions) -> list[dict[str, typing.Any]]:
+    """Write versions of tables as the schema's structs."""
+    return [
+        {'table': table, 'version': version} for table, version in known.items()
+    ]
+
+
+def decode_versions(fields: typing.Iterable[Struct]) -> dict[str, int]:
+    """Read the schema's structs of versions of tables."""
+    return {each.table: each.version for each in fields}
+
+
+def encode_table_news(
+    table: str,
+    changed: tables.Snapshot,
+) -> dict[str, typing.Any]:
+    """Write what changed in a table as the fields of the schema's struct."""
+    return {
+        'table': table,
+        'version': changed.version,
+        'rows': [
+            {
+                'key': row.key,
+                'content': row.content,
+                'version': row.version,
+                'isDeleted': row.is_deleted,
+            }
+            for row in changed.rows
+        ],
+        'isWhole': changed.keys is not None,
+        'keys': sorted(changed.keys or ()),
+    }
+
+
+def decode_news(reply: Struct) -> news.News:
+    """Read the answer of a host that was asked for news."""
+    return news.News(
+        age=clock.to_seconds(reply.ageMs),
+        tables={each.table: _decode_table_news(each) for each in reply.tables},
+    )
+
+
+def _decode_table_news(fields: Struct) -> tables.Snapshot:
+    rows = tuple(
+        tables.Row(
+            key=row.key,
+            content=bytes(row.content),
+            version=row.version,
+            is_deleted=row.isDeleted,
+        )
+        for row in fields.rows
+    )
+    return tables.Snapshot(
+        rows=rows,
+        version=fields.version,
+        keys=frozenset(fields.keys) if fields.isWhole else None,
+    )
--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -48,6 +48,7 @@
         self._client: typing.Any = None
         self._stream: typing.Any = None
         self._outstanding = 0
+        self._watched = 0
         self._connecting = asyncio.Lock()
         self._failed_at = float('-inf')
         self._heartbeat_task: asyncio.Task[None] | None = None
@@ -63,15 +64,24 @@
         """Tell whether no call is under way."""
         return self._outstanding == 0
 
-    async def call(self, call: Call, *, timeout: float) -> typing.Any:
+    async def call(
+        self,
+        call: Call,
+        *,
+        timeout: float,
+        waits: bool = False,
+    ) -> typing.Any:
         """Make one call and return its answer.
 
-        Raises `LinkError` when the call was not sent, and `LinkLostError`
-        when no answer came within `timeout` seconds or before the
+        Heartbeats are sent until it comes, but not for a call that `waits`
+        on purpose. Raises `LinkError` when the call was not sent, and
+        `LinkLostError` when no answer came within `timeout` seconds or before the
         connection broke.
         """
         remote = self._remote or await self._connect()
         self._outstanding += 1
+        if not waits:
+            self._watch()
         try:
             async with asyncio.timeout(timeout):
                 return await call(remote)
@@ -88,6 +98,7 @@
             ) from error
         finally:
             self._outstanding -= 1
+            self._watched -= not waits
 
     def close(self) -> None:
         """Close the connection; a later call opens it again."""
@@ -136,10 +147,6 @@
         self._client = capnp.TwoPartyClient(self._stream)
         self._remote = self._client.bootstrap().cast_as(self._interface)
         self._end_task = asyncio.create_task(self._watch_end(self._client))
-        if self._heartbeat:
-            self._heartbeat_task = asyncio.create_task(
-                self._send_heartbeats(self._heartbeat, self._remote),
-            )
         return self._remote
 
     async def _watch_end(self, client: typing.Any) -> None:
@@ -150,11 +157,20 @@
             self._end_task = None
             self.close()
 
+    def _watch(self) -> None:
+        """Send heartbeats from now on, until no call is under way."""
+        self._watched += 1
+        if self._heartbeat and not self._heartbeat_task:
+            self._heartbeat_task = asyncio.create_task(
+                self._send_heartbeats(self._heartbeat, self._remote),
+            )
+
     async def _send_heartbeats(self, heartbeat: Call, remote: Remote) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
-            if not self._outstanding:
-                continue
+            if not self._watched:
+                self._heartbeat_task = None
+                return
             try:
                 async with asyncio.timeout(self._heartbeat_timeout):
                     await heartbeat(remote)
--- a/src/egretstep/platform/process_settings.py
+++ b/src/egretstep/platform/process_settings.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from egretstep import errors, identifiers
+from egretstep import clock, errors, identifiers
 from egretstep.settings import node
 
 PATH_VARIABLE = 'EGRETSTEP_CONFIG'
@@ -56,4 +56,5 @@
         # `cpu_share` is of one core that runs `cores` times as fast.
         processor=fields['limits']['cpu_share'] * fields['limits']['cores'],
         grace=float(fields['bounds']['grace_s']),
+        settings_delay=clock.to_seconds(fields['bounds']['config_apply_ms']),
     )
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -6,14 +6,13 @@
 
 import orjson
 
-from egretstep import errors
+from egretstep import clock, errors
 from egretstep.settings import node
 from egretstep.storage import tables
 from egretstep.web import client as http
 
 CALL_SECONDS = 1.0
-WATCH_MS = 20_000
-WATCH_SECONDS = 22.0
+ANSWER_SECONDS = 2.0
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
@@ -52,14 +51,28 @@
             return _decode_row(rows[0])
         return tables.Row(key=key, content=b'', version=tables.ABSENT)
 
-    async def changes(self, table: str, after: int) -> tables.Snapshot:
-        """Wait for rows that changed after a version."""
-        client = self._watchers.get(table)
-        if client is None:
-            client = http.HttpClient(address=self._address)
-            self._watchers[table] = client
-        query = {'table': table, 'after': after, 'wait_ms': WATCH_MS}
-        body = await self._get('rows-feed', query, client, WATCH_SECONDS)
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        *,
+        longest_wait: float = tables.LONGEST_WAIT_SECONDS,
+    ) -> tables.Snapshot:
+        """Wait some seconds for rows that changed after a version."""
+        query = {
+            'table': table,
+            'after': after,
+            'wait_ms': clock.to_milliseconds(longest_wait),
+        }
+        if longest_wait:
+            body = await self._get(
+                'rows-feed',
+                query,
+                self._watcher(table),
+                longest_wait + ANSWER_SECONDS,
+            )
+        else:
+            body = await self._get('rows-feed', query)
         rows = tuple(_decode_row(row) for row in body['rows'])
         return tables.Snapshot(rows=rows, version=body['ver'])
 
@@ -95,6 +108,13 @@
             )
         return _decode_body(response, request)['ver']
 
+    def _watcher(self, table: str) -> http.HttpClient:
+        client = self._watchers.get(table)
+        if client is None:
+            client = http.HttpClient(address=self._address)
+            self._watchers[table] = client
+        return client
+
     async def _get(
         self,
         call: str,
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -8,7 +8,8 @@
 from egretstep.pooling import brokers, local_host
 from egretstep.pooling import work as work_module
 from egretstep.programs import tasks
-from egretstep.settings import deployment, following
+from egretstep.settings import deployment
+from egretstep.storage import news
 
 
 class HostEndpoint(fleet_schema.Host.Server):
@@ -23,7 +24,7 @@
         keeper: leases.LeaseKeeper,
         peers: fleet_links.FleetLinks,
         fleet_tasks: tasks.FleetTasks,
-        configuration: following.ConfigurationFollower,
+        news_desk: news.NewsDesk,
     ) -> None:
         self._link = link
         self._local = local
@@ -31,7 +32,7 @@
         self._keeper = keeper
         self._peers = peers
         self._tasks = fleet_tasks
-        self._configuration = configuration
+        self._news_desk = news_desk
 
     async def execute(
         self,
@@ -114,16 +115,20 @@
         _context.results.serving = True
         _context.results.lots = lots
 
-    async def configuration(
+    async def news(
         self,
-        known: int,
+        known: typing.Any,
         _context: typing.Any,
         **_kwargs: typing.Any,
     ) -> None:
-        """Give the configuration if it is later than the known one."""
-        _context.results.version = self._configuration.version
-        if self._configuration.version > known:
-            _context.results.content = self._configuration.content
+        """Tell what is later than the known versions, as soon as it is."""
+        versions = fleet_messages.decode_versions(known)
+        found = await self._news_desk.news(versions)
+        _context.results.ageMs = clock.to_milliseconds(found.age)
+        _context.results.tables = [
+            fleet_messages.encode_table_news(table, changed)
+            for table, changed in found.tables.items()
+        ]
 
     async def link_closed(self) -> None:
         """Roll back what the host's callers had open."""
--- a/src/egretstep/programs/questions.py
+++ b/src/egretstep/programs/questions.py
@@ -69,21 +69,6 @@
             position=position,
         )
 
-    async def ask_configuration(
-        self,
-        host: identifiers.HostName,
-        known: int,
-    ) -> bytes | None:
-        """Ask a host for a later configuration than the known one."""
-        try:
-            reply = await self._peers.call(
-                host,
-                lambda remote: remote.configuration(known=known),
-            )
-        except (errors.LinkError, errors.LinkLostError):
-            return None
-        return bytes(reply.content)
-
     async def ask_tokens(
         self,
         workspace: identifiers.WorkspaceName,
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 
 import logbook
@@ -15,6 +16,7 @@
     fleet_links,
     leases,
     registry,
+    relays,
 )
 from egretstep.observability import metrics_page
 from egretstep.peers import links
@@ -39,7 +41,7 @@
 from egretstep.replication import evidence, succession
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment, following, node
-from egretstep.storage import watching
+from egretstep.storage import news, watching
 from egretstep.supervision import supervisor
 
 SWEEP_SECONDS = 0.5
@@ -48,6 +50,9 @@
 FLEET_ROW_PAUSE_SECONDS = 0.02
 SERVERS_PAUSE_SECONDS = 0.1
 SETTINGS_PAUSE_SECONDS = 0.15
+# A host that hears from another one turns to the store within two of these
+# waits, which leaves time for the store's answer.
+NEWS_WAIT_SHARE = 0.25
 _logger = logbook.Logger('node')
 
 
@@ -125,11 +130,32 @@
         self._configuration = following.ConfigurationFollower(
             watch=self._settings_watch,
             stored_as=operator_settings.FORMAT,
-            ask_host=lambda host, known: self._questions.ask_configuration(
-                host,
-                known,
+        )
+        self._make_news()
+
+    def _make_news(self) -> None:
+        watches = (
+            self._settings_watch,
+            self._servers_watch,
+            self._fleet_watch,
+        )
+        wait = self._settings.settings_delay * NEWS_WAIT_SHARE
+        self._news_desk = news.NewsDesk(
+            watches=watches,
+            wait=wait,
+            time_source=self._clock,
+        )
+        self._news = news.NewsFollower(
+            watches=watches,
+            source=relays.RelayChoice(
+                hosts=self._hosts,
+                time_source=self._clock,
             ),
-            other_hosts=self._usable_hosts,
+            ask=functools.partial(self._peers.news, wait=wait),
+            wait=wait,
+            store_answers=lambda: self._keeper.store_answers,
+            fleet_size=lambda: len(self._hosts.hosts),
+            time_source=self._clock,
         )
 
     def _make_pooling(self) -> None:
@@ -234,7 +260,7 @@
             'settings watch': self._settings_watch.run,
             'servers watch': self._servers_watch.run,
             'fleet watch': self._fleet_watch.run,
-            'configuration': self._configuration.run,
+            'news': self._news.run,
             'leases': self._keeper.run,
             'peers': listener.run,
             'claimant': self._claimant.run,
@@ -274,7 +300,7 @@
             keeper=self._keeper,
             peers=self._peers,
             fleet_tasks=self._tasks,
-            configuration=self._configuration,
+            news_desk=self._news_desk,
         )
 
     def _current(self) -> deployment.Deployment:
@@ -285,13 +311,6 @@
             return False
         return self._configuration.version > 0
 
-    def _usable_hosts(self) -> list[identifiers.HostName]:
-        return [
-            name
-            for name in self._hosts.hosts
-            if name != self._hosts.own.host and self._hosts.is_usable(name)
-        ]
-
     def _floors(self, service: deployment.ServiceName) -> evidence.Evidence:
         known = self._evidence.get(service)
         if known is None:
--- a/src/egretstep/settings/node.py
+++ b/src/egretstep/settings/node.py
@@ -21,8 +21,9 @@
 class NodeSettings:
     """Addresses, size and times of one host.
 
-    `grace`, the time for a planned stop, is in seconds. `processor` is the
-    share of a core that the host has.
+    `grace`, the time for a planned stop, and `settings_delay`, the longest
+    time until a new configuration must be in force, are in seconds.
+    `processor` is the share of a core that the host has.
     """
 
     host: identifiers.HostName
@@ -37,6 +38,7 @@
     is_first_start: bool
     processor: float
     grace: float
+    settings_delay: float
 
 
 def parse_address(text: str) -> Address:
--- a/src/egretstep/storage/tables.py
+++ b/src/egretstep/storage/tables.py
@@ -8,6 +8,7 @@
 
 from egretstep import errors
 
+LONGEST_WAIT_SECONDS = 20.0
 ABSENT = 0
 """The version of a row that does not exist."""
 
@@ -24,10 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Snapshot:
-    """Rows of a table as of a version of the store."""
+    """Rows of a table as of a version of the store.
+
+    `keys` names all rows that there are, where rows that are not listed may
+    have been dropped; without it, dropped rows are listed as such.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    keys: frozenset[str] | None = None
 
 
 class HistoryGoneError(errors.PlatformError):
@@ -47,8 +53,14 @@
     async def read_row(self, table: str, key: str) -> Row:
         """Return a row; one that does not exist has the version `ABSENT`."""
 
-    async def changes(self, table: str, after: int) -> Snapshot:
-        """Wait for rows that changed after a version.
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        *,
+        longest_wait: float = LONGEST_WAIT_SECONDS,
+    ) -> Snapshot:
+        """Wait some seconds for rows that changed after a version.
 
         Returns no rows when nothing has changed for a while. Raises
         `HistoryGoneError` when the table must be read anew.
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -1,6 +1,7 @@
 """Follows one table of the store."""
 
 import asyncio
+import dataclasses
 import random
 import typing
 
@@ -12,6 +13,7 @@
 
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 0.8
+STORE = 'the store'
 _logger = logbook.Logger('store')
 
 Rows = typing.Mapping[str, tables.Row]
@@ -33,8 +35,10 @@
     """Keeps a copy of a table and publishes each change of it.
 
     Subscribers of `changes` get the rows as they are now, then again after
-    every change. After one, the next question waits for the pause, so
-    that changes in quick succession cost the fleet one call for each host.
+    every change. While `asks_store` is set the store is asked; after a
+    change, the next question waits for the pause, so that changes in quick
+    succession cost the fleet one call for each host. News may also be
+    accepted from elsewhere, in any order.
     """
 
     def __init__(
@@ -51,17 +55,43 @@
         self._clock = time_source
         self._spacing = spacing.Spacing(time_source=time_source)
         self._rows: dict[str, tables.Row] = {}
+        self._dropped: dict[str, tables.Row] = {}
         self._version: int | None = None
+        self._complete_since = 0
+        self._confirmed_at = float('-inf')
         self._failing_since: float | None = None
+        self._source = STORE
+        self.asks_store = asyncio.Event()
+        self.asks_store.set()
         self.changes: subject.BehaviorSubject[Rows] = subject.BehaviorSubject(
             {},
         )
 
+    @property
+    def table(self) -> str:
+        """Return the name of the table."""
+        return self._table
+
     @property
     def rows(self) -> Rows:
         """Return the rows by key as last heard."""
         return self._rows
 
+    @property
+    def version(self) -> int:
+        """Return the version of the store up to which all is known."""
+        return self._version or 0
+
+    @property
+    def source(self) -> str:
+        """Return who told of the latest change."""
+        return self._source
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return when the rows were last known to be the newest."""
+        return self._confirmed_at
+
     @property
     def is_synced(self) -> bool:
         """Tell whether the table was read since this process started."""
@@ -76,6 +106,7 @@
         """Follow the table until cancelled."""
         pause = FIRST_RETRY_SECONDS
         while True:
+            await self.asks_store.wait()
             try:
                 await self._follow()
             except tables.HistoryGoneError:
@@ -91,28 +122,102 @@
                 pause = FIRST_RETRY_SECONDS
                 self._note_success()
 
+    def accept(
+        self,
+        news: tables.Snapshot,
+        *,
+        confirmed_at: float,
+        source: str = STORE,
+    ) -> bool:
+        """Take over what is later; returns whether any row changed.
+
+        `confirmed_at` is when all that is newer was sure to be in the news.
+        """
+        changed = [row for row in news.rows if self._is_news(row)]
+        if news.keys is not None and news.version >= self.version:
+            changed += self._missing(news)
+            self._complete_since = max(self._complete_since, news.version)
+        for row in changed:
+            self._put(row)
+        is_first = self._version is None
+        self._version = max(self.version, news.version)
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        if changed or is_first:
+            self._source = source
+            self.changes.on_next(dict(self._rows))
+        return bool(changed)
+
+    def since(self, version: int) -> tables.Snapshot:
+        """Return what changed after a version, for another host."""
+        if not self.is_synced or self.version <= version:
+            return self.nothing_new()
+        changed = (*self._rows.values(), *self._dropped.values())
+        rows = tuple(row for row in changed if row.version > version)
+        is_complete = version >= self._complete_since
+        return tables.Snapshot(
+            rows=rows,
+            version=self.version,
+            keys=None if is_complete else frozenset(self._rows),
+        )
+
+    def nothing_new(self) -> tables.Snapshot:
+        """Return that no row has changed."""
+        return tables.Snapshot(rows=(), version=self.version)
+
+    async def confirm(self) -> None:
+        """Ask the store at once whether anything is newer.
+
+        Raises `errors.PlatformError` when no answer comes.
+        """
+        if not self.is_synced:
+            return
+        news = await self._store.changes(
+            self._table,
+            self.version,
+            longest_wait=0,
+        )
+        self.accept(news, confirmed_at=self._clock.now())
+        self._note_success()
+
     async def _follow(self) -> None:
         if self._version is None:
-            snapshot = await self._store.read(self._table)
-            self._rows = {row.key: row for row in snapshot.rows}
-            self._publish(snapshot)
+            whole = await self._store.read(self._table)
+            keys = frozenset(row.key for row in whole.rows)
+            self.accept(
+                dataclasses.replace(whole, keys=keys),
+                confirmed_at=self._clock.now(),
+            )
             return
-        snapshot = await self._store.changes(self._table, self._version)
-        if not snapshot.rows:
-            self._version = max(self._version, snapshot.version)
-            return
-        for row in snapshot.rows:
-            if row.is_deleted:
-                self._rows.pop(row.key, None)
-            else:
-                self._rows[row.key] = row
-        self._publish(snapshot)
-        base = self._pause(self._rows)
-        await asyncio.sleep(self._spacing.next_pause(base))
-
-    def _publish(self, snapshot: tables.Snapshot) -> None:
-        self._version = snapshot.version
-        self.changes.on_next(dict(self._rows))
+        news = await self._store.changes(self._table, self._version)
+        if self.accept(news, confirmed_at=self._clock.now()):
+            base = self._pause(self._rows)
+            await asyncio.sleep(self._spacing.next_pause(base))
+
+    def _is_news(self, row: tables.Row) -> bool:
+        known = self._rows.get(row.key) or self._dropped.get(row.key)
+        return known is None or known.version < row.version
+
+    def _missing(self, news: tables.Snapshot) -> list[tables.Row]:
+        """Return the rows that the news shows to be dropped."""
+        return [
+            tables.Row(
+                key=row.key,
+                content=b'',
+                version=news.version,
+                is_deleted=True,
+            )
+            for row in self._rows.values()
+            if row.version <= news.version
+            and row.key not in typing.cast(frozenset[str], news.keys)
+        ]
+
+    def _put(self, row: tables.Row) -> None:
+        if row.is_deleted:
+            self._rows.pop(row.key, None)
+            self._dropped[row.key] = row
+        else:
+            self._dropped.pop(row.key, None)
+            self._rows[row.key] = row
 
     def _note_failure(self, error: errors.PlatformError) -> None:
         if self._failing_since is None:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -39,7 +39,13 @@
         absent = tables.Row(key=key, content=b'', version=tables.ABSENT)
         return self.rows.get((table, key), absent)
 
-    async def changes(self, table: str, after: int) -> tables.Snapshot:
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        *,
+        longest_wait: float = tables.LONGEST_WAIT_SECONDS,
+    ) -> tables.Snapshot:
         """Tell that the history is gone, so that readers start anew."""
         self._check()
         raise tables.HistoryGoneError(f'{table} after {after}')
--- a/tests/settings/test_following.py
+++ b/tests/settings/test_following.py
@@ -1,9 +1,8 @@
-import asyncio
 import unittest
 
 import orjson
 
-from egretstep import clock, identifiers
+from egretstep import clock
 from egretstep.platform import operator_settings
 from egretstep.settings import following
 from egretstep.storage import tables, watching
@@ -19,9 +18,8 @@
     })
 
 
-class FollowingTest(unittest.IsolatedAsyncioTestCase):
+class FollowingTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.offered = b''
         self.watch = watching.TableWatch(
             store=platform_fakes.FakeTables(),
             table='op',
@@ -30,8 +28,6 @@
         self.follower = following.ConfigurationFollower(
             watch=self.watch,
             stored_as=operator_settings.FORMAT,
-            ask_host=self._ask,
-            other_hosts=lambda: [identifiers.HostName('b')],
         )
 
     def test_a_version_never_goes_back(self) -> None:
@@ -58,21 +54,9 @@
         self._publish(_content(4))
         self.assertEqual(self.follower.current.zones_out, frozenset())
 
-    async def test_while_the_store_is_away_other_hosts_are_asked(self) -> None:
-        self._publish(_content(3))
-        self.offered = _content(4)
-        self.watch._failing_since = 1.0
-        running = asyncio.ensure_future(self.follower.run())
-        await asyncio.sleep(following.ASK_SECONDS * 1.5)
-        running.cancel()
-        self.assertEqual(self.follower.version, 4)
-
     def _publish(self, content: bytes) -> None:
         self.watch.changes.on_next(self._rows(content))
 
     def _rows(self, content: bytes) -> dict[str, tables.Row]:
         row = tables.Row(key='config', content=content, version=1)
         return {'config': row}
-
-    async def _ask(self, _host: identifiers.HostName, _known: int) -> bytes:
-        return self.offered
