A host registers with one read of the fleet, and asks nobody twice at its start

Cause: at its start each host read its row, wrote it, read three tables, and opened three long polls before it knew a relay.

Changed: the read of the fleet gives the host's own row and the first copy; the other tables may come from a relay; a new fleet settles for 1 s before anyone polls. The fleet's first copy is always the store's, since who has just started must not confirm a claim that it has not heard of.

--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -216,27 +216,40 @@
             self.trust(host.host)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Started:
+    """A host that is registered, and the table of the fleet before that."""
+
+    own: Host
+    fleet: tables.Snapshot
+
+
 class Registration:
     """Keeps a host's own row in the store.
 
-    Both methods raise `errors.PlatformError` or `errors.ConflictError` when
+    The methods raise `errors.PlatformError` or `errors.ConflictError` when
     the row was not written.
     """
 
     def __init__(self, *, store: tables.Tables) -> None:
         self._store = store
 
-    async def start(self, starting: Host) -> Host:
+    async def start(self, starting: Host) -> Started:
         """Write the row of a host that starts.
 
-        Returns the host with a boot number above that of its last start.
+        Its boot number is above that of its last start.
         """
-        stored = await self._read(starting)
+        fleet = await self._store.read(TABLE)
+        key = PREFIX + starting.host
+        stored = tables.Row(key=key, content=b'', version=tables.ABSENT)
+        for row in fleet.rows:
+            if row.key == key:
+                stored = row
         former = decode(stored.content) if stored.content else None
         boot = former.boot + 1 if former else 1
         own = dataclasses.replace(starting, boot=boot)
         await self._put(stored, own)
-        return own
+        return Started(own=own, fleet=fleet)
 
     async def change(self, own: Host, state: HostState) -> None:
         """Write another state of a host, whatever stands there."""
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -26,7 +26,7 @@
 async def _register(
     settings: node.NodeSettings,
     platform_store: store.PlatformStore,
-) -> directory.Host:
+) -> directory.Started:
     """Write this host's row with a boot number that was never used."""
     starting = directory.Host(
         host=settings.host,
@@ -46,11 +46,12 @@
 
 async def _serve(settings: node.NodeSettings) -> None:
     platform_store = store.PlatformStore(address=settings.store)
-    own = await _register(settings, platform_store)
+    started = await _register(settings, platform_store)
+    own = started.own
     _logger.info('started {} in {}, boot {}', own.host, own.zone, own.boot)
     running = wiring.Node(
         settings=settings,
-        own=own,
+        started=started,
         platform_store=platform_store,
     )
     await running.run()
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -53,6 +53,8 @@
 # A host that hears from another one turns to the store within two of these
 # waits, which leaves time for the store's answer.
 NEWS_WAIT_SHARE = 0.25
+# All hosts of a new fleet register within about this time.
+FLEET_START_SECONDS = 1.0
 _logger = logbook.Logger('node')
 
 
@@ -63,7 +65,7 @@
         self,
         *,
         settings: node.NodeSettings,
-        own: directory.Host,
+        started: directory.Started,
         platform_store: store.PlatformStore,
     ) -> None:
         self._settings = settings
@@ -76,11 +78,12 @@
             address=settings.promotions,
             host=settings.host,
         )
-        self._make_membership(own)
+        self._make_membership(started.own)
         self._make_pooling()
         self._make_callers()
         self._make_reporter()
         self._follow_tables()
+        self._fleet_watch.start_with(started.fleet)
 
     async def run(self) -> None:
         """Serve until cancelled, then stop without cutting work."""
@@ -100,6 +103,7 @@
             table=table,
             time_source=self._clock,
             pause=pause,
+            starts_at_store=table == directory.TABLE,
         )
 
     def _make_membership(self, own: directory.Host) -> None:
@@ -155,6 +159,9 @@
             wait=wait,
             store_answers=lambda: self._keeper.store_answers,
             fleet_size=lambda: len(self._hosts.hosts),
+            first_choice_after=(
+                FLEET_START_SECONDS if self._settings.is_first_start else 0
+            ),
             time_source=self._clock,
         )
 
--- a/src/egretstep/storage/news.py
+++ b/src/egretstep/storage/news.py
@@ -22,6 +22,8 @@
 USELESS_PAUSE_FOR_EACH_HOST_SECONDS = 0.005
 CONFIRM_SECONDS = 0.5
 OLDEST_NEWS_WAITS = 2
+# What is not known at all is as old as this.
+OLDEST_SECONDS = 3600.0
 _logger = logbook.Logger('news')
 
 
@@ -78,7 +80,8 @@
     @property
     def age(self) -> float:
         """Return the seconds since this host's news were the newest."""
-        return self._clock.now() - self._watches[0].confirmed_at
+        age = self._clock.now() - self._watches[0].confirmed_at
+        return min(age, OLDEST_SECONDS)
 
     async def news(self, known: Versions) -> News:
         """Return what is later than the known versions, as soon as it is."""
@@ -135,6 +138,7 @@
 class NewsFollower:
     """Follows another host's news while that is better than to ask the store.
 
+    The watches ask nobody until `first_choice_after` seconds have passed.
     `store_answers` tells whether the store answers this host otherwise.
     """
 
@@ -147,8 +151,10 @@
         wait: float,
         store_answers: typing.Callable[[], bool],
         fleet_size: typing.Callable[[], int],
+        first_choice_after: float,
         time_source: clock.Clock,
     ) -> None:
+        self._first_choice_after = first_choice_after
         self._watches = {watch.table: watch for watch in watches}
         self._source = source
         self._ask = ask
@@ -157,6 +163,8 @@
         self._fleet_size = fleet_size
         self._clock = time_source
         self._host: identifiers.HostName | None = None
+        for watch in watches:
+            watch.asks_store.clear()
 
     @property
     def host(self) -> identifiers.HostName | None:
@@ -165,15 +173,17 @@
 
     async def run(self) -> None:
         """Ask other hosts, or let the watches ask the store, until cancelled."""
+        await asyncio.sleep(self._first_choice_after)
         while True:
             relay = self._source.relay()
-            if relay is not None:
+            if relay:
                 await self._follow(relay, replaces_store=True)
-            elif self._is_cut_off():
+                continue
+            if self._is_cut_off():
                 await self._follow(self._source.any_host())
-            else:
-                self._note(None)
-                await asyncio.sleep(CHOICE_SECONDS)
+                continue
+            self._note(None)
+            await asyncio.sleep(CHOICE_SECONDS)
 
     def _is_cut_off(self) -> bool:
         watches = self._watches.values()
@@ -195,7 +205,7 @@
         confirmed_at = self._clock.now() - news.age
         for table, watch in self._watches.items():
             changed = news.tables.get(table)
-            if watch.is_synced:
+            if watch.may_accept:
                 watch.accept(
                     changed or watch.nothing_new(),
                     confirmed_at=confirmed_at,
@@ -203,12 +213,10 @@
                 )
 
     async def _ask_host(self, host: identifiers.HostName) -> News | None:
-        # The first copy comes from the store: who has just started must not
-        # confirm a claim that another host has not heard of yet.
         known = {
             table: watch.version
             for table, watch in self._watches.items()
-            if watch.is_synced
+            if watch.may_accept
         }
         return await self._ask(host, known)
 
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -38,7 +38,8 @@
     every change. While `asks_store` is set the store is asked; after a
     change, the next question waits for the pause, so that changes in quick
     succession cost the fleet one call for each host. News may also be
-    accepted from elsewhere, in any order.
+    accepted from elsewhere, in any order, but not the first copy of a table
+    that `starts_at_store`.
     """
 
     def __init__(
@@ -48,10 +49,12 @@
         table: str,
         time_source: clock.Clock,
         pause: Pause | None = None,
+        starts_at_store: bool = True,
     ) -> None:
         self._store = store
         self._table = table
         self._pause = pause or pausing(0)
+        self._starts_at_store = starts_at_store
         self._clock = time_source
         self._spacing = spacing.Spacing(time_source=time_source)
         self._rows: dict[str, tables.Row] = {}
@@ -97,6 +100,11 @@
         """Tell whether the table was read since this process started."""
         return self._version is not None
 
+    @property
+    def may_accept(self) -> bool:
+        """Tell whether news from elsewhere are of use."""
+        return self.is_synced or not self._starts_at_store
+
     @property
     def is_failing(self) -> bool:
         """Tell whether the store did not answer the last question."""
@@ -164,6 +172,14 @@
         """Return that no row has changed."""
         return tables.Snapshot(rows=(), version=self.version)
 
+    def start_with(self, whole: tables.Snapshot) -> None:
+        """Begin with a copy that was just read from the store."""
+        keys = frozenset(row.key for row in whole.rows)
+        self.accept(
+            dataclasses.replace(whole, keys=keys),
+            confirmed_at=self._clock.now(),
+        )
+
     async def confirm(self) -> None:
         """Ask the store at once whether anything is newer.
 
@@ -181,12 +197,7 @@
 
     async def _follow(self) -> None:
         if self._version is None:
-            whole = await self._store.read(self._table)
-            keys = frozenset(row.key for row in whole.rows)
-            self.accept(
-                dataclasses.replace(whole, keys=keys),
-                confirmed_at=self._clock.now(),
-            )
+            self.start_with(await self._store.read(self._table))
             return
         news = await self._store.changes(self._table, self._version)
         if self.accept(news, confirmed_at=self._clock.now()):
--- a/tests/storage/test_news.py
+++ b/tests/storage/test_news.py
@@ -109,6 +109,7 @@
             wait=WAIT,
             store_answers=lambda: self.store_answers,
             fleet_size=lambda: 3,
+            first_choice_after=0,
             time_source=self.clock,
         )
 
@@ -168,7 +169,7 @@
         self.assertLessEqual(calls[1], calls[0] + 2)
 
     async def test_rows_that_are_dropped_go_at_the_followers_too(self) -> None:
-        _, (follower,) = await self._relayed(1)
+        follower = (await self._relayed(1))[1][0]
         self.store.put('first', None)
         await asyncio.sleep(0.05)
         self.assertNotIn('first', follower.keys)
@@ -221,7 +222,7 @@
         self.assertIn('after the cut', follower.keys)
 
     async def test_a_relay_that_is_gone_is_passed_over_at_once(self) -> None:
-        _, (follower,) = await self._relayed(1)
+        follower = (await self._relayed(1))[1][0]
         follower.others.clear()
         await asyncio.sleep(WAIT * 1.5)
         self.store.put('after the loss')
@@ -308,7 +309,7 @@
         for number in range(small['a']):
             self.assertIsNone(self._choice(small, f'a-{number}').relay())
 
-    def test_without_the_first_the_second_is_asked_and_then_the_store(
+    def test_the_second_relay_and_then_the_store(
         self,
     ) -> None:
         choice = self._choice({'a': 40}, 'a-9')
