The first copy of the fleet is read even while a relay is asked

Cause: a table whose first copy must come from the store waited for the permission to ask it, which a host with a relay never gets, so that it stayed empty. tests/storage/test_news.py failed (its followers had no rows).

--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -114,7 +114,8 @@
         """Follow the table until cancelled."""
         pause = FIRST_RETRY_SECONDS
         while True:
-            await self.asks_store.wait()
+            if self.may_accept:
+                await self.asks_store.wait()
             try:
                 await self._follow()
             except tables.HistoryGoneError:
