A planned change neither waits for the store nor outlasts its bound; reads go on

(2) When no order could be given, the owner adopted the leaving server again, without an end. (3) Reads of the primary waited, or were refused, for the whole change, although the leaving server has every write until the next one takes any.

tests/replication/test_planned_change.py: 3 of 5 failed with the former primary.py and leases.py.

--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -45,22 +45,23 @@
         call: links.Call,
         *,
         timeout: float = CONTROL_SECONDS,
-        waits: bool = False,
     ) -> typing.Any:
         """Call a host; raises `errors.LinkError` or `errors.LinkLostError`.
 
         A host that does not answer is avoided for a while.
         """
-        known = self._hosts.hosts.get(host)
-        if known is None:
-            raise errors.LinkError(f'{host} is not registered')
-        link = self._table.get(known.address.host, known.address.port)
         try:
-            return await link.call(call, timeout=timeout, waits=waits)
+            return await self._link(host).call(call, timeout=timeout)
         except _LINK_ERRORS as error:
             self._hosts.suspect(host, str(error))
             raise
 
+    def _link(self, host: identifiers.HostName) -> links.Link:
+        known = self._hosts.hosts.get(host)
+        if known is None:
+            raise errors.LinkError(f'{host} is not registered')
+        return self._table.get(known.address.host, known.address.port)
+
     async def execute(
         self,
         host: identifiers.HostName,
@@ -113,13 +114,15 @@
         *,
         wait: float,
     ) -> news.News | None:
-        """Ask a host what changed in the store's tables; it may wait a while."""
+        """Ask a host what changed in the store's tables; it may wait a while.
+
+        A host that has no news for lack of the store is not avoided.
+        """
         versions = fleet_messages.encode_versions(known)
         try:
-            reply = await self.call(
-                host,
+            reply = await self._link(host).call(
                 lambda remote: remote.news(known=versions),
-                timeout=wait + CONTROL_SECONDS,
+                timeout=wait + news.CONFIRM_SECONDS + CONTROL_SECONDS,
                 waits=True,
             )
         except _LINK_ERRORS:
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -311,7 +311,8 @@
     async def record(self, claim: claims.Claim, detail: str) -> bool:
         """Keep a detail for the next holder; returns whether it is stored.
 
-        The hosts that answer learn of it too.
+        The hosts that answer learn of it too. A store that is slow goes on
+        storing it after this has returned.
         """
         return await self._revise(claim, detail=detail)
 
@@ -326,10 +327,15 @@
         )
         self.note(revised)
         asyncio.ensure_future(self._confirmers.confirm([revised]))
+        storing = asyncio.ensure_future(self._store(revised))
+        await asyncio.wait({storing}, timeout=STORE_ANSWER_SECONDS)
+        return storing.done() and storing.result()
+
+    async def _store(self, revised: claims.Claim) -> bool:
         try:
-            return await self._rows.replace(claim.epoch, revised)
+            return await self._rows.replace(revised.epoch, revised)
         except (errors.PlatformError, errors.ConflictError) as error:
-            _logger.info('task {}: not recorded: {}', claim.task, error)
+            _logger.info('task {}: not recorded: {}', revised.task, error)
             return False
 
 
--- a/src/egretstep/platform/process_settings.py
+++ b/src/egretstep/platform/process_settings.py
@@ -42,6 +42,7 @@
     bound = fields['bind_addrs']
     first_port, _ = fields['internal_ports']
     ip = fields['ip']
+    bounds = fields['bounds']
     return node.NodeSettings(
         host=identifiers.HostName(fields['node_name']),
         ip=ip,
@@ -55,6 +56,7 @@
         is_first_start=bool(fields['bootstrap']),
         # `cpu_share` is of one core that runs `cores` times as fast.
         processor=fields['limits']['cpu_share'] * fields['limits']['cores'],
-        grace=float(fields['bounds']['grace_s']),
-        settings_delay=clock.to_seconds(fields['bounds']['config_apply_ms']),
+        grace=float(bounds['grace_s']),
+        settings_delay=clock.to_seconds(bounds['config_apply_ms']),
+        drain=clock.to_seconds(min(bounds['drain_ms'], bounds['evac_ms'])),
     )
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -53,6 +53,8 @@
 # A host that hears from another one turns to the store within two of these
 # waits, which leaves time for the store's answer.
 NEWS_WAIT_SHARE = 0.25
+# The rest of the time goes by until this host hears of it.
+LEAVE_SHARE = 0.5
 # All hosts of a new fleet register within about this time.
 FLEET_START_SECONDS = 1.0
 _logger = logbook.Logger('node')
@@ -210,6 +212,7 @@
             servers=self._servers,
             opener=self._opener,
             promotions=self._promotions,
+            leave_within=self._settings.drain * LEAVE_SHARE,
             time_source=self._clock,
         )
 
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -54,6 +54,7 @@
             is_closed=True,
         )
         self._is_changing = False
+        self._reads_go_on = False
         self._has_left = False
         self._primary: connection.BackendServer | None = None
         self._acknowledged: identifiers.LogPosition | None = None
@@ -104,7 +105,7 @@
     ) -> answers.Answer:
         """Run a statement at the primary."""
         deadline = self._clock.now() + work.timeout
-        if work.is_pinned:
+        if work.is_pinned or self._goes_on(work):
             return await self._execute_at_primary(work, link, deadline)
         latest = deadline
         if self._is_changing:
@@ -136,6 +137,15 @@
         """Send on those who still wait, whether or not there is a successor."""
         self._has_left = True
 
+    def _goes_on(self, work: work_module.Work) -> bool:
+        """Tell whether a statement runs while the primary leaves on plan.
+
+        Until the next primary takes writes, the leaving one has them all.
+        """
+        if not self._reads_go_on or not work.is_read_only:
+            return False
+        return work.opens is work_module.Opens.NOTHING
+
     def _pinned_count(self) -> int:
         if self._primary is None:
             return 0
@@ -241,6 +251,10 @@
         if found is None:
             await self._change('no server is primary', is_planned=False)
             return
+        if self._succession.is_overdue(found.server):
+            reason = 'it is to get no work any more'
+            await self._change(reason, is_planned=False)
+            return
         await self._record(found.server.server)
         self._serve(found)
 
@@ -254,6 +268,7 @@
 
     def _serve(self, found: succession.Candidate) -> None:
         self._primary = found.server
+        self._reads_go_on = False
         self._acknowledged = found.status.received
         self._is_changing = False
         self._gate.open()
@@ -276,12 +291,42 @@
         )
         self._succession.note_start()
         self._is_changing = True
+        self._reads_go_on = self._may_read_on(former, is_planned=is_planned)
         wait = PLANNED_WAIT_SECONDS if is_planned else 0
         await self._gate.close(longest_wait=wait)
+        if former is not None:
+            self._brokers.get(former).release_all()
+        found = await self._replace(former, is_planned=is_planned)
+        self._reads_go_on = False
         if former is not None:
             self._brokers.get(former).close()
+        if found is None:
+            self._primary = None
+            return
+        self._serve(found)
+        took = self._clock.now() - started
+        _logger.info('service {}: replaced in {:.2f} s', self._service, took)
+
+    def _may_read_on(
+        self,
+        former: connection.BackendServer | None,
+        *,
+        is_planned: bool,
+    ) -> bool:
+        if former is None or not is_planned:
+            return False
+        if self._succession.refreshed(former) is None:
+            return False
+        return not self._succession.is_overdue(former)
+
+    async def _replace(
+        self,
+        former: connection.BackendServer | None,
+        *,
+        is_planned: bool,
+    ) -> succession.Candidate | None:
         try:
-            found = await self._succession.replace(
+            return await self._succession.replace(
                 self._service,
                 former,
                 epoch=self.epoch,
@@ -291,10 +336,4 @@
             )
         except errors.PlatformError as error:
             _logger.warning('service {}: {}', self._service, error)
-            found = None
-        if found is None:
-            self._primary = None
-            return
-        self._serve(found)
-        took = self._clock.now() - started
-        _logger.info('service {}: replaced in {:.2f} s', self._service, took)
+            return None
--- a/src/egretstep/replication/succession.py
+++ b/src/egretstep/replication/succession.py
@@ -15,6 +15,7 @@
 EXAMINATIONS = 2
 EXAMINATION_PAUSE_SECONDS = 0.1
 CATCH_UP_SECONDS = 0.5
+LEAVE_SECONDS = 2.5
 POLL_SECONDS = 0.05
 LONGEST_PROMOTION_SECONDS = 3.0
 FIRST_EXPECTED_SECONDS = 0.5
@@ -54,7 +55,11 @@
 
 
 class Succession:
-    """Finds and replaces primaries."""
+    """Finds and replaces primaries.
+
+    A server that is to get no new work gets none `leave_within` seconds
+    after this host heard of it, whether or not another one was promoted.
+    """
 
     def __init__(
         self,
@@ -62,12 +67,15 @@
         servers: registry.ServerRegistry,
         opener: connection.Opener,
         promotions: Promotions,
+        leave_within: float = LEAVE_SECONDS,
         time_source: clock.Clock,
     ) -> None:
         self._servers = servers
         self._opener = opener
         self._promotions = promotions
         self._clock = time_source
+        self._leave_within = leave_within
+        self._leaving_since: dict[connection.ServerId, float] = {}
         self._started_at = time_source.now()
         self._usual_seconds = FIRST_EXPECTED_SECONDS
 
@@ -92,9 +100,18 @@
         current = self._servers.find(server.server)
         if current is None:
             return 'it is no longer registered'
-        if not self._servers.takes_work(current):
-            return 'it is to get no new work'
-        return None
+        if self._servers.takes_work(current):
+            self._leaving_since.pop(server.server, None)
+            return None
+        self._leaving_since.setdefault(server.server, self._clock.now())
+        return 'it is to get no new work'
+
+    def is_overdue(self, server: connection.BackendServer) -> bool:
+        """Tell whether a server must not get any work any more."""
+        since = self._leaving_since.get(server.server)
+        if since is None or self._servers.takes_work(server):
+            return False
+        return self._clock.now() - since > self._leave_within
 
     async def examine(self, server: connection.BackendServer) -> Examined:
         """Find out whether a server answers and what it is."""
--- a/src/egretstep/settings/node.py
+++ b/src/egretstep/settings/node.py
@@ -22,7 +22,8 @@
     """Addresses, size and times of one host.
 
     `grace`, the time for a planned stop, and `settings_delay`, the longest
-    time until a new configuration must be in force, are in seconds.
+    time until a new configuration must be in force, are in seconds, and so
+    is `drain`, for which a server that leaves may get new work.
     `processor` is the share of a core that the host has.
     """
 
@@ -39,6 +40,7 @@
     processor: float
     grace: float
     settings_delay: float
+    drain: float
 
 
 def parse_address(text: str) -> Address:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -259,7 +259,12 @@
             'bootstrap': True,
             'limits': {'cpu_share': 1, 'cores': 1, 'link_mbps': 1000},
             'heartbeat_ms': 1200,
-            'bounds': {'grace_s': 6, 'config_apply_ms': 3000},
+            'bounds': {
+                'grace_s': 6,
+                'config_apply_ms': 3000,
+                'drain_ms': 7000,
+                'evac_ms': 5000,
+            },
             'platform': {
                 'address': f'127.0.0.1:{self.store_port(index)}',
                 'row_bytes': 65536,
--- /dev/null
+++ b/tests/replication/test_planned_change.py
@@ -0,0 +1,208 @@
+"""Load pattern: a primary leaves on plan while callers go on as before."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+import typing
+import unittest
+
+from egretstep import clock, errors
+from egretstep.backends import answers, commands, connection
+from egretstep.membership import claims, directory, leases
+from egretstep.pooling import brokers
+from egretstep.pooling import work as work_module
+from egretstep.replication import primary, succession
+from egretstep.routing import dispatcher
+from egretstep.settings import deployment
+from tests import platform_fakes
+
+TASK = dispatcher.task_of(platform_fakes.SERVICE)
+LINK = work_module.LinkId(1)
+PROMOTION_SECONDS = 0.4
+LEAVE_SECONDS = 0.6
+QUICK_SECONDS = 0.1
+WRITE = work_module.Work(
+    statement_id=b'id-1',
+    command=commands.Command(action=commands.Action.WRITE, text=b'WRITE a 1'),
+    workspace=platform_fakes.DEPOT,
+    service=platform_fakes.SERVICE,
+    timeout=1.5,
+)
+READ = dataclasses.replace(
+    WRITE,
+    command=commands.Command(action=commands.Action.READ, text=b'READ a'),
+)
+
+
+class _Alone:
+    """The other hosts of a fleet of one."""
+
+    async def confirm(
+        self,
+        _asked: typing.Sequence[claims.Claim],
+    ) -> list[typing.Sequence[claims.Claim]]:
+        return []
+
+    def majority(self) -> int:
+        return 0
+
+
+class _SilentTables(platform_fakes.FakeTables):
+    """A store that gives no answer to writes once it is silent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_silent = False
+
+    async def swap(self, *place: str, **row: typing.Any) -> int:
+        if self.is_silent:
+            await asyncio.sleep(1)
+            raise errors.PlatformError('no answer')
+        return await super().swap(*place, **row)
+
+
+class _Servers:
+    def __init__(self, *servers: platform_fakes.FakeServer) -> None:
+        self._servers = servers
+        self.leaving = ''
+
+    def of_service(
+        self,
+        _service: deployment.ServiceName,
+    ) -> list[connection.BackendServer]:
+        return [server.backend() for server in self._servers]
+
+    def find(
+        self,
+        name: connection.ServerId,
+    ) -> connection.BackendServer | None:
+        found = {server.name: server.backend() for server in self._servers}
+        return found.get(name)
+
+    def takes_work(self, server: connection.BackendServer) -> bool:
+        return server.server != self.leaving
+
+
+class _Promotions:
+    """Promotes a server after a while, unless the platform is away."""
+
+    def __init__(self, promoted: platform_fakes.FakeServer) -> None:
+        self._promoted = promoted
+        self.is_away = False
+
+    async def promote(self, **_order: typing.Any) -> None:
+        if self.is_away:
+            raise errors.PlatformError('the platform is away')
+        asyncio.get_running_loop().call_later(
+            PROMOTION_SECONDS,
+            self._take_effect,
+        )
+
+    def _take_effect(self) -> None:
+        self._promoted.role = connection.Role.PRIMARY
+        self._promoted.term = 2
+
+
+class PlannedChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.first = platform_fakes.FakeServer(
+            name='first',
+            role=connection.Role.PRIMARY,
+        )
+        self.second = platform_fakes.FakeServer(name='second')
+        self.servers = _Servers(self.first, self.second)
+        self.promotions = _Promotions(self.second)
+        self.store = _SilentTables()
+        self.clock = clock.MonotonicClock()
+        self.keeper = leases.LeaseKeeper(
+            store=self.store,
+            hosts=directory.Directory(
+                own=platform_fakes.host('own'),
+                time_source=self.clock,
+            ),
+            confirmers=_Alone(),
+            time_source=self.clock,
+        )
+        opener = platform_fakes.FakeOpener(self.first, self.second)
+        claim = await self.keeper.claim(TASK)
+        self.owner = primary.PrimaryOwner(
+            service=platform_fakes.SERVICE,
+            claim=typing.cast(claims.Claim, claim),
+            keeper=self.keeper,
+            broker_table=brokers.BrokerTable(
+                opener=opener,
+                current=lambda: deployment.EMPTY,
+                time_source=self.clock,
+            ),
+            successions=succession.Succession(
+                servers=self.servers,
+                opener=opener,
+                promotions=self.promotions,
+                leave_within=LEAVE_SECONDS,
+                time_source=self.clock,
+            ),
+            time_source=self.clock,
+        )
+        self.running = [
+            asyncio.ensure_future(self.owner.run()),
+            asyncio.ensure_future(self.keeper.run()),
+        ]
+        self.assertTrue((await self.owner.execute(WRITE, LINK)).is_ok)
+
+    async def asyncTearDown(self) -> None:
+        for task in self.running:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    async def _leave(self) -> None:
+        self.servers.leaving = 'first'
+        await asyncio.sleep(primary.WATCH_SECONDS * 1.5)
+
+    async def test_reads_go_on_at_the_leaving_primary(self) -> None:
+        await self._leave()
+        started = time.monotonic()
+        answer = await self.owner.execute(READ, LINK)
+        self.assertTrue(answer.is_ok)
+        self.assertLess(time.monotonic() - started, QUICK_SECONDS)
+        self.assertIn(READ.command.text, [ran[1] for ran in self.first.ran])
+
+    async def test_writes_wait_for_the_next_primary(self) -> None:
+        await self._leave()
+        answer = await self.owner.execute(WRITE, LINK)
+        self.assertTrue(answer.is_ok)
+        self.assertEqual(len(self.first.ran), 1)
+        self.assertEqual(len(self.second.ran), 1)
+        await self.owner.execute(READ, LINK)
+        self.assertEqual(len(self.second.ran), 2)
+
+    async def test_reads_that_open_a_transaction_wait(self) -> None:
+        await self._leave()
+        opening = dataclasses.replace(
+            READ,
+            opens=work_module.Opens.TRANSACTION,
+        )
+        await self.owner.execute(opening, LINK)
+        self.assertEqual(len(self.first.ran), 1)
+
+    async def test_a_store_without_answers_holds_nothing_up(self) -> None:
+        self.store.is_silent = True
+        await self._leave()
+        started = time.monotonic()
+        self.assertTrue((await self.owner.execute(WRITE, LINK)).is_ok)
+        longest = PROMOTION_SECONDS + leases.STORE_ANSWER_SECONDS
+        self.assertLess(time.monotonic() - started, longest + QUICK_SECONDS)
+
+    async def test_a_leaving_server_gets_nothing_after_its_time(self) -> None:
+        """The platform can't be reached, so that nobody is promoted."""
+        self.promotions.is_away = True
+        await self._leave()
+        await asyncio.sleep(LEAVE_SECONDS)
+        ran = len(self.first.ran)
+        for _ in range(5):
+            work = dataclasses.replace(READ, timeout=0.1)
+            answer = await self.owner.execute(work, LINK)
+            self.assertIs(answer.code, answers.Code.OVERLOADED)
+            await asyncio.sleep(0.1)
+        self.assertEqual(len(self.first.ran), ran)
