A host serves callers while its row is being stored

Changed: a host reads the fleet, serves, and stores its row beside that; it takes no task before the row is stored, so that a boot number stands for one process only. A row written late by an earlier process, or by a call whose answer was lost, gives a later boot number.

Ruled out: rows in several parts of the store, which cost each start a read for each part. tests/membership/test_registration.py; its last test fails without the check in claiming.py.

--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -83,9 +83,13 @@
         """Look at the tasks until cancelled."""
         while True:
             await self._wait_for_news()
-            if not self._keeper.is_synced or self._is_leaving:
-                continue
-            self._look()
+            if self._may_claim():
+                self._look()
+
+    def _may_claim(self) -> bool:
+        if self._is_leaving or not self._hosts.is_registered:
+            return False
+        return self._keeper.is_synced
 
     async def _wait_for_news(self) -> None:
         """Wait for the next look; a task that was given cuts it short."""
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -79,7 +79,11 @@
 
 
 class Directory:
-    """The hosts of the fleet, and which of them do not answer."""
+    """The hosts of the fleet, and which of them do not answer.
+
+    `is_registered` tells whether the row of this process is stored; before
+    that it takes no task.
+    """
 
     def __init__(
         self,
@@ -95,6 +99,7 @@
         self._usable: tuple[int, tuple[Host, ...]] = (-1, ())
         self._best: dict[tuple[str, identifiers.ZoneName], Host] = {}
         self.own = own
+        self.is_registered = True
 
     @property
     def revision(self) -> int:
@@ -137,6 +142,13 @@
             self._hosts = hosts
             self._revision += 1
 
+    def note_registered(self, own: Host) -> None:
+        """Remember that the row of this process is stored."""
+        self.own = own
+        self._hosts = {**self._hosts, own.host: own}
+        self._revision += 1
+        self.is_registered = True
+
     def suspect(self, host: identifiers.HostName, reason: str) -> None:
         """Avoid a host for a while, since it did not answer."""
         if not self.is_suspected(host):
@@ -218,10 +230,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Started:
-    """A host that is registered, and the table of the fleet before that."""
+    """A host that starts, and the table of the fleet before that.
+
+    `replaces` is the version of the row that the host had before.
+    """
 
     own: Host
     fleet: tables.Snapshot
+    replaces: int
 
 
 class Registration:
@@ -235,10 +251,7 @@
         self._store = store
 
     async def start(self, starting: Host) -> Started:
-        """Write the row of a host that starts.
-
-        Its boot number is above that of its last start.
-        """
+        """Read the fleet; the boot number is above that of the last start."""
         fleet = await self._store.read(TABLE)
         key = PREFIX + starting.host
         stored = tables.Row(key=key, content=b'', version=tables.ABSENT)
@@ -247,9 +260,33 @@
                 stored = row
         former = decode(stored.content) if stored.content else None
         boot = former.boot + 1 if former else 1
-        own = dataclasses.replace(starting, boot=boot)
-        await self._put(stored, own)
-        return Started(own=own, fleet=fleet)
+        return Started(
+            own=dataclasses.replace(starting, boot=boot),
+            fleet=fleet,
+            replaces=stored.version,
+        )
+
+    async def register(self, started: Started) -> Host:
+        """Write the row of a host that has started; returns what it says.
+
+        A call of an earlier process of this host, or one of this process
+        whose answer was lost, may have written it meanwhile.
+        """
+        own = started.own
+        try:
+            await self._store.swap(
+                TABLE,
+                PREFIX + own.host,
+                expected=started.replaces,
+                content=encode(own),
+            )
+        except errors.ConflictError:
+            stored = await self._read(own)
+            former = decode(stored.content)
+            boot = former.boot + 1 if former else own.boot
+            own = dataclasses.replace(own, boot=boot)
+            await self._put(stored, own)
+        return own
 
     async def change(self, own: Host, state: HostState) -> None:
         """Write another state of a host, whatever stands there."""
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -18,16 +18,16 @@
 from egretstep.programs import wiring
 from egretstep.settings import node
 
-REGISTER_RETRY_SECONDS = 0.3
+RETRY_SECONDS = 0.3
 METRICS_PORT = 9464
 _logger = logbook.Logger('node')
 
 
-async def _register(
+async def _read_fleet(
     settings: node.NodeSettings,
-    platform_store: store.PlatformStore,
+    registration: directory.Registration,
 ) -> directory.Started:
-    """Write this host's row with a boot number that was never used."""
+    """Learn of the other hosts, and of this one's last start."""
     starting = directory.Host(
         host=settings.host,
         zone=settings.zone,
@@ -35,23 +35,24 @@
         boot=0,
         processor=settings.processor,
     )
-    registration = directory.Registration(store=platform_store)
     while True:
         try:
             return await registration.start(starting)
         except directory.WRITE_FAILURES as error:
-            _logger.warning('not registered yet: {}', error)
-            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+            _logger.warning('the fleet is not known yet: {}', error)
+            await asyncio.sleep(RETRY_SECONDS)
 
 
 async def _serve(settings: node.NodeSettings) -> None:
     platform_store = store.PlatformStore(address=settings.store)
-    started = await _register(settings, platform_store)
+    registration = directory.Registration(store=platform_store)
+    started = await _read_fleet(settings, registration)
     own = started.own
     _logger.info('started {} in {}, boot {}', own.host, own.zone, own.boot)
     running = wiring.Node(
         settings=settings,
         started=started,
+        registration=registration,
         platform_store=platform_store,
     )
     await running.run()
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -45,6 +45,7 @@
 from egretstep.supervision import supervisor
 
 SWEEP_SECONDS = 0.5
+REGISTER_RETRY_SECONDS = 0.3
 # News of claims travels between the hosts as well.
 FLEET_PAUSE_SECONDS = 0.5
 FLEET_ROW_PAUSE_SECONDS = 0.02
@@ -68,12 +69,15 @@
         *,
         settings: node.NodeSettings,
         started: directory.Started,
+        registration: directory.Registration,
         platform_store: store.PlatformStore,
     ) -> None:
         self._settings = settings
         self._clock = clock.BootClock()
         self._store = platform_store
         self._is_stopping = False
+        self._started = started
+        self._registration = registration
         self._link_ids = itertools.count(1)
         self._opener = backend.PlatformOpener()
         self._promotions = duties.PlatformPromotions(
@@ -110,6 +114,7 @@
 
     def _make_membership(self, own: directory.Host) -> None:
         self._hosts = directory.Directory(own=own, time_source=self._clock)
+        self._hosts.is_registered = False
         self._peers = fleet_links.FleetLinks(
             hosts=self._hosts,
             time_source=self._clock,
@@ -267,6 +272,7 @@
             make_server=self._make_endpoint,
         )
         runs = {
+            'registration': self._register,
             'settings watch': self._settings_watch.run,
             'servers watch': self._servers_watch.run,
             'fleet watch': self._fleet_watch.run,
@@ -287,6 +293,18 @@
             supervisor.Child(name=name, run=run) for name, run in runs.items()
         ]
 
+    async def _register(self) -> None:
+        """Store this host's row; callers are served meanwhile."""
+        while not self._hosts.is_registered:
+            try:
+                own = await self._registration.register(self._started)
+            except directory.WRITE_FAILURES as error:
+                _logger.warning('not registered yet: {}', error)
+                await asyncio.sleep(REGISTER_RETRY_SECONDS)
+            else:
+                self._hosts.note_registered(own)
+                _logger.info('registered {} with boot {}', own.host, own.boot)
+
     def _follow_fleet(self, rows: watching.Rows) -> None:
         self._hosts.follow(rows)
         self._keeper.follow(rows)
@@ -347,7 +365,7 @@
         self._is_stopping = True
         self._claimant.leave()
         stop = stopping.PlannedStop(
-            registration=directory.Registration(store=self._store),
+            registration=self._registration,
             own=self._hosts.own,
             hand_over=self._tasks.hand_over,
             close_idle=self._ingress.close_idle,
--- /dev/null
+++ b/tests/membership/test_registration.py
@@ -0,0 +1,65 @@
+"""Load pattern: all hosts start at once, and the store writes row by row."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from egretstep import clock, errors
+from egretstep.membership import claiming, directory
+from tests import platform_fakes
+
+
+class RegistrationTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = platform_fakes.FakeTables()
+        self.registration = directory.Registration(store=self.store)
+
+    async def _start(self) -> directory.Host:
+        started = await self.registration.start(platform_fakes.host('own'))
+        return await self.registration.register(started)
+
+    async def test_each_start_has_a_later_boot(self) -> None:
+        boots = [(await self._start()).boot for _ in range(3)]
+        self.assertEqual(boots, [1, 2, 3])
+
+    async def test_a_late_write_of_an_earlier_process_is_seen(self) -> None:
+        earlier = await self.registration.start(platform_fakes.host('own'))
+        later = await self.registration.start(platform_fakes.host('own'))
+        first = await self.registration.register(earlier)
+        second = await self.registration.register(later)
+        self.assertGreater(second.boot, first.boot)
+
+    async def test_a_lost_answer_is_no_reason_to_reuse_a_boot(self) -> None:
+        started = await self.registration.start(platform_fakes.host('own'))
+        self.store.loses_answers = True
+        with self.assertRaises(errors.PlatformError):
+            await self.registration.register(started)
+        self.store.loses_answers = False
+        own = await self.registration.register(started)
+        self.assertEqual(own.boot, 2)
+
+    async def test_no_task_is_claimed_before_the_row_is_stored(self) -> None:
+        hosts = directory.Directory(
+            own=platform_fakes.host('own'),
+            time_source=clock.MonotonicClock(),
+        )
+        hosts.is_registered = False
+        claimant = claiming.Claimant(
+            keeper=unittest.mock.MagicMock(
+                is_synced=True,
+                was_given=asyncio.Event(),
+            ),
+            hosts=hosts,
+            prober=unittest.mock.MagicMock(),
+            wanted=tuple,
+            start=unittest.mock.MagicMock(),
+            time_source=clock.MonotonicClock(),
+        )
+        with unittest.mock.patch.object(claimant, '_look') as look:
+            running = asyncio.ensure_future(claimant.run())
+            await asyncio.sleep(claiming.LOOK_SECONDS * 2.5)
+            self.assertEqual(look.call_count, 0)
+            hosts.is_registered = True
+            await asyncio.sleep(claiming.LOOK_SECONDS * 1.5)
+            self.assertGreater(look.call_count, 0)
+            running.cancel()
