A host that does not answer is probed beside, not by callers' statements

Changed: a host that did not answer is avoided until it answers a probe; probes start after 1 s and become rare, 8 s at most. A new boot or a claim ends the suspicion at once, as before.

--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -149,12 +149,20 @@
         self._revision += 1
         self.is_registered = True
 
-    def suspect(self, host: identifiers.HostName, reason: str) -> None:
+    def suspect(
+        self,
+        host: identifiers.HostName,
+        reason: str,
+        *,
+        seconds: float = SUSPECT_SECONDS,
+    ) -> None:
         """Avoid a host for a while, since it did not answer."""
         if not self.is_suspected(host):
             _logger.info('host {} is avoided: {}', host, reason)
             self._revision += 1
-        self._suspected_until[host] = self._clock.now() + SUSPECT_SECONDS
+        until = self._clock.now() + seconds
+        known = self._suspected_until.get(host, until)
+        self._suspected_until[host] = max(until, known)
 
     def trust(self, host: identifiers.HostName) -> None:
         """Call a host again at once, since it was heard of."""
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -15,6 +15,7 @@
 CONTROL_SECONDS = 0.4
 ANSWER_ALLOWANCE_SECONDS = 0.2
 SILENCE_SECONDS = 0.4
+LONGEST_PROBE_PAUSE_SECONDS = 8.0
 # For answers that are under way when a majority has answered.
 GRACE_SECONDS = 0.05
 _Reply = typing.TypeVar('_Reply')
@@ -38,6 +39,7 @@
             heartbeat_timeout=SILENCE_SECONDS,
         )
         self._asking: set[asyncio.Future[typing.Any]] = set()
+        self._probing: dict[identifiers.HostName, asyncio.Task[None]] = {}
 
     async def call(
         self,
@@ -48,14 +50,47 @@
     ) -> typing.Any:
         """Call a host; raises `errors.LinkError` or `errors.LinkLostError`.
 
-        A host that does not answer is avoided for a while.
+        A host that does not answer is avoided until it answers a probe.
         """
         try:
             return await self._link(host).call(call, timeout=timeout)
         except _LINK_ERRORS as error:
-            self._hosts.suspect(host, str(error))
+            self._avoid(host, str(error))
             raise
 
+    def _avoid(self, host: identifiers.HostName, reason: str) -> None:
+        """Avoid a host; no caller's statement finds out whether it is back.
+
+        Load pattern: a host is gone for good, and its row stays.
+        """
+        self._hosts.suspect(host, reason, seconds=directory.SUSPECT_SECONDS)
+        probing = self._probing.get(host)
+        if probing is None or probing.done():
+            self._probing[host] = asyncio.ensure_future(
+                self._probe(host, reason),
+            )
+
+    async def _probe(self, host: identifiers.HostName, reason: str) -> None:
+        pause = directory.SUSPECT_SECONDS
+        longest_call = CONTROL_SECONDS + links.CONNECT_TIMEOUT_SECONDS
+        while host in self._hosts.hosts:
+            self._hosts.suspect(host, reason, seconds=pause + longest_call)
+            await asyncio.sleep(pause)
+            if not self._hosts.is_suspected(host) or await self._answers(host):
+                self._hosts.trust(host)
+                return
+            pause = min(pause * 2, LONGEST_PROBE_PAUSE_SECONDS)
+
+    async def _answers(self, host: identifiers.HostName) -> bool:
+        try:
+            await self._link(host).call(
+                lambda remote: remote.heartbeat(),
+                timeout=CONTROL_SECONDS,
+            )
+        except _LINK_ERRORS:
+            return False
+        return True
+
     def _link(self, host: identifiers.HostName) -> links.Link:
         known = self._hosts.hosts.get(host)
         if known is None:
--- a/tests/membership/test_fleet_links.py
+++ b/tests/membership/test_fleet_links.py
@@ -64,6 +64,74 @@
     return links
 
 
+class _Link:
+    """A link to a host that may be gone."""
+
+    def __init__(self) -> None:
+        self.is_gone = True
+        self.calls = 0
+
+    async def call(self, _call: typing.Any, **_options: typing.Any) -> None:
+        self.calls += 1
+        if self.is_gone:
+            raise errors.LinkError('gone')
+
+
+class GoneHostTest(unittest.IsolatedAsyncioTestCase):
+    """Load pattern: a host is gone for good, and its row stays."""
+
+    def setUp(self) -> None:
+        self.link = _Link()
+        self.hosts = directory.Directory(
+            own=make_host(HOSTS[0]),
+            time_source=clock.MonotonicClock(),
+        )
+        other = make_host(HOSTS[1])
+        key = directory.PREFIX + other.host
+        self.hosts.follow({
+            key: tables.Row(
+                key=key,
+                version=1,
+                content=directory.encode(other),
+            ),
+        })
+        self.links = fleet_links.FleetLinks(
+            hosts=self.hosts,
+            time_source=clock.MonotonicClock(),
+        )
+        self.links._link = lambda _host: self.link
+
+    async def _serve(self, seconds: float) -> int:
+        """Call the host whenever it is usable; returns how many calls fail."""
+        loop = asyncio.get_running_loop()
+        failed = 0
+        end = loop.time() + seconds
+        while loop.time() < end:
+            if self.hosts.is_usable(HOSTS[1]):
+                try:
+                    await self.links.call(HOSTS[1], lambda remote: remote)
+                except errors.LinkError:
+                    failed += 1
+            await asyncio.sleep(0.005)
+        return failed
+
+    async def test_one_statement_finds_out_and_then_none(self) -> None:
+        with unittest.mock.patch.object(directory, 'SUSPECT_SECONDS', 0.1):
+            self.assertEqual(await self._serve(1), 1)
+
+    async def test_a_host_that_answers_again_is_used_again(self) -> None:
+        with unittest.mock.patch.object(directory, 'SUSPECT_SECONDS', 0.1):
+            await self._serve(0.05)
+            self.link.is_gone = False
+            await asyncio.sleep(0.2)
+            self.assertTrue(self.hosts.is_usable(HOSTS[1]))
+
+    async def test_probes_become_rare(self) -> None:
+        with unittest.mock.patch.object(directory, 'SUSPECT_SECONDS', 0.02):
+            await self._serve(1)
+        self.assertLess(self.link.calls, 8)
+
+
 class ConfirmTest(unittest.IsolatedAsyncioTestCase):
     async def _time(self, silent: typing.Collection[str]) -> tuple[int, float]:
         loop = asyncio.get_running_loop()
