What a host follows in the store is wired in a module of its own

It is a third module of the composition, and tests/platform/test_boundary.py names it beside node.py and wiring.py; the check itself is as before. Two tests share the fake of a fleet of one.

--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 import itertools
 
 import logbook
@@ -16,7 +15,6 @@
     fleet_links,
     leases,
     registry,
-    relays,
 )
 from egretstep.observability import metrics_page
 from egretstep.peers import links
@@ -24,7 +22,6 @@
     backend,
     duties,
     ingress,
-    operator_settings,
     readiness,
     registrations,
     store,
@@ -36,28 +33,19 @@
     host_report,
     questions,
     stopping,
+    store_watches,
     tasks,
 )
 from egretstep.replication import evidence, succession
 from egretstep.routing import dispatcher
-from egretstep.settings import deployment, following, node
-from egretstep.storage import news, watching
+from egretstep.settings import deployment, node
+from egretstep.storage import watching
 from egretstep.supervision import supervisor
 
 SWEEP_SECONDS = 0.5
 REGISTER_RETRY_SECONDS = 0.3
-# News of claims travels between the hosts as well.
-FLEET_PAUSE_SECONDS = 0.5
-FLEET_ROW_PAUSE_SECONDS = 0.02
-SERVERS_PAUSE_SECONDS = 0.1
-SETTINGS_PAUSE_SECONDS = 0.15
-# A host that hears from another one turns to the store within two of these
-# waits, which leaves time for the store's answer.
-NEWS_WAIT_SHARE = 0.25
 # The rest of the time goes by until this host hears of it.
 LEAVE_SHARE = 0.5
-# All hosts of a new fleet register within about this time.
-FLEET_START_SECONDS = 1.0
 _logger = logbook.Logger('node')
 
 
@@ -84,12 +72,17 @@
             address=settings.promotions,
             host=settings.host,
         )
+        self._watches = store_watches.StoreWatches(
+            settings=settings,
+            store=platform_store,
+            time_source=self._clock,
+        )
         self._make_membership(started.own)
         self._make_pooling()
         self._make_callers()
         self._make_reporter()
         self._follow_tables()
-        self._fleet_watch.start_with(started.fleet)
+        self._watches.fleet.start_with(started.fleet)
 
     async def run(self) -> None:
         """Serve until cancelled, then stop without cutting work."""
@@ -103,15 +96,6 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await running
 
-    def _watch(self, table: str, pause: watching.Pause) -> watching.TableWatch:
-        return watching.TableWatch(
-            store=self._store,
-            table=table,
-            time_source=self._clock,
-            pause=pause,
-            starts_at_store=table == directory.TABLE,
-        )
-
     def _make_membership(self, own: directory.Host) -> None:
         self._hosts = directory.Directory(own=own, time_source=self._clock)
         self._hosts.is_registered = False
@@ -126,51 +110,6 @@
             time_source=self._clock,
         )
         self._servers = registry.ServerRegistry(time_source=self._clock)
-        self._fleet_watch = self._watch(
-            directory.TABLE,
-            watching.pausing(FLEET_PAUSE_SECONDS, FLEET_ROW_PAUSE_SECONDS),
-        )
-        self._servers_watch = self._watch(
-            registrations.TABLE,
-            watching.pausing(SERVERS_PAUSE_SECONDS),
-        )
-        self._settings_watch = self._watch(
-            operator_settings.TABLE,
-            watching.pausing(SETTINGS_PAUSE_SECONDS),
-        )
-        self._configuration = following.ConfigurationFollower(
-            watch=self._settings_watch,
-            stored_as=operator_settings.FORMAT,
-        )
-        self._make_news()
-
-    def _make_news(self) -> None:
-        watches = (
-            self._settings_watch,
-            self._servers_watch,
-            self._fleet_watch,
-        )
-        wait = self._settings.settings_delay * NEWS_WAIT_SHARE
-        self._news_desk = news.NewsDesk(
-            watches=watches,
-            wait=wait,
-            time_source=self._clock,
-        )
-        self._news = news.NewsFollower(
-            watches=watches,
-            source=relays.RelayChoice(
-                hosts=self._hosts,
-                time_source=self._clock,
-            ),
-            ask=functools.partial(self._peers.news, wait=wait),
-            wait=wait,
-            store_answers=lambda: self._keeper.store_answers,
-            fleet_size=lambda: len(self._hosts.hosts),
-            first_choice_after=(
-                FLEET_START_SECONDS if self._settings.is_first_start else 0
-            ),
-            time_source=self._clock,
-        )
 
     def _make_pooling(self) -> None:
         self._brokers = brokers.BrokerTable(
@@ -254,14 +193,14 @@
             hosts=self._hosts,
             keeper=self._keeper,
             servers=self._servers,
-            configuration=self._configuration,
+            configuration=self._watches.configuration,
             is_ready=self._is_ready,
         )
 
     def _follow_tables(self) -> None:
-        self._fleet_watch.changes.subscribe(self._follow_fleet)
-        self._servers_watch.changes.subscribe(self._follow_servers)
-        self._configuration.changes.subscribe(
+        self._watches.fleet.changes.subscribe(self._follow_fleet)
+        self._watches.servers.changes.subscribe(self._follow_servers)
+        self._watches.configuration.changes.subscribe(
             lambda current: self._servers.follow_zones(current.zones_out),
         )
 
@@ -273,10 +212,6 @@
         )
         runs = {
             'registration': self._register,
-            'settings watch': self._settings_watch.run,
-            'servers watch': self._servers_watch.run,
-            'fleet watch': self._fleet_watch.run,
-            'news': self._news.run,
             'leases': self._keeper.run,
             'peers': listener.run,
             'claimant': self._claimant.run,
@@ -289,9 +224,15 @@
                 {host_report.PATH: self._reporter.page},
             ).run,
         }
-        return [
+        watches = self._watches.children(
+            hosts=self._hosts,
+            peers=self._peers,
+            keeper=self._keeper,
+        )
+        others = [
             supervisor.Child(name=name, run=run) for name, run in runs.items()
         ]
+        return [*watches, *others]
 
     async def _register(self) -> None:
         """Store this host's row; callers are served meanwhile."""
@@ -308,7 +249,7 @@
     def _follow_fleet(self, rows: watching.Rows) -> None:
         self._hosts.follow(rows)
         self._keeper.follow(rows)
-        if self._fleet_watch.is_synced and not self._keeper.is_synced:
+        if self._watches.fleet.is_synced and not self._keeper.is_synced:
             self._tasks.note_claims()
             self._keeper.is_synced = True
 
@@ -328,16 +269,16 @@
             keeper=self._keeper,
             peers=self._peers,
             fleet_tasks=self._tasks,
-            news_desk=self._news_desk,
+            news_desk=self._watches.desk,
         )
 
     def _current(self) -> deployment.Deployment:
-        return self._configuration.current
+        return self._watches.configuration.current
 
     def _is_ready(self) -> bool:
         if self._is_stopping or self._questions.is_isolated:
             return False
-        return self._configuration.version > 0
+        return self._watches.configuration.version > 0
 
     def _floors(self, service: deployment.ServiceName) -> evidence.Evidence:
         known = self._evidence.get(service)
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -7,7 +7,9 @@
 SOURCE = pathlib.Path(__file__).parents[2] / 'src' / 'egretstep'
 ADAPTER = SOURCE / 'platform'
 PROGRAMS = SOURCE / 'programs'
-COMPOSITION = (PROGRAMS / 'node.py', PROGRAMS / 'wiring.py')
+COMPOSITION = tuple(
+    PROGRAMS / name for name in ('node.py', 'wiring.py', 'store_watches.py')
+)
 WORDS = re.compile(
     r'rows-tx|rows-get|rows-feed|expected_rev|SYNCPOS|STEPDOWN|DEALLOC\b'
     r'|EGRETSTEP_CONFIG|db_role|api_keys|route_type|bind_addrs|tombstone'
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -2,10 +2,11 @@
 
 import dataclasses
 import itertools
+import typing
 
 from egretstep import errors, identifiers
 from egretstep.backends import answers, commands, connection
-from egretstep.membership import directory
+from egretstep.membership import claims, directory
 from egretstep.settings import deployment, node
 from egretstep.storage import tables
 
@@ -207,6 +208,29 @@
         return opened
 
 
+class NoOthers:
+    """The other hosts of a fleet of one."""
+
+    async def confirm(
+        self,
+        _asked: typing.Sequence[claims.Claim],
+    ) -> list[typing.Sequence[claims.Claim]]:
+        """Return no answers."""
+        return []
+
+    def majority(self) -> int:
+        """Return that nobody else is needed."""
+        return 0
+
+    async def reaches(self, _host: identifiers.HostName) -> bool:
+        """Tell that every host answers."""
+        return True
+
+    async def is_lost(self, _host: identifiers.HostName) -> bool:
+        """Tell that no host is lost."""
+        return False
+
+
 def host(name: str, *, boot: int = 1, zone: str = 'north') -> directory.Host:
     """Make a host of the fleet."""
     return directory.Host(
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -29,25 +29,6 @@
 )
 
 
-class _Alone:
-    """The other hosts of a fleet of one."""
-
-    async def confirm(
-        self,
-        _asked: typing.Sequence[claims.Claim],
-    ) -> list[typing.Sequence[claims.Claim]]:
-        return []
-
-    def majority(self) -> int:
-        return 0
-
-    async def reaches(self, _host: identifiers.HostName) -> bool:
-        return True
-
-    async def is_lost(self, _host: identifiers.HostName) -> bool:
-        return False
-
-
 class _Servers:
     def __init__(self, server: platform_fakes.FakeServer) -> None:
         self._server = server
@@ -101,7 +82,7 @@
         self.keeper = leases.LeaseKeeper(
             store=platform_fakes.FakeTables(),
             hosts=self.hosts,
-            confirmers=_Alone(),
+            confirmers=platform_fakes.NoOthers(),
             time_source=self.clock,
         )
         self.opener = platform_fakes.FakeOpener(self.server)
@@ -190,7 +171,7 @@
         claimant = claiming.Claimant(
             keeper=self.keeper,
             hosts=self.hosts,
-            prober=_Alone(),
+            prober=platform_fakes.NoOthers(),
             wanted=lambda: [
                 spread.Task(name=TASK, zone=identifiers.ZoneName('north')),
             ],
--- a/tests/replication/test_planned_change.py
+++ b/tests/replication/test_planned_change.py
@@ -35,19 +35,6 @@
 )
 
 
-class _Alone:
-    """The other hosts of a fleet of one."""
-
-    async def confirm(
-        self,
-        _asked: typing.Sequence[claims.Claim],
-    ) -> list[typing.Sequence[claims.Claim]]:
-        return []
-
-    def majority(self) -> int:
-        return 0
-
-
 class _SilentTables(platform_fakes.FakeTables):
     """A store that gives no answer to writes once it is silent."""
 
@@ -121,7 +108,7 @@
                 own=platform_fakes.host('own'),
                 time_source=self.clock,
             ),
-            confirmers=_Alone(),
+            confirmers=platform_fakes.NoOthers(),
             time_source=self.clock,
         )
         opener = platform_fakes.FakeOpener(self.first, self.second)
