--- a/src/egretstep/storage/news.py
+++ b/src/egretstep/storage/news.py
@@ -87,13 +87,17 @@
         """Return what is later than the known versions, as soon as it is."""
         deadline = self._clock.now() + self._wait
         found = self._collect(known)
-        while not found and self._clock.now() < deadline:
+        while not self._is_answer(found) and self._clock.now() < deadline:
             await self._change(deadline)
             found = self._collect(known)
         if self.age > self._wait:
             await self._confirm()
         return News(age=self.age, tables=found)
 
+    def _is_answer(self, found: dict[str, tables.Snapshot]) -> bool:
+        """Tell whether an answer is of use; a host that starts has none yet."""
+        return bool(found) and self._watches[0].is_synced
+
     def _collect(self, known: Versions) -> dict[str, tables.Snapshot]:
         found = {}
         for watch in self._watches:
--- a/tests/storage/test_news.py
+++ b/tests/storage/test_news.py
@@ -244,6 +244,19 @@
         self.assertIn('only told to others', alone.keys)
         self.assertEqual(alone.watch.source, 'other')
 
+    async def test_a_relay_that_starts_is_waited_for(self) -> None:
+        """Load pattern: a whole fleet starts, and its relays with it."""
+        relay = Host(self.store)
+        relay.watches[1].accept(await self.store.read(OTHER), confirmed_at=0)
+        asked = asyncio.ensure_future(relay.desk.news({TABLE: 0, OTHER: 0}))
+        await asyncio.sleep(WAIT / 4)
+        self.assertFalse(asked.done())
+        now = relay.clock.now()
+        relay.watch.accept(await self.store.read(TABLE), confirmed_at=now)
+        found = await asked
+        self.assertLess(found.age, WAIT)
+        self.assertEqual(set(found.tables), {TABLE, OTHER})
+
     async def test_a_host_that_just_started_reads_the_store_itself(
         self,
     ) -> None:
