Sessions that begin while a host starts wait for its settings

Changed: a session begins once a configuration is in force. Test: tests/platform/test_ingress.py failed before.

--- a/src/egretstep/callers/parts.py
+++ b/src/egretstep/callers/parts.py
@@ -1,5 +1,6 @@
 """What a session holds and uses."""
 
+import asyncio
 import dataclasses
 import typing
 
@@ -26,10 +27,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Services:
-    """What every session of this host uses."""
+    """What every session of this host uses.
+
+    Sessions begin once `is_configured` is set.
+    """
 
     current: typing.Callable[[], deployment.Deployment]
     dispatcher: dispatcher.Dispatcher
     admitter: grants.Admitter
     release_here: typing.Callable[[identifiers.PinId], None]
     is_stopping: typing.Callable[[], bool]
+    is_configured: asyncio.Event
--- a/src/egretstep/platform/ingress.py
+++ b/src/egretstep/platform/ingress.py
@@ -106,6 +106,8 @@
         sockets.watch_silence(self._writer.get_extra_info('socket'))
         async with asyncio.timeout(START_SECONDS):
             line = await wire.read_line(self._reader)
+            # A host that has just started knows no routes or keys yet.
+            await self._services.is_configured.wait()
         started = self._start(line or b'')
         if started is None:
             await self._writer.drain()
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -178,6 +178,7 @@
             ),
             release_here=self._release_here,
             is_stopping=lambda: self._is_stopping,
+            is_configured=self._watches.configuration.is_known,
         )
         self._ingress = ingress.Ingress(
             address=self._settings.callers,
--- a/src/egretstep/settings/following.py
+++ b/src/egretstep/settings/following.py
@@ -3,6 +3,7 @@
 A configuration is never replaced by an earlier one.
 """
 
+import asyncio
 import dataclasses
 import typing
 
@@ -29,7 +30,10 @@
 
 
 class ConfigurationFollower:
-    """The configuration in force on this host."""
+    """The configuration in force on this host.
+
+    `is_known` is set once there is one.
+    """
 
     def __init__(
         self,
@@ -41,6 +45,7 @@
         self._format = stored_as
         self._content = b''
         self._source = 'nowhere yet'
+        self.is_known = asyncio.Event()
         self.changes: subject.BehaviorSubject[deployment.Deployment] = (
             subject.BehaviorSubject(deployment.EMPTY)
         )
@@ -91,6 +96,7 @@
             self.version,
         )
         self._content = content
+        self.is_known.set()
         self._source = self._watch.source
         self.changes.on_next(
             dataclasses.replace(decoded, zones_out=self.current.zones_out),
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,78 @@
+"""Load pattern: callers come back while a host is starting."""
+
+import asyncio
+import socket
+import unittest
+import unittest.mock
+
+from egretstep import identifiers
+from egretstep.callers import parts
+from egretstep.platform import ingress
+from egretstep.settings import deployment, node
+from tests import platform_fakes
+
+ADDRESS = '127.0.0.1'
+DATABASE = identifiers.DatabaseName('loans')
+KEY = 'key-of-depot'
+CONFIGURED = deployment.Deployment(
+    version=identifiers.SettingsVersion(1),
+    routes={
+        DATABASE: deployment.Route(
+            database=DATABASE,
+            service=platform_fakes.SERVICE,
+            consistency=deployment.Consistency.PRIMARY,
+            timeout=1,
+            target=1,
+            priority=1,
+            max_staleness=None,
+            is_open=False,
+        ),
+    },
+    services={},
+    workspaces={},
+    owners_of_keys={KEY: platform_fakes.DEPOT},
+)
+
+
+class IngressTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        with socket.socket() as probe:
+            probe.bind((ADDRESS, 0))
+            port = probe.getsockname()[1]
+        self.current = deployment.EMPTY
+        self.is_configured = asyncio.Event()
+        served = ingress.Ingress(
+            address=node.Address(host=ADDRESS, port=port),
+            services=parts.Services(
+                current=lambda: self.current,
+                dispatcher=unittest.mock.MagicMock(),
+                admitter=unittest.mock.MagicMock(),
+                release_here=unittest.mock.MagicMock(),
+                is_stopping=unittest.mock.MagicMock(return_value=False),
+                is_configured=self.is_configured,
+            ),
+        )
+        self.running = asyncio.ensure_future(served.run())
+        await asyncio.sleep(0.05)
+        streams = await asyncio.open_connection(ADDRESS, port)
+        self.reader = streams[0]
+        self.writer = streams[1]
+
+    async def asyncTearDown(self) -> None:
+        self.writer.close()
+        self.running.cancel()
+
+    async def test_a_caller_waits_until_routes_are_known(self) -> None:
+        self.writer.write(f'START {DATABASE} {KEY}\r\n'.encode())
+        reading = asyncio.ensure_future(self.reader.readline())
+        await asyncio.sleep(0.1)
+        self.assertFalse(reading.done())
+        self.current = CONFIGURED
+        self.is_configured.set()
+        self.assertEqual(await reading, b'READY I -\r\n')
+
+    async def test_a_route_that_is_missing_is_said_so(self) -> None:
+        self.current = CONFIGURED
+        self.is_configured.set()
+        self.writer.write(f'START other {KEY}\r\n'.encode())
+        self.assertIn(b'NODB', await self.reader.readline())
