--- a/tests/storage/test_watching.py
+++ b/tests/storage/test_watching.py
@@ -52,3 +52,38 @@
         await asyncio.sleep(0.6)
         following.cancel()
         return table.asked
+
+
+class AcceptTest(unittest.TestCase):
+    """News come from several hosts, in any order."""
+
+    def setUp(self) -> None:
+        self.watch = watching.TableWatch(
+            store=ChangingTable(0),
+            table='op',
+            time_source=clock.ManualClock(),
+        )
+
+    def _accept(self, version: int, content: bytes) -> bool:
+        row = tables.Row(
+            key='config',
+            content=content,
+            version=version,
+            is_deleted=not content,
+        )
+        return self.watch.accept(
+            tables.Snapshot(rows=(row,), version=version),
+            confirmed_at=0,
+        )
+
+    def test_an_older_row_replaces_nothing(self) -> None:
+        self.assertTrue(self._accept(5, b'newer'))
+        self.assertFalse(self._accept(3, b'older'))
+        self.assertEqual(self.watch.rows['config'].content, b'newer')
+        self.assertEqual(self.watch.version, 5)
+
+    def test_a_dropped_row_does_not_come_back(self) -> None:
+        self._accept(3, b'there')
+        self._accept(5, b'')
+        self.assertFalse(self._accept(4, b'late news'))
+        self.assertEqual(dict(self.watch.rows), {})
