A server that was away is not taken for slow; a table that a relay lacks stays unknown

Found on reading the change again. (1) The forecast of a queue took a silence of its server for its pace, so that right after it everybody would have been refused for up to 2 s, though the server was back. A gap of over 0.5 s starts the pace anew. (2) A host that started with a relay that did not have a table yet held that table for known and empty.

--- a/src/egretstep/pooling/queue_forecast.py
+++ b/src/egretstep/pooling/queue_forecast.py
@@ -12,6 +12,8 @@
 WINDOW_SECONDS = 2.0
 # Before that the pace of a queue that has just formed says little.
 SHORTEST_WINDOW_SECONDS = 0.25
+# A server that was silent for longer is not slow; it was away.
+LONGEST_GAP_SECONDS = 0.5
 
 
 class QueueForecast:
@@ -43,6 +45,9 @@
     def note_turn(self) -> None:
         """Learn that one of those who waited has its turn."""
         now = self._clock.now()
+        if self._turns and now - self._turns[-1] > LONGEST_GAP_SECONDS:
+            self._turns.clear()
+            self._waiting_since = now
         self._turns.append(now)
         while self._turns[0] < now - WINDOW_SECONDS:
             self._turns.popleft()
--- a/src/egretstep/storage/news.py
+++ b/src/egretstep/storage/news.py
@@ -209,12 +209,10 @@
         confirmed_at = self._clock.now() - news.age
         for table, watch in self._watches.items():
             changed = news.tables.get(table)
-            if watch.may_accept:
-                watch.accept(
-                    changed or watch.nothing_new(),
-                    confirmed_at=confirmed_at,
-                    source=host,
-                )
+            if changed is None and watch.is_synced:
+                changed = watch.nothing_new()
+            if changed is not None and watch.may_accept:
+                watch.accept(changed, confirmed_at=confirmed_at, source=host)
 
     async def _ask_host(self, host: identifiers.HostName) -> News | None:
         known = {
--- a/tests/pooling/test_queue_forecast.py
+++ b/tests/pooling/test_queue_forecast.py
@@ -34,6 +34,16 @@
         self._give_turns(1, 0.1)
         self.assertEqual(self.forecast.seconds_until(position=100), 0)
 
+    def test_a_server_that_was_away_is_not_taken_for_slow(self) -> None:
+        self.forecast.note_waiting(waiting=1)
+        self._give_turns(100, 0.01)
+        self.clock.advance(queue_forecast.WINDOW_SECONDS * 1.5)
+        self._give_turns(1, 0.01)
+        self.assertEqual(self.forecast.seconds_until(position=10), 0)
+        self._give_turns(50, 0.01)
+        due = self.forecast.seconds_until(position=10)
+        self.assertAlmostEqual(due, 0.1, delta=0.02)
+
     def test_an_empty_queue_forgets_its_pace(self) -> None:
         self.forecast.note_waiting(waiting=1)
         self._give_turns(5, TURN_SECONDS)
