--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,277 @@
+"""The mechanisms that `make mutants` takes out, one at a time."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Mutant:
+    """A mechanism taken out, and the scenario or tests that must notice."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    feature: str = ''
+    scenario: str = ''
+    tests: str = ''
+
+
+MUTANTS = (
+    Mutant(
+        name='sessions have no floor',
+        path='src/egretstep/replication/floors.py',
+        old='        return max(known, carried)',
+        new='        return identifiers.LOG_START',
+        feature='read_your_writes',
+        scenario='A session on two hosts while replicas lag',
+    ),
+    Mutant(
+        name='age of data is not bounded',
+        path='src/egretstep/routing/replicas.py',
+        old='return candidate.age_bound <= needs.longest_age',
+        new='return True',
+        feature='read_your_writes',
+        scenario='A read of a stated age while replicas are cut off',
+    ),
+    Mutant(
+        name='withdrawn keys stay active',
+        path='src/egretstep/callers/keys.py',
+        old='return key is not None and key.state is schema.KeyState.ACTIVE',
+        new='return key is not None',
+        feature='keys',
+        scenario='A key is withdrawn',
+    ),
+    Mutant(
+        name='settings are always fresh',
+        path='src/egretstep/settings/freshness.py',
+        old='return now - confirmed_at <= FRESHNESS_LIMIT_SECONDS',
+        new='return True',
+        feature='keys',
+        scenario='A host that is cut off alone',
+    ),
+    Mutant(
+        name='a new owner starts with a full bucket',
+        path='src/egretstep/replication/owner.py',
+        old='                self._counting_since = self._clock.now()',
+        new='                self._counting_since = float("-inf")',
+        feature='rate',
+        scenario='The counting owner dies',
+    ),
+    Mutant(
+        name='no rate at all',
+        path='src/egretstep/limits/bucket.py',
+        old='        self._tokens -= 1\n        return wait',
+        new='        return wait',
+        feature='rate',
+        scenario='Ten times the rate',
+    ),
+    Mutant(
+        name='a dead entry keeps its transactions',
+        path='src/egretstep/pooling/pins.py',
+        old='            if key[0] == link:',
+        new='            if key[0] < 0:',
+        feature='transactions',
+        scenario='The entry dies',
+    ),
+    Mutant(
+        name='a refusal hides the open transaction',
+        path='src/egretstep/pooling/host.py',
+        old='pinned=serving is not None and serving.is_pinned(pin_key)',
+        new='pinned=False',
+        feature='transactions',
+        scenario='A refused statement',
+    ),
+    Mutant(
+        name='request keys are ignored',
+        path='src/egretstep/pooling/execution.py',
+        old='        if is_keyed_write:',
+        new='        if is_keyed_write and not connection:',
+        feature='outcomes',
+        scenario='A request key',
+    ),
+    Mutant(
+        name='an open commit is called not run',
+        path='src/egretstep/pooling/outcomes.py',
+        old='        outcome=identifiers.Outcome.UNKNOWN,',
+        new='        outcome=identifiers.Outcome.NOT_RUN,',
+        feature='outcomes',
+        scenario='The answer to a commit',
+    ),
+    Mutant(
+        name='zones that are out keep their owners',
+        path='src/egretstep/membership/ranking.py',
+        old='    return known is None or known.state is schema.PlaceState.IN',
+        new='    return True',
+        feature='zones',
+        scenario='A zone is taken out',
+    ),
+    Mutant(
+        name='running statements outlive their server',
+        path='src/egretstep/pooling/running.py',
+        old='            bound.reschedule(now)',
+        new='            bound.when()',
+        feature='old_primary',
+        scenario='The primary goes silent',
+    ),
+    Mutant(
+        name='a taker does not wait for the former lease',
+        path='src/egretstep/membership/leases.py',
+        old='await asyncio.sleep(LEASE_SECONDS)',
+        new='await asyncio.sleep(0)',
+        tests='tests.membership.test_leases',
+    ),
+    Mutant(
+        name='one answer stands for a majority',
+        path='src/egretstep/membership/fleet_links.py',
+        old='is_enough = len(replies) >= self.majority()',
+        new='is_enough = bool(replies)',
+        tests='tests.membership.test_fleet_links',
+    ),
+    Mutant(
+        name='hosts that are gone count for majorities',
+        path='src/egretstep/membership/directory.py',
+        old='host.state is not HostState.GONE',
+        new='host.state is not None',
+        tests='tests.membership.test_fleet_links',
+    ),
+    Mutant(
+        name='waiting tasks count for no host',
+        path='src/egretstep/membership/spread.py',
+        old='held.update(host.host for host in ranking[task.name][:1])',
+        new='held.update(())',
+        tests='tests.membership.test_spread',
+    ),
+    Mutant(
+        name='what ran is refused when its key lapses',
+        path='src/egretstep/callers/session.py',
+        old='        if self._may_have_run:\n',
+        new='        if not self._may_have_run and self._may_have_run:\n',
+        tests='tests.callers.test_session',
+    ),
+    Mutant(
+        name='an own pause gives statements up',
+        path='src/egretstep/pooling/watchdog.py',
+        old='if watch.was_paused():',
+        new='if watch.was_paused() and not self._servers:',
+        tests='tests.pooling.test_watchdog',
+    ),
+    Mutant(
+        name='lost connections stay counted',
+        path='src/egretstep/pooling/connections.py',
+        old='        self._open -= 1\n        self._turns.wake_next()',
+        new='        self._turns.wake_next()',
+        tests='tests.pooling.test_connections',
+    ),
+    Mutant(
+        name='samples of any age are evidence',
+        path='src/egretstep/replication/evidence.py',
+        old='if sample.asked_at >= oldest:',
+        new='if sample.asked_at >= 0:',
+        tests='tests.replication.test_evidence',
+    ),
+    Mutant(
+        name='patience without end',
+        path='src/egretstep/routing/patience.py',
+        old='return waited + pause <= allowed',
+        new='return waited + pause <= remaining + allowed',
+        tests='tests.routing',
+    ),
+    Mutant(
+        name='a new owner refuses until it knows its primary',
+        path='src/egretstep/replication/primary.py',
+        old='            is_closed=True,\n',
+        new='            is_closed=False,\n',
+        tests='tests.replication.test_hand_over',
+    ),
+    Mutant(
+        name='who waits at a former owner stays there',
+        path='src/egretstep/replication/primary.py',
+        old='            is_over=lambda: self.is_over,\n',
+        new='',
+        tests='tests.replication.test_hand_over',
+    ),
+    Mutant(
+        name='connections rest up to the whole limit',
+        path='src/egretstep/pooling/connection_budget.py',
+        old='RESTING_SHARE = 0.5',
+        new='RESTING_SHARE = 1.0',
+        tests='tests.pooling.test_broker',
+    ),
+    Mutant(
+        name='a timeout that has expired is moved again',
+        path='src/egretstep/pooling/running.py',
+        old='if not bound.expired():',
+        new='if bound is not None:',
+        tests='tests.pooling.test_running',
+    ),
+    Mutant(
+        name='pauses do not grow while changes go on',
+        path='src/egretstep/storage/spacing.py',
+        old='min(LARGEST_FACTOR, 2 * self._factor)',
+        new='1',
+        tests='tests.storage.test_spacing',
+    ),
+    Mutant(
+        name='news of any age are believed',
+        path='src/egretstep/storage/news.py',
+        old='news.age > self._oldest',
+        new='news.age < 0',
+        tests='tests.storage.test_news',
+    ),
+    Mutant(
+        name='rows that are older replace newer ones',
+        path='src/egretstep/storage/watching.py',
+        old='return known is None or known.version < row.version',
+        new='return True',
+        tests='tests.storage.test_watching',
+    ),
+    Mutant(
+        name='the first copy may come from anyone',
+        path='src/egretstep/storage/watching.py',
+        old='return self.is_synced or not self._starts_at_store',
+        new='return True',
+        tests='tests.storage.test_news',
+    ),
+    Mutant(
+        name='tasks are claimed before the row is stored',
+        path='src/egretstep/membership/claiming.py',
+        old='if self._is_leaving or not self._hosts.is_registered:',
+        new='if self._is_leaving:',
+        tests='tests.membership.test_registration',
+    ),
+    Mutant(
+        name='a leaving server is served without end',
+        path='src/egretstep/replication/succession.py',
+        old='return self._clock.now() - since > self._leave_within',
+        new='return False',
+        tests='tests.replication.test_planned_change',
+    ),
+    Mutant(
+        name='who waits in vain is not told',
+        path='src/egretstep/pooling/fair_queue.py',
+        old='if self._is_first_come or not is_due:',
+        new='if is_due or not is_due:',
+        tests='tests.pooling.test_overload',
+    ),
+    Mutant(
+        name='tasks are ranked at every look',
+        path='src/egretstep/membership/candidacies.py',
+        old='if basis != self._basis:',
+        new='if basis is not None:',
+        tests='tests.membership.test_candidacies',
+    ),
+    Mutant(
+        name='sessions do not wait for the settings',
+        path='src/egretstep/platform/ingress.py',
+        old='await self._services.is_configured.wait()',
+        new='await asyncio.sleep(0)',
+        tests='tests.platform.test_ingress',
+    ),
+    Mutant(
+        name='a host that is gone is not probed',
+        path='src/egretstep/membership/fleet_links.py',
+        old='seconds=pause + longest_call)',
+        new='seconds=0)',
+        tests='tests.membership.test_fleet_links',
+    ),
+)
