Start on deployments that do not state every bound

The two new deployments have no evacuations, so 'evac_ms' is missing and no host started (KeyError, reported as a missing field). Change: each bound may be missing. The limit for servers that leave is the shortest one stated; the others have named defaults. Ruled out: nothing; the error names the field.

--- a/src/egretstep/platform/process_settings.py
+++ b/src/egretstep/platform/process_settings.py
@@ -11,6 +11,12 @@
 
 PATH_VARIABLE = 'EGRETSTEP_CONFIG'
 DEFAULT_PATH = '/etc/egretstep/node.json'
+# Limits of a platform that does not state them. It states only the bounds of
+# the rules that are in force on a deployment.
+DEFAULT_STOP_GRACE_SECONDS = 6.0
+DEFAULT_MAX_SETTINGS_DELAY_MS = 3000
+DEFAULT_DRAIN_MS = 5000
+_DRAIN_BOUNDS = ('drain_ms', 'evac_ms')
 
 
 def path() -> pathlib.Path:
@@ -44,7 +50,7 @@
     bind_addresses = fields['bind_addrs']
     first_port, _ = fields['internal_ports']
     ip = fields['ip']
-    bounds = fields['bounds']
+    bounds = fields.get('bounds', {})
     return node.NodeSettings(
         host=identifiers.HostName(fields['node_name']),
         ip=ip,
@@ -58,9 +64,20 @@
         is_first_start=bool(fields['bootstrap']),
         # `cpu_share` is a share of one core that is `cores` times as fast.
         processor=fields['limits']['cpu_share'] * fields['limits']['cores'],
-        stop_grace_seconds=float(bounds['grace_s']),
-        max_settings_delay_seconds=clock.to_seconds(bounds['config_apply_ms']),
-        drain_seconds=clock.to_seconds(
-            min(bounds['drain_ms'], bounds['evac_ms'])
+        stop_grace_seconds=float(
+            bounds.get('grace_s', DEFAULT_STOP_GRACE_SECONDS)
         ),
+        max_settings_delay_seconds=clock.to_seconds(
+            bounds.get('config_apply_ms', DEFAULT_MAX_SETTINGS_DELAY_MS)
+        ),
+        drain_seconds=_decode_drain_limit(bounds),
     )
+
+
+def _decode_drain_limit(bounds: dict[str, typing.Any]) -> float:
+    """Return the shortest stated limit for work on a server that leaves.
+
+    A server leaves alone, or because its availability zone is taken out.
+    """
+    stated = [bounds[name] for name in _DRAIN_BOUNDS if name in bounds]
+    return clock.to_seconds(min(stated, default=DEFAULT_DRAIN_MS))
--- /dev/null
+++ b/tests/platform/test_process_settings.py
@@ -0,0 +1,71 @@
+"""Decoding of the settings file that the platform writes for a process."""
+
+import pathlib
+import tempfile
+import typing
+import unittest
+
+import orjson
+
+from egretstep import errors
+from egretstep.platform import process_settings
+from egretstep.settings import node
+
+METRICS_PORT = 9464
+ALL_BOUNDS = {
+    'grace_s': 8,
+    'config_apply_ms': 4000,
+    'drain_ms': 7000,
+    'evac_ms': 5000,
+}
+FIELDS = {
+    'node_name': 'host-1',
+    'ip': '127.0.0.1',
+    'zone': 'north',
+    'bind_addrs': {'front': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
+    'internal_ports': [3, 5],
+    'bootstrap': False,
+    'limits': {'cpu_share': 0.5, 'cores': 2},
+    'platform': {'address': '127.0.0.1:6'},
+    'cloud_api': {'address': '127.0.0.1:7'},
+}
+
+
+class ProcessSettingsTest(unittest.TestCase):
+    def test_stated_bounds_are_used(self) -> None:
+        settings = self._load(ALL_BOUNDS)
+        self.assertEqual(settings.stop_grace_seconds, 8)
+        self.assertEqual(settings.max_settings_delay_seconds, 4)
+        self.assertEqual(settings.drain_seconds, 5)
+
+    def test_a_host_starts_without_any_one_bound(self) -> None:
+        """Hosts did not start on a deployment without evacuations."""
+        for missing in ALL_BOUNDS:
+            with self.subTest(missing=missing):
+                bounds = dict(ALL_BOUNDS)
+                del bounds[missing]
+                settings = self._load(bounds)
+                self.assertGreater(settings.stop_grace_seconds, 0)
+                self.assertGreater(settings.max_settings_delay_seconds, 0)
+                self.assertGreater(settings.drain_seconds, 0)
+
+    def test_the_stated_limit_of_leaving_servers_counts(self) -> None:
+        self.assertEqual(self._load({'drain_ms': 9000}).drain_seconds, 9)
+        self.assertEqual(self._load({'evac_ms': 8000}).drain_seconds, 8)
+
+    def test_a_host_starts_without_bounds(self) -> None:
+        settings = self._load({})
+        self.assertEqual(
+            settings.drain_seconds * 1000,
+            process_settings.DEFAULT_DRAIN_MS,
+        )
+
+    def test_a_malformed_bound_is_named(self) -> None:
+        with self.assertRaises(errors.SettingsError):
+            self._load({'grace_s': 'soon'})
+
+    def _load(self, bounds: dict[str, typing.Any]) -> node.NodeSettings:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'node.json'
+            path.write_bytes(orjson.dumps({**FIELDS, 'bounds': bounds}))
+            return process_settings.load(path, METRICS_PORT)
