Log the store's era, whole reads and leases that the store does not confirm

Cause: the logs of the incident could not tell the hypotheses apart. No decision changes. Checks: lint and types clean. Unit tests: one run of 283 had 1 failure whose name was lost with the output (only its tail was kept); the next run, alone, had none.

--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -16,6 +16,7 @@
 
 from egretstep import clock, errors
 from egretstep.membership import claim_rows, claims, directory, epochs
+from egretstep.observability import metrics
 from egretstep.storage import tables
 
 LEASE_SECONDS = 1.25
@@ -245,12 +246,29 @@
             _logger.info('leases: the store answers again')
         self._store_answers = True
         self.merge_rows(stored)
+        self._log_unconfirmed(stored)
         for claim in stored.values():
             held = claims.decode(claim.content)
             if held is not None and self.is_mine(held):
                 self._extend_lease(held, sent_at)
         return True
 
+    def _log_unconfirmed(self, stored: typing.Mapping[str, tables.Row]) -> None:
+        """Log the leases of this host that the rows do not confirm."""
+        for task in self._expires_at:
+            known = self._claims[task]
+            row = stored.get(f'{claims.PREFIX}{task}')
+            held = claims.decode(row.content) if row else None
+            if held is not None and held.epoch == known.epoch:
+                continue
+            metrics.unrenewed_leases.inc(task)
+            _logger.info(
+                'task {}: lease of epoch {} not renewed, the store holds {}',
+                task,
+                known.epoch,
+                held,
+            )
+
     async def _renew_at_hosts(
         self,
         own_claims: list[claims.Claim],
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -88,6 +88,15 @@
     'egretstep_settings_version',
     'Version of the settings in force.',
 )
+store_era = aioprometheus.Gauge(
+    'egretstep_store_era',
+    'Era of the store; it grows when the store was restored from a copy.',
+)
+unrenewed_leases = BufferedCounter(
+    'egretstep_unrenewed_leases_total',
+    'Renewals of leases that the row in the store did not confirm, by task.',
+    ('task',),
+)
 settings_age = aioprometheus.Gauge(
     'egretstep_settings_age_seconds',
     'Time since the settings in force were confirmed to be the latest.',
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -4,9 +4,11 @@
 import typing
 import urllib.parse
 
+import logbook
 import orjson
 
 from egretstep import clock, errors
+from egretstep.observability import metrics
 from egretstep.settings import node
 from egretstep.storage import tables
 from egretstep.web import client as http
@@ -16,6 +18,8 @@
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
+_ERA_HEADER = 'store-era'
+_logger = logbook.Logger('store')
 # Appended to a prefix, this is greater than all keys with the prefix.
 _LAST_CODE_POINT = '\U0010ffff'
 
@@ -31,6 +35,7 @@
         self._address = address
         self._client = http.HttpClient(address=address)
         self._poll_clients: dict[str, http.HttpClient] = {}
+        self._era = 0
 
     async def read(self, table: str, prefix: str = '') -> tables.Snapshot:
         """Return all rows whose keys begin with a prefix, read page by page."""
@@ -117,6 +122,7 @@
         response = await self._client.call(
             request, timeout=REQUEST_TIMEOUT_SECONDS
         )
+        self._record_era(response)
         if response.status == _PRECONDITION_FAILED:
             raise errors.ConflictError(
                 f'{table}/{key} is no longer at version {expected}; '
@@ -144,8 +150,18 @@
         )
         used_client = client or self._client
         response = await used_client.call(request, timeout=timeout)
+        self._record_era(response)
         return _decode_body(response, request)
 
+    def _record_era(self, response: http.Response) -> None:
+        era = int(response.headers.get(_ERA_HEADER, 0))
+        if era != self._era:
+            _logger.info(
+                'the store answers in era {} (before: {})', era, self._era
+            )
+            metrics.store_era.set({}, era)
+            self._era = era
+
 
 def _decode_body(
     response: http.Response,
--- a/src/egretstep/settings/configuration_follower.py
+++ b/src/egretstep/settings/configuration_follower.py
@@ -97,6 +97,13 @@
             )
             return
         if decoded.version <= self.version:
+            _logger.info(
+                'configuration version {} from {} is not later than version '
+                '{} and is ignored',
+                decoded.version,
+                self._watch.source,
+                self.version,
+            )
             return
         _logger.info(
             'configuration version {} from {} replaces version {}',
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -181,6 +181,16 @@
     def load(self, whole: tables.Snapshot) -> None:
         """Start with all rows of the table, as just read from the store."""
         keys = frozenset(row.key for row in whole.rows)
+        older = sum(not self._is_newer(row) for row in whole.rows)
+        _logger.info(
+            'table {} was read whole at version {} (known: {}): '
+            '{} rows, {} of them not newer than the known ones',
+            self._table,
+            whole.version,
+            self._version,
+            len(whole.rows),
+            older,
+        )
         self.accept(
             dataclasses.replace(whole, keys=keys),
             confirmed_at=self._clock.now(),
--- a/src/egretstep/web/client.py
+++ b/src/egretstep/web/client.py
@@ -15,10 +15,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Response:
-    """Status code and body of an HTTP response."""
+    """An HTTP response; the names of its headers are in lower case."""
 
     status: int
     body: bytes
+    headers: typing.Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,7 +114,14 @@
                 f'{host} closed the connection before its response',
             )
         response = typing.cast(h11.Response, message.head)
-        return Response(status=response.status_code, body=message.body)
+        return Response(
+            status=response.status_code,
+            body=message.body,
+            headers={
+                name.decode(): header.decode('latin-1')
+                for name, header in response.headers
+            },
+        )
 
     def is_reusable(self) -> bool:
         """Prepare for another request; return whether the server allows it."""
