--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,7 +12,7 @@
 import typing
 
 from soak import deployment
-from standins import platform_fleet
+from standins import platform_caller, platform_fleet
 
 # Error codes that guarantee that the statement had no effect.
 NOT_RUN_CODES = frozenset((
@@ -115,7 +115,7 @@
         self._history = history
         self._random = randomness
         self._database = database
-        self._connection: platform_fleet.Caller | None = None
+        self._connection: platform_caller.Caller | None = None
         self._host_index = 0
         self._item_numbers = itertools.count(1)
         self._last_acknowledged = 0
@@ -126,7 +126,7 @@
             await asyncio.sleep(MAX_PAUSE_SECONDS * self._random.random())
             try:
                 connection = await self._ensure_connected()
-            except (OSError, TimeoutError, platform_fleet.AnswerError):
+            except (OSError, TimeoutError, platform_caller.AnswerError):
                 await asyncio.sleep(MAX_PAUSE_SECONDS)
                 continue
             if self._database == platform_fleet.SESSION_DATABASE:
@@ -140,21 +140,21 @@
             self._connection.close()
             self._connection = None
 
-    async def _ensure_connected(self) -> platform_fleet.Caller:
+    async def _ensure_connected(self) -> platform_caller.Caller:
         if self._connection is None:
             self._host_index = self._random.randrange(deployment.HOSTS)
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
-                self._connection = await platform_fleet.Caller.connect(
+                self._connection = await platform_caller.Caller.connect(
                     self._fleet.port(self._host_index),
                     database=self._database,
                 )
         return self._connection
 
-    async def _write(self, connection: platform_fleet.Caller) -> None:
+    async def _write(self, connection: platform_caller.Caller) -> None:
         item = f'{self._name}-{next(self._item_numbers)}'
         await self._write_and_record(connection, item, f'WRITE {item} 1')
 
-    async def _write_and_read(self, connection: platform_fleet.Caller) -> None:
+    async def _write_and_read(self, connection: platform_caller.Caller) -> None:
         number = next(self._item_numbers)
         item = f'{self._name}-{number}'
         if await self._write_and_record(
@@ -168,12 +168,12 @@
             return
         await self._read(connection)
 
-    async def _read(self, connection: platform_fleet.Caller) -> None:
+    async def _read(self, connection: platform_caller.Caller) -> None:
         expected = self._last_acknowledged
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 rows = await connection.run(f'READ {self._name}')
-        except platform_fleet.AnswerError:
+        except platform_caller.AnswerError:
             return
         except (OSError, TimeoutError):
             self.disconnect()
@@ -190,7 +190,7 @@
 
     async def _write_and_record(
         self,
-        connection: platform_fleet.Caller,
+        connection: platform_caller.Caller,
         item: str,
         text: str,
     ) -> bool:
@@ -207,14 +207,14 @@
 
     async def _send_write(
         self,
-        connection: platform_fleet.Caller,
+        connection: platform_caller.Caller,
         item: str,
         text: str,
     ) -> str:
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 await connection.run(text, statement_id=item)
-        except platform_fleet.AnswerError as error:
+        except platform_caller.AnswerError as error:
             return error.code
         except TimeoutError:
             self._record_unanswered(item)
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,7 @@
 import random
 
 from soak import callers, deployment, faults
-from standins import platform_fleet
+from standins import platform_caller, platform_fleet
 
 WRITERS = 6
 READERS = 3
@@ -80,7 +80,7 @@
     seed: int,
 ) -> list[callers.Caller]:
     databases = [
-        *[platform_fleet.DATABASE for _ in range(WRITERS)],
+        *[platform_caller.DATABASE for _ in range(WRITERS)],
         *[platform_fleet.SESSION_DATABASE for _ in range(READERS)],
     ]
     return [
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -16,6 +16,7 @@
 import orjson
 
 from standins import (
+    platform_caller,
     platform_servers,
     platform_sessions,
     platform_store,
@@ -25,107 +26,18 @@
 ZONES = ('north', 'middle', 'south')
 PRINTED_LOG_LINES = 60
 READY_TIMEOUT_SECONDS = 15.0
-DATABASE = 'loans'
 BOUNDED_DATABASE = 'stock'
 SESSION_DATABASE = 'status'
-DEPOT_KEY = 'key-of-depot'
 NURSES_KEY = 'key-of-nurses'
 _PORTS_PER_HOST = 8
 
 
-class AnswerError(Exception):
-    """A host answers with ERROR; `code` is the code on the wire."""
-
-    def __init__(self, code: str, message: str) -> None:
-        super().__init__(f'{code} {message}')
-        self.code = code
-
-
-class Caller:
-    """A client session of the line protocol.
-
-    `transaction_state` is what the last answer reports: 'I' when idle, 'T'
-    in a transaction and 'E' in a failed transaction.
-    """
-
-    def __init__(
-        self,
-        *,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._statement_count = 0
-        self.transaction_state = 'I'
-
-    @classmethod
-    async def connect(
-        cls,
-        port: int,
-        *,
-        database: str = DATABASE,
-        key: str = DEPOT_KEY,
-    ) -> 'Caller':
-        """Open a session with the host that listens on `port`.
-
-        Raises `AnswerError` if the session is refused.
-        """
-        reader, writer = await asyncio.open_connection('127.0.0.1', port)
-        caller = cls(reader=reader, writer=writer)
-        writer.write(f'START {database} {key}\r\n'.encode())
-        await caller._read_rows()
-        return caller
-
-    async def run(self, text: str, statement_id: str = '') -> list[str]:
-        """Run a statement and return its rows.
-
-        Without `statement_id`, a new id is generated. Raises `AnswerError`
-        if the host answers with an error, and `ConnectionResetError` if it
-        closes the connection.
-        """
-        self._statement_count += 1
-        sent_id = statement_id or f'{id(self):x}{self._statement_count}'
-        self._writer.write(f'QUERY {sent_id} {text}\r\n'.encode())
-        return await self._read_rows()
-
-    def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
-
-    async def _read_rows(self) -> list[str]:
-        messages = await self._read_messages()
-        failures = [rest for word, rest in messages if word == 'ERROR']
-        for word, rest in messages:
-            if word == 'READY':
-                self.transaction_state = rest[0]
-        if failures:
-            code, _, message = failures[0].partition(' ')
-            raise AnswerError(code, message)
-        if messages[-1][0] != 'READY':
-            raise ConnectionResetError(
-                'the host closed the connection before READY'
-            )
-        return [rest for word, rest in messages if word == 'ROW']
-
-    async def _read_messages(self) -> list[tuple[str, str]]:
-        """Return the messages up to READY or to the end of the stream."""
-        messages = []
-        word = ''
-        while word != 'READY':
-            line = (await self._reader.readline()).decode().rstrip('\r\n')
-            word, _, rest = line.partition(' ')
-            messages.append((word, rest))
-            if not line:
-                break
-        return messages
-
-
 class PlatformFleet:
     """The store, the services and the host processes of one deployment.
 
     `first_port` is the first of `_PORTS_PER_HOST` ports of each host. `rate`
-    is the rate limit of each workspace in requests per second.
+    is the rate limit of each workspace in requests per second. The routes of
+    `added_databases` come with the next version of the configuration.
     """
 
     def __init__(
@@ -141,7 +53,11 @@
         ]
         self.store = platform_store.PlatformStore(groups=self.groups)
         self.version = 1
-        self.keys = {'depot': [DEPOT_KEY], 'nurses': [NURSES_KEY]}
+        self.added_databases: list[str] = []
+        self.keys = {
+            'depot': [platform_caller.DEPOT_KEY],
+            'nurses': [NURSES_KEY],
+        }
         self._host_count = hosts
         self._first_port = first_port
         self._rate = rate
@@ -206,6 +122,13 @@
         self.version += 1
         self.store.put('op', 'config', orjson.dumps(self._configuration()))
 
+    def owner(self) -> int:
+        """Return the index of the host that the store has as the owner."""
+        key = f'task/service-{self.group.service}'
+        content, _ = self.store.rows['fleet', key]
+        name = orjson.loads(content)['host']
+        return int(name.removeprefix('host-'))
+
     async def start_host(self, index: int) -> None:
         """Write the settings file of a host and start its process."""
         path = self._host_folder / f'host-{index}.json'
@@ -264,9 +187,9 @@
 
     async def _accepts_writes(self, index: int) -> bool:
         try:
-            caller = await Caller.connect(self.port(index))
+            caller = await platform_caller.Caller.connect(self.port(index))
             await caller.run('WRITE probe 1')
-        except (OSError, AnswerError):
+        except (OSError, platform_caller.AnswerError):
             return False
         caller.close()
         return True
@@ -305,12 +228,14 @@
     def _configuration(self) -> dict[str, typing.Any]:
         service = self.group.service
         routes = [
-            _route(DATABASE, service, 'primary'),
+            _route(platform_caller.DATABASE, service, 'primary'),
             _route(BOUNDED_DATABASE, service, 'bounded_staleness'),
             _route(SESSION_DATABASE, service, 'read_your_writes'),
         ]
+        for name in self.added_databases:
+            routes.append(_route(name, service, 'primary'))
         for group in self.groups[1:]:
-            name = f'{DATABASE}-{group.service}'
+            name = f'{platform_caller.DATABASE}-{group.service}'
             routes.append(_route(name, group.service, 'primary'))
         return {
             'version': self.version,
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -12,6 +12,9 @@
 # Table and key of a row.
 RowKey = tuple[str, str]
 SHUTDOWN_TIMEOUT_SECONDS = 0.05
+# Tables that the system can't write to. After a restore, the operator and the
+# servers write again what they wrote since the copy was made.
+_REWRITTEN_TABLES = ('op', 'servers')
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -32,6 +35,15 @@
     forgets: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCopy:
+    """The rows of the store at a version, and the changes up to it."""
+
+    rows: dict[RowKey, tuple[bytes, int]]
+    version: int
+    changes: list[tuple[int, RowKey]]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PromotionRequest:
     """A promotion that a host requested.
@@ -49,7 +61,8 @@
     """Versioned rows with a change feed, and promotions.
 
     `rows` maps the table and key of a row to its content and its version. One
-    counter numbers the changes of all tables.
+    counter numbers the changes of all tables. `era` grows with each restore
+    from a copy; the store then gives out versions a second time.
     """
 
     def __init__(
@@ -58,6 +71,7 @@
         groups: typing.Sequence[platform_servers.Group],
     ) -> None:
         self.rows: dict[RowKey, tuple[bytes, int]] = {}
+        self.era = 1
         self.faults = StoreFaults()
         self.promotion_requests: list[PromotionRequest] = []
         self.request_count = 0
@@ -91,10 +105,37 @@
         self.port = self._runner.addresses[0][1]
 
     async def stop(self) -> None:
-        """Clear the faults and stop listening."""
+        """Clear the faults, stop listening and close all connections."""
         self.faults = StoreFaults()
         if self._runner is not None:
             await self._runner.cleanup()
+            self._runner = None
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the store, to which it can be restored."""
+        return StoreCopy(
+            rows=dict(self.rows),
+            version=self._last_version,
+            changes=list(self._changes),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to an earlier copy; all writes since then are lost.
+
+        The operator and the servers write their lost changes again.
+        """
+        lost_keys = {
+            key
+            for version, key in self._changes
+            if version > copy.version and key[0] in _REWRITTEN_TABLES
+        }
+        lost = {key: self.rows.get(key) for key in sorted(lost_keys)}
+        self.era += 1
+        self.rows = dict(copy.rows)
+        self._last_version = copy.version
+        self._changes = list(copy.changes)
+        for (table, key), row in lost.items():
+            self.put(table, key, row[0] if row else None)
 
     def put(self, table: str, key: str, content: bytes | None) -> int:
         """Write a row, or delete it if `content` is None.
@@ -136,7 +177,9 @@
             return web.Response(status=503)
         if self.faults.delay:
             await asyncio.sleep(self.faults.delay)
-        return await handler(request)
+        response = await handler(request)
+        response.headers['Store-Era'] = str(self.era)
+        return response
 
     async def _get_rows(self, request: web.Request) -> web.Response:
         table = request.query['table']
@@ -152,7 +195,7 @@
     async def _poll_changes(self, request: web.Request) -> web.Response:
         table = request.query['table']
         after_version = int(request.query['after'])
-        if self.faults.forgets:
+        if self.faults.forgets or after_version > self._last_version:
             return web.Response(status=410)
         wait_seconds = int(request.query['wait_ms']) / 1000
         deadline = asyncio.get_running_loop().time() + wait_seconds
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -5,7 +5,7 @@
 import unittest
 
 from egretstep.observability import log_trail
-from standins import platform_fleet
+from standins import platform_caller, platform_fleet
 
 RETRY_INTERVAL_SECONDS = 0.05
 MAX_GAP_SECONDS = 4.0
@@ -26,11 +26,11 @@
     while loop.time() - started < MAX_GAP_SECONDS * 2:
         attempt += 1
         try:
-            caller = await platform_fleet.Caller.connect(
+            caller = await platform_caller.Caller.connect(
                 fleet.port(attempt % hosts),
             )
             await caller.run(f'WRITE {item} {attempt}')
-        except (OSError, platform_fleet.AnswerError):
+        except (OSError, platform_caller.AnswerError):
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
             continue
         caller.close()
@@ -42,7 +42,7 @@
     async def test_reads_see_the_own_write_on_every_host(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23000) as fleet:
             for index in range(3):
-                caller = await platform_fleet.Caller.connect(
+                caller = await platform_caller.Caller.connect(
                     fleet.port(index),
                     database=platform_fleet.SESSION_DATABASE,
                 )
@@ -52,8 +52,8 @@
 
     async def test_a_transaction_keeps_its_connection_and_values(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23050) as fleet:
-            one = await platform_fleet.Caller.connect(fleet.port(0))
-            two = await platform_fleet.Caller.connect(fleet.port(1))
+            one = await platform_caller.Caller.connect(fleet.port(0))
+            two = await platform_caller.Caller.connect(fleet.port(1))
             await one.run('SET language it')
             await one.run('PREPARE entry WRITE shape-1')
             await one.run('BEGIN')
@@ -72,21 +72,21 @@
 
     async def test_keys_and_databases_are_checked(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23100) as fleet:
-            with self.assertRaises(platform_fleet.AnswerError) as refused:
-                await platform_fleet.Caller.connect(fleet.port(0), key='no')
+            with self.assertRaises(platform_caller.AnswerError) as refused:
+                await platform_caller.Caller.connect(fleet.port(0), key='no')
             self.assertEqual(refused.exception.code, 'NOAUTH')
-            with self.assertRaises(platform_fleet.AnswerError) as refused:
-                await platform_fleet.Caller.connect(
+            with self.assertRaises(platform_caller.AnswerError) as refused:
+                await platform_caller.Caller.connect(
                     fleet.port(0),
                     database='no',
                 )
             self.assertEqual(refused.exception.code, 'NODB')
-            caller = await platform_fleet.Caller.connect(fleet.port(2))
+            caller = await platform_caller.Caller.connect(fleet.port(2))
             await caller.run('READ frame')
             fleet.keys['depot'] = []
             fleet.configure()
             await asyncio.sleep(0.3)
-            with self.assertRaises(platform_fleet.AnswerError) as refused:
+            with self.assertRaises(platform_caller.AnswerError) as refused:
                 await caller.run('READ frame')
             self.assertEqual(refused.exception.code, 'NOAUTH')
 
@@ -105,8 +105,8 @@
     async def test_log_trail_of_a_request_shows_the_lost_primary(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23400) as fleet:
             fleet.group.primary.faults.is_silent = True
-            caller = await platform_fleet.Caller.connect(fleet.port(0))
-            with self.assertRaises(platform_fleet.AnswerError):
+            caller = await platform_caller.Caller.connect(fleet.port(0))
+            with self.assertRaises(platform_caller.AnswerError):
                 await caller.run('WRITE item 1', statement_id='feed0001')
             await _write_until_done(fleet, 'after')
             texts = self._trail(fleet, 'feed0001')
@@ -135,7 +135,7 @@
 
     async def test_a_killed_owner_is_replaced(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23200) as fleet:
-            owner = await self._owner(fleet)
+            owner = fleet.owner()
             await fleet.stop_host(owner, signal.SIGKILL)
             gap = await _write_until_done(fleet, 'after')
             self.assertLess(gap, MAX_GAP_SECONDS * 1.5)
@@ -149,7 +149,7 @@
 
     async def test_a_planned_stop_of_the_owner_is_quick(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23300) as fleet:
-            owner = await self._owner(fleet)
+            owner = fleet.owner()
             stopping = asyncio.ensure_future(fleet.stop_host(owner))
             await asyncio.sleep(0.1)
             gap = await _write_until_done(fleet, 'after')
@@ -162,7 +162,7 @@
         The stopping owner must go on serving until one is.
         """
         async with platform_fleet.PlatformFleet(first_port=23450) as fleet:
-            owner = await self._owner(fleet)
+            owner = fleet.owner()
             fleet.store.faults.is_silent = True
             await asyncio.sleep(1)
             stopping = asyncio.ensure_future(fleet.stop_host(owner))
@@ -174,11 +174,6 @@
             self.assertLess(await _write_until_done(fleet, 'after'), 1.5)
             await stopping
 
-    async def _owner(self, fleet: platform_fleet.PlatformFleet) -> int:
-        content, _ = fleet.store.rows['fleet', 'task/service-ledger']
-        name = content.decode().partition('"host":"host-')[2][0]
-        return int(name)
-
     async def test_metrics_and_readiness_are_served(self) -> None:
         async with platform_fleet.PlatformFleet(first_port=23350) as fleet:
             page = await self._get(fleet.metrics_port(0), '/metrics')
@@ -201,7 +196,7 @@
             draining = fleet.group.primary
             draining.state = 'draining'
             fleet.store.register_all()
-            caller = await platform_fleet.Caller.connect(fleet.port(0))
+            caller = await platform_caller.Caller.connect(fleet.port(0))
             for index in range(30):
                 await caller.run(f'WRITE item {index}')
                 await asyncio.sleep(0.02)
@@ -215,7 +210,7 @@
             await asyncio.sleep(2)
             before = len(fleet.group.executed_statements)
             for index in range(3):
-                caller = await platform_fleet.Caller.connect(
+                caller = await platform_caller.Caller.connect(
                     fleet.port(index),
                     database=platform_fleet.BOUNDED_DATABASE,
                 )
@@ -232,12 +227,12 @@
         self,
     ) -> None:
         async with platform_fleet.PlatformFleet(first_port=23500) as fleet:
-            caller = await platform_fleet.Caller.connect(fleet.port(1))
+            caller = await platform_caller.Caller.connect(fleet.port(1))
             await caller.run('READ frame')
             fleet.keys['depot'] = []
             fleet.configure()
             fleet.store.faults.is_busy = True
             await asyncio.sleep(1)
-            with self.assertRaises(platform_fleet.AnswerError) as refused:
+            with self.assertRaises(platform_caller.AnswerError) as refused:
                 await caller.run('READ frame')
             self.assertEqual(refused.exception.code, 'NOAUTH')
