Order the versions of the store by its era

Cause: copies of tables compared bare version numbers. After a restore the store gives numbers out again, so rows written then counted as old, and the changes after the old number hid what came below it. Class: a version compared outside the scope in which it is ordered. Change: a version is an era and a number. The client states the era of each answer, ignores answers of an earlier one, reports history of another era as gone, and does not replace a row that was read in an earlier era. Copies and the change feed between hosts compare such versions; a relay in an earlier era is passed over. A copy whose history is gone stays usable while it is read again, and hosts spread these reads over 0.1 s. The era travels in new fields; a host of the former build is taken for a relay of an earlier era. Ruled out: the version within the configuration (H2), relays (H3), by logs.

--- a/src/egretstep/membership/claim_rows.py
+++ b/src/egretstep/membership/claim_rows.py
@@ -36,7 +36,7 @@
     async def swap(
         self,
         task: claims.TaskName,
-        version: int,
+        version: tables.Version,
         claim: claims.Claim,
     ) -> None:
         """Replace the row of a task if it still has the given version."""
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -100,7 +100,7 @@
     ) -> None:
         self._clock = time_source
         self._hosts: dict[identifiers.HostName, Host] = {own.host: own}
-        self._decoded_rows: dict[str, tuple[int, Host | None]] = {}
+        self._decoded_rows: dict[str, tuple[tables.Version, Host | None]] = {}
         self._suspected_until: dict[identifiers.HostName, float] = {}
         self._revision = 0
         self._usable_cache: tuple[int, tuple[Host, ...]] = (-1, ())
@@ -254,7 +254,7 @@
 
     own: Host
     fleet: tables.Snapshot
-    replaces: int
+    replaces: tables.Version
 
 
 class Registration:
@@ -271,7 +271,8 @@
         """Read the fleet table and give the host its next boot number."""
         fleet = await self._store.read(TABLE)
         key = PREFIX + starting.host
-        stored = tables.Row(key=key, content=b'', version=tables.ABSENT_VERSION)
+        missing = tables.absent_version(fleet.version.era)
+        stored = tables.Row(key=key, content=b'', version=missing)
         for row in fleet.rows:
             if row.key == key:
                 stored = row
--- a/src/egretstep/peers/fleet_messages.py
+++ b/src/egretstep/peers/fleet_messages.py
@@ -164,13 +164,20 @@
 def encode_versions(known: change_feed.Versions) -> list[dict[str, typing.Any]]:
     """Encode versions by table as the fields of `TableVersion` structs."""
     return [
-        {'table': table, 'version': version} for table, version in known.items()
+        {'table': table, 'version': version.number, 'era': version.era}
+        for table, version in known.items()
     ]
 
 
-def decode_versions(fields: typing.Iterable[Struct]) -> dict[str, int]:
+def decode_versions(
+    fields: typing.Iterable[Struct],
+) -> dict[str, tables.Version]:
     """Decode `TableVersion` structs to versions by table."""
-    return {struct.table: struct.version for struct in fields}
+    return {struct.table: _decode_version(struct) for struct in fields}
+
+
+def _decode_version(fields: Struct) -> tables.Version:
+    return tables.Version(era=fields.era, number=fields.version)
 
 
 def encode_table_changes(
@@ -180,12 +187,14 @@
     """Encode the changes of a table as the fields of a `TableNews` struct."""
     return {
         'table': table,
-        'version': changed.version,
+        'version': changed.version.number,
+        'era': changed.version.era,
         'rows': [
             {
                 'key': row.key,
                 'content': row.content,
-                'version': row.version,
+                'version': row.version.number,
+                'era': row.version.era,
                 'isDeleted': row.is_deleted,
             }
             for row in changed.rows
@@ -199,6 +208,7 @@
     """Decode an answer of another host's change feed."""
     return change_feed.FeedUpdate(
         age=clock.to_seconds(reply.ageMs),
+        era=reply.era,
         tables={
             struct.table: _decode_table_changes(struct)
             for struct in reply.tables
@@ -211,13 +221,13 @@
         tables.Row(
             key=row.key,
             content=bytes(row.content),
-            version=row.version,
+            version=_decode_version(row),
             is_deleted=row.isDeleted,
         )
         for row in fields.rows
     )
     return tables.Snapshot(
         rows=rows,
-        version=fields.version,
+        version=_decode_version(fields),
         keys=frozenset(fields.keys) if fields.isWhole else None,
     )
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import base64
+import dataclasses
 import typing
 import urllib.parse
 
@@ -19,6 +20,8 @@
 _GONE = 410
 _PRECONDITION_FAILED = 412
 _ERA_HEADER = 'store-era'
+# Era of a store that does not state it.
+_ONLY_ERA = 0
 _logger = logbook.Logger('store')
 # Appended to a prefix, this is greater than all keys with the prefix.
 _LAST_CODE_POINT = '\U0010ffff'
@@ -28,14 +31,15 @@
     """Implements `tables.Tables` with the store's HTTP interface.
 
     Long polls for the changes of a table have a connection for each table,
-    so that other requests don't wait for them.
+    so that other requests don't wait for them. Versions are numbers on the
+    wire; their era is that of the answer, or of the latest answer.
     """
 
     def __init__(self, *, address: node.Address) -> None:
         self._address = address
         self._client = http.HttpClient(address=address)
         self._poll_clients: dict[str, http.HttpClient] = {}
-        self._era = 0
+        self._era = _ONLY_ERA
 
     async def read(self, table: str, prefix: str = '') -> tables.Snapshot:
         """Return all rows whose keys begin with a prefix, read page by page."""
@@ -43,27 +47,34 @@
         if prefix:
             query['from'] = prefix
             query['to'] = f'{prefix}{_LAST_CODE_POINT}'
-        rows: list[tables.Row] = []
-        while True:
-            body = await self._get('rows-get', query)
-            rows.extend(_decode_row(row) for row in body['rows'])
-            if not body['has_more']:
-                return tables.Snapshot(rows=tuple(rows), version=body['ver'])
+        page = await self._get('rows-get', query)
+        first_page = page
+        rows = list(page.rows())
+        while page.body['has_more']:
             query['from'] = f'{rows[-1].key}\0'
+            page = await self._get('rows-get', query)
+            if page.era != first_page.era:
+                raise errors.PlatformError(
+                    f'the store was restored while table {table} was read; '
+                    'read it again',
+                )
+            rows.extend(page.rows())
+        return tables.Snapshot(rows=tuple(rows), version=page.version)
 
     async def read_row(self, table: str, key: str) -> tables.Row:
-        """Return a row; the version of a missing row is `ABSENT_VERSION`."""
+        """Return a row; the version of a missing row `is_absent`."""
         query = {'table': table, 'part': '', 'from': key, 'to': f'{key}\0'}
-        body = await self._get('rows-get', query)
-        rows = body['rows']
-        if rows:
-            return _decode_row(rows[0])
-        return tables.Row(key=key, content=b'', version=tables.ABSENT_VERSION)
+        answer = await self._get('rows-get', query)
+        found = list(answer.rows())
+        if found:
+            return found[0]
+        missing = tables.absent_version(answer.era)
+        return tables.Row(key=key, content=b'', version=missing)
 
     async def changes(
         self,
         table: str,
-        after: int,
+        after: tables.Version,
         *,
         longest_wait: float = tables.LONGEST_WAIT_SECONDS,
     ) -> tables.Snapshot:
@@ -71,41 +82,50 @@
 
         Waits up to `longest_wait` seconds for the first change. Raises
         `tables.HistoryGoneError` when the store no longer has the changes
-        since that version.
+        since that version, which is so when the version is of another era.
         """
+        self._check_history(table, after)
         query = {
             'table': table,
-            'after': after,
+            'after': after.number,
             'wait_ms': clock.to_milliseconds(longest_wait),
         }
         if longest_wait:
-            body = await self._get(
+            answer = await self._get(
                 'rows-feed',
                 query,
                 self._poll_client(table),
                 longest_wait + LONG_POLL_MARGIN_SECONDS,
             )
         else:
-            body = await self._get('rows-feed', query)
-        rows = tuple(_decode_row(row) for row in body['rows'])
-        return tables.Snapshot(rows=rows, version=body['ver'])
+            answer = await self._get('rows-feed', query)
+        self._check_history(table, after)
+        return tables.Snapshot(
+            rows=tuple(answer.rows()), version=answer.version
+        )
 
     async def compare_and_swap(
         self,
         table: str,
         key: str,
         *,
-        expected: int,
+        expected: tables.Version,
         content: bytes | None,
-    ) -> int:
+    ) -> tables.Version:
         """Replace a row, or delete it if the content is None.
 
         Returns the new version. Raises `errors.ConflictError` when the row
-        is not at the expected version.
+        is not at the expected version, and `errors.PlatformError` when it is
+        unknown whether it was, because the store was restored meanwhile.
         """
+        if expected.era < self._era:
+            raise errors.ConflictError(
+                f'{table}/{key} was read in era {expected.era} of the store, '
+                f'which is now in era {self._era}; read it again',
+            )
         row_key = {'table': table, 'part': '', 'key': key}
         transaction: dict[str, typing.Any] = {
-            'expected_rev': [{**row_key, 'ver': expected}],
+            'expected_rev': [{**row_key, 'ver': expected.number}],
             'puts': [],
             'delete': [],
         }
@@ -122,13 +142,19 @@
         response = await self._client.call(
             request, timeout=REQUEST_TIMEOUT_SECONDS
         )
-        self._record_era(response)
+        era = self._record_era(response)
         if response.status == _PRECONDITION_FAILED:
             raise errors.ConflictError(
                 f'{table}/{key} is no longer at version {expected}; '
                 'read it again',
             )
-        return _decode_body(response, request)['ver']
+        answer = _decode_answer(response, request, era)
+        if era != expected.era:
+            raise errors.PlatformError(
+                f'the store was restored before {table}/{key} was written; '
+                'read it again',
+            )
+        return answer.version
 
     def _poll_client(self, table: str) -> http.HttpClient:
         client = self._poll_clients.get(table)
@@ -143,30 +169,84 @@
         query: dict[str, typing.Any],
         client: http.HttpClient | None = None,
         timeout: float = REQUEST_TIMEOUT_SECONDS,
-    ) -> dict[str, typing.Any]:
+    ) -> '_Answer':
         request = http.Request(
             method='GET',
             target=f'/v1/{call}?{urllib.parse.urlencode(query)}',
         )
         used_client = client or self._client
         response = await used_client.call(request, timeout=timeout)
-        self._record_era(response)
-        return _decode_body(response, request)
+        era = self._record_era(response)
+        return _decode_answer(response, request, era)
 
-    def _record_era(self, response: http.Response) -> None:
-        era = int(response.headers.get(_ERA_HEADER, 0))
-        if era != self._era:
+    def _check_history(self, table: str, after: tables.Version) -> None:
+        if after.era != self._era and self._era != _ONLY_ERA:
+            raise tables.HistoryGoneError(
+                f'the store is in era {self._era} and has no changes of table '
+                f'{table} since version {after}',
+            )
+
+    def _record_era(self, response: http.Response) -> int:
+        """Return the era of an answer, which never decreases.
+
+        Raises `errors.PlatformError` if the answer is from before the latest
+        restore, which another connection has already shown.
+        """
+        stated = response.headers.get(_ERA_HEADER)
+        era = self._era if stated is None else _decode_era(stated)
+        if era < self._era:
+            raise errors.PlatformError(
+                f'an answer of the store from era {era} arrived in era '
+                f'{self._era} and is ignored; try again',
+            )
+        if era > self._era:
             _logger.info(
                 'the store answers in era {} (before: {})', era, self._era
             )
             metrics.store_era.set({}, era)
             self._era = era
+        return era
+
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Answer:
+    """The body of an answer of the store, and the era of the answer."""
 
-def _decode_body(
+    body: dict[str, typing.Any]
+    era: int
+
+    @property
+    def version(self) -> tables.Version:
+        """Return the newest version of the store."""
+        return tables.Version(era=self.era, number=self.body['ver'])
+
+    def rows(self) -> typing.Iterator[tables.Row]:
+        """Decode the rows of the answer."""
+        for fields in self.body['rows']:
+            # On the wire, a deleted row is called a tombstone.
+            is_deleted = bool(fields.get('tombstone'))
+            encoded = '' if is_deleted else fields.get('value') or ''
+            yield tables.Row(
+                key=fields['key'],
+                content=base64.b64decode(encoded),
+                version=tables.Version(era=self.era, number=fields['ver']),
+                is_deleted=is_deleted,
+            )
+
+
+def _decode_era(text: str) -> int:
+    if not text.isdecimal():
+        raise errors.PlatformError(
+            f'the store stated the era {text!r}, not a number; try again',
+        )
+    return int(text)
+
+
+def _decode_answer(
     response: http.Response,
     request: http.Request,
-) -> dict[str, typing.Any]:
+    era: int,
+) -> _Answer:
     if response.status == _GONE:
         raise tables.HistoryGoneError(
             f'the store no longer has the changes: {request.target}'
@@ -177,20 +257,8 @@
             f'{request.target}; try again later',
         )
     try:
-        return orjson.loads(response.body)
+        return _Answer(body=orjson.loads(response.body), era=era)
     except orjson.JSONDecodeError as error:
         raise errors.PlatformError(
             f'malformed answer of the store to {request.target}: {error}',
         ) from error
-
-
-def _decode_row(row: dict[str, typing.Any]) -> tables.Row:
-    # On the wire, a deleted row is called a tombstone.
-    is_deleted = bool(row.get('tombstone'))
-    encoded = '' if is_deleted else row.get('value') or ''
-    return tables.Row(
-        key=row['key'],
-        content=base64.b64decode(encoded),
-        version=row['ver'],
-        is_deleted=is_deleted,
-    )
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -132,6 +132,7 @@
         versions = fleet_messages.decode_versions(known)
         update = await self._feed_server.poll(versions)
         _context.results.ageMs = clock.to_milliseconds(update.age)
+        _context.results.era = update.era
         _context.results.tables = [
             fleet_messages.encode_table_changes(table, changed)
             for table, changed in update.tables.items()
--- a/src/egretstep/storage/change_feed.py
+++ b/src/egretstep/storage/change_feed.py
@@ -33,10 +33,11 @@
     """Changes of some tables.
 
     `age` is the number of seconds since the store confirmed that there was
-    nothing newer.
+    nothing newer, in the store's era `era`.
     """
 
     age: float
+    era: int
     tables: typing.Mapping[str, tables.Snapshot]
 
 
@@ -53,7 +54,7 @@
         """Avoid a host for a while: it gave no answer, or too old a one."""
 
 
-Versions = typing.Mapping[str, int]
+Versions = typing.Mapping[str, tables.Version]
 PollHost = typing.Callable[
     [identifiers.HostName, Versions],
     typing.Awaitable[FeedUpdate | None],
@@ -101,7 +102,8 @@
             found = self._collect(known)
         if self.age > self._wait:
             await self._confirm()
-        return FeedUpdate(age=self.age, tables=found)
+        era = self._watches[0].version.era
+        return FeedUpdate(age=self.age, era=era, tables=found)
 
     def _has_answer(self, found: dict[str, tables.Snapshot]) -> bool:
         """Tell whether there are changes to answer with.
@@ -224,7 +226,7 @@
         With `replaces_store`, the watches stop following the store.
         """
         update = await self._request_changes(host) if host else None
-        if host is None or update is None or update.age > self._max_age:
+        if host is None or update is None or not self._is_recent(update):
             await self._avoid(host)
             return
         self._set_source_host(host if replaces_store else None)
@@ -236,6 +238,11 @@
             if changed is not None and watch.accepts_changes:
                 watch.accept(changed, confirmed_at=confirmed_at, source=host)
 
+    def _is_recent(self, update: FeedUpdate) -> bool:
+        """Return whether an update is recent and of no earlier era."""
+        known_era = max(watch.version.era for watch in self._watches.values())
+        return update.age <= self._max_age and update.era >= known_era
+
     async def _request_changes(
         self, host: identifiers.HostName
     ) -> FeedUpdate | None:
--- a/src/egretstep/storage/tables.py
+++ b/src/egretstep/storage/tables.py
@@ -1,7 +1,9 @@
 """Interface to the versioned tables of the platform's store.
 
 The store is outside the fleet. It holds the state that must survive the hosts
-or that the hosts must agree on.
+or that the hosts must agree on. It may be restored from a copy that lacks its
+latest writes. Then a new era begins, in which version numbers of the former
+era are given out again.
 """
 
 import dataclasses
@@ -10,8 +12,38 @@
 from egretstep import errors
 
 LONGEST_WAIT_SECONDS = 20.0
-ABSENT_VERSION = 0
-"""The version of a row that does not exist."""
+_ABSENT_NUMBER = 0
+
+
+class Version(typing.NamedTuple):
+    """A version of the store: its era, and a number that grows within the era.
+
+    A version of a later era is later, whatever its number.
+
+    >>> Version(era=2, number=28) > Version(era=1, number=29)
+    True
+    """
+
+    era: int
+    number: int
+
+    @property
+    def is_absent(self) -> bool:
+        """Return whether this is the version of a row that does not exist."""
+        return self.number == _ABSENT_NUMBER
+
+    def __str__(self) -> str:
+        """Return the number and the era."""
+        return f'{self.number} of era {self.era}'
+
+
+NO_VERSION = Version(era=0, number=_ABSENT_NUMBER)
+"""A version before all versions of the store."""
+
+
+def absent_version(era: int) -> Version:
+    """Return the version of a row that does not exist in an era."""
+    return Version(era=era, number=_ABSENT_NUMBER)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -20,7 +52,7 @@
 
     key: str
     content: bytes
-    version: int
+    version: Version
     is_deleted: bool = False
 
 
@@ -33,7 +65,7 @@
     """
 
     rows: tuple[Row, ...]
-    version: int
+    version: Version
     keys: frozenset[str] | None = None
 
 
@@ -52,19 +84,20 @@
         """Return all rows whose keys start with `prefix`."""
 
     async def read_row(self, table: str, key: str) -> Row:
-        """Return a row; the version of a missing row is `ABSENT_VERSION`."""
+        """Return a row; the version of a missing row `is_absent`."""
 
     async def changes(
         self,
         table: str,
-        after: int,
+        after: Version,
         *,
         longest_wait: float = LONGEST_WAIT_SECONDS,
     ) -> Snapshot:
         """Return the rows that changed after a version.
 
         Waits up to `longest_wait` seconds for a change and then returns no
-        rows. Raises `HistoryGoneError` if the whole table must be read again.
+        rows. Raises `HistoryGoneError` if the whole table must be read again,
+        which is so after a change of the era.
         """
 
     async def compare_and_swap(
@@ -72,11 +105,12 @@
         table: str,
         key: str,
         *,
-        expected: int,
+        expected: Version,
         content: bytes | None,
-    ) -> int:
+    ) -> Version:
         """Replace a row of the version `expected`; return the new version.
 
         The row is deleted if `content` is None. Raises `errors.ConflictError`
-        if the row has another version.
+        if the row has another version. If the era changes meanwhile, the
+        outcome is unknown and `errors.PlatformError` is raised.
         """
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -13,6 +13,7 @@
 
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
+WHOLE_READ_SPREAD_SECONDS = 0.1
 STORE_SOURCE = 'the store'
 _logger = logbook.Logger('store')
 
@@ -42,6 +43,11 @@
 
     Changes may also come from other hosts, in any order. A table with
     `requires_store_read` accepts them only after a first read from the store.
+
+    After a restore of the store, the whole table is read again. All its rows
+    then have versions of a later era and replace the known ones, and rows that
+    it lacks are gone. What a row says may still be older than what was known;
+    subscribers decide on that.
     """
 
     def __init__(
@@ -61,8 +67,9 @@
         self._backoff = poll_backoff.PollBackoff(time_source=time_source)
         self._rows: dict[str, tables.Row] = {}
         self._deleted_rows: dict[str, tables.Row] = {}
-        self._version: int | None = None
-        self._history_start = 0
+        self._version: tables.Version | None = None
+        self._must_read_whole = True
+        self._history_start = tables.NO_VERSION
         self._confirmed_at = float('-inf')
         self._failing_since: float | None = None
         self._source = STORE_SOURCE
@@ -83,9 +90,9 @@
         return self._rows
 
     @property
-    def version(self) -> int:
+    def version(self) -> tables.Version:
         """Return the store version up to which all changes are known."""
-        return self._version or 0
+        return self._version or tables.NO_VERSION
 
     @property
     def source(self) -> str:
@@ -127,7 +134,11 @@
                     self._table,
                     self._version,
                 )
-                self._version = None
+                self._must_read_whole = True
+                # Many hosts find the history gone at the same moment.
+                await asyncio.sleep(
+                    random.uniform(0, WHOLE_READ_SPREAD_SECONDS)
+                )
             except errors.PlatformError as error:
                 self._record_failure(error)
                 await asyncio.sleep(pause * random.uniform(0.5, 1))
@@ -151,6 +162,7 @@
         if snapshot.keys is not None and snapshot.version >= self.version:
             changed += self._find_deleted(snapshot)
             self._history_start = max(self._history_start, snapshot.version)
+            self._must_read_whole = False
         for row in changed:
             self._put(row)
         is_first = self._version is None
@@ -161,7 +173,7 @@
             self.changes.on_next(dict(self._rows))
         return bool(changed)
 
-    def changes_since(self, version: int) -> tables.Snapshot:
+    def changes_since(self, version: tables.Version) -> tables.Snapshot:
         """Return the changes after a version, for another host."""
         if not self.is_synced or self.version <= version:
             return self.no_changes()
@@ -212,7 +224,7 @@
         self._record_success()
 
     async def _fetch_changes(self) -> None:
-        if self._version is None:
+        if self._version is None or self._must_read_whole:
             self.load(await self._store.read(self._table))
             return
         snapshot = await self._store.changes(self._table, self._version)
--- a/tests/membership/test_candidacies.py
+++ b/tests/membership/test_candidacies.py
@@ -45,7 +45,7 @@
     return tables.Row(
         key=key,
         content=directory.encode(host),
-        version=version,
+        version=platform_fakes.version(version),
     )
 
 
--- a/tests/membership/test_fleet_links.py
+++ b/tests/membership/test_fleet_links.py
@@ -9,6 +9,7 @@
 from egretstep.membership import claims, directory, fleet_links
 from egretstep.settings import node
 from egretstep.storage import tables
+from tests import platform_fakes
 
 HOSTS = [identifiers.HostName(f'host-{number}') for number in range(5)]
 CLAIM = claims.Claim(
@@ -44,7 +45,7 @@
     hosts.update({
         directory.PREFIX + host.host: tables.Row(
             key=directory.PREFIX + host.host,
-            version=1,
+            version=platform_fakes.version(1),
             content=directory.encode(host),
         )
         for host in rows
@@ -95,7 +96,7 @@
         self.hosts.update({
             key: tables.Row(
                 key=key,
-                version=1,
+                version=platform_fakes.version(1),
                 content=directory.encode(other),
             ),
         })
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -7,6 +7,7 @@
 from egretstep.membership import directory, relays
 from egretstep.settings import node
 from egretstep.storage import tables
+from tests import platform_fakes
 
 
 def make_directory(sizes: dict[str, int], own: str) -> directory.Directory:
@@ -25,7 +26,7 @@
         directory.PREFIX + host.host: tables.Row(
             key=directory.PREFIX + host.host,
             content=directory.encode(host),
-            version=1,
+            version=platform_fakes.version(1),
         )
         for host in hosts
     }
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,90 @@
+"""The client of the store, while the store is restored from a copy."""
+
+import asyncio
+import unittest
+
+from egretstep import errors
+from egretstep.platform import store
+from egretstep.settings import node
+from egretstep.storage import tables
+from standins import platform_store
+
+TABLE = 'fleet'
+KEY = 'host/host-1'
+
+
+class StoreEraTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = platform_store.PlatformStore(groups=())
+        self.store.put(TABLE, KEY, b'first')
+        self.copy = self.store.copy()
+        self.store.put(TABLE, KEY, b'second')
+        await self.store.start()
+        self.client = store.PlatformStore(
+            address=node.Address(host='127.0.0.1', port=self.store.port),
+        )
+
+    async def asyncTearDown(self) -> None:
+        await self.store.stop()
+
+    async def test_rows_of_a_later_era_are_newer(self) -> None:
+        before = await self.client.read_row(TABLE, KEY)
+        self.store.restore(self.copy)
+        after = await self.client.read_row(TABLE, KEY)
+        self.assertLess(after.version.number, before.version.number)
+        self.assertGreater(after.version, before.version)
+
+    async def test_changes_since_a_version_of_the_former_era_are_gone(
+        self,
+    ) -> None:
+        """The number was given out again, so the store does not notice it."""
+        known = (await self.client.read(TABLE)).version
+        self.store.restore(self.copy)
+        self.store.put(TABLE, KEY, b'third')
+        self.store.put(TABLE, 'host/host-2', b'fourth')
+        for _ in range(2):
+            with self.assertRaises(tables.HistoryGoneError):
+                await self.client.changes(TABLE, known, longest_wait=0)
+
+    async def test_a_row_read_in_the_former_era_is_not_replaced(self) -> None:
+        before = await self.client.read_row(TABLE, KEY)
+        self.store.restore(self.copy)
+        self.store.put(TABLE, KEY, b'third')
+        await self.client.read(TABLE)
+        with self.assertRaises(errors.ConflictError):
+            await self._replace(before.version)
+        self.assertEqual(self.store.rows[TABLE, KEY][0], b'third')
+
+    async def test_a_write_that_meets_a_restore_is_no_success(self) -> None:
+        before = await self.client.read_row(TABLE, KEY)
+        self.store.restore(self.copy)
+        self.store.put(TABLE, KEY, b'third')
+        with self.assertRaises(errors.PlatformError):
+            await self._replace(before.version)
+
+    async def test_a_missing_row_is_created_in_the_new_era(self) -> None:
+        self.store.restore(self.copy)
+        missing = await self.client.read_row(TABLE, 'host/host-2')
+        self.assertTrue(missing.version.is_absent)
+        await self.client.compare_and_swap(
+            TABLE, 'host/host-2', expected=missing.version, content=b'new'
+        )
+        self.assertIn((TABLE, 'host/host-2'), self.store.rows)
+
+    async def test_a_late_answer_of_the_former_era_is_ignored(self) -> None:
+        known = (await self.client.read(TABLE)).version
+        polling = asyncio.ensure_future(
+            self.client.changes(TABLE, known, longest_wait=0.3)
+        )
+        await asyncio.sleep(0.1)
+        self.store.restore(self.copy)
+        await self.client.read(TABLE)
+        # The stand-in answers the open poll as the former store would.
+        self.store.era -= 1
+        with self.assertRaises(errors.PlatformError):
+            await polling
+
+    async def _replace(self, expected: tables.Version) -> None:
+        await self.client.compare_and_swap(
+            TABLE, KEY, expected=expected, content=b'replaced'
+        )
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -26,7 +26,8 @@
         self.rows: dict[tuple[str, str], tables.Row] = {}
         self.is_down = False
         self.loses_answers = False
-        self._versions = itertools.count(1)
+        self.era = 1
+        self._numbers = itertools.count(1)
 
     async def read(self, table: str, prefix: str = '') -> tables.Snapshot:
         """Return the rows of a table whose keys start with `prefix`."""
@@ -36,18 +37,20 @@
             for (name, key), row in self.rows.items()
             if name == table and key.startswith(prefix)
         )
-        return tables.Snapshot(rows=rows, version=next(self._versions))
+        return tables.Snapshot(rows=rows, version=self._next_version())
 
     async def read_row(self, table: str, key: str) -> tables.Row:
-        """Return one row, empty and with `ABSENT_VERSION` if it is absent."""
+        """Return one row; it is empty and its version absent if it is."""
         self._check_available()
-        absent = tables.Row(key=key, content=b'', version=tables.ABSENT_VERSION)
+        absent = tables.Row(
+            key=key, content=b'', version=tables.absent_version(self.era)
+        )
         return self.rows.get((table, key), absent)
 
     async def changes(
         self,
         table: str,
-        after: int,
+        after: tables.Version,
         *,
         longest_wait: float = tables.LONGEST_WAIT_SECONDS,
     ) -> tables.Snapshot:
@@ -63,9 +66,9 @@
         table: str,
         key: str,
         *,
-        expected: int,
+        expected: tables.Version,
         content: bytes | None,
-    ) -> int:
+    ) -> tables.Version:
         """Replace a row whose version is `expected`; return the new version.
 
         Raises `ConflictError` if the row has another version.
@@ -73,7 +76,7 @@
         stored = await self.read_row(table, key)
         if stored.version != expected:
             raise errors.ConflictError(key)
-        version = next(self._versions)
+        version = self._next_version()
         self.rows[table, key] = tables.Row(
             key=key,
             content=content or b'',
@@ -83,6 +86,19 @@
             raise errors.PlatformError('the answer is lost')
         return version
 
+    def restore(self, rows: dict[tuple[str, str], tables.Row]) -> None:
+        """Return to former rows, which begins a new era."""
+        self.era += 1
+        self.rows = {
+            key: dataclasses.replace(
+                row, version=row.version._replace(era=self.era)
+            )
+            for key, row in rows.items()
+        }
+
+    def _next_version(self) -> tables.Version:
+        return tables.Version(era=self.era, number=next(self._numbers))
+
     def _check_available(self) -> None:
         if self.is_down:
             raise errors.PlatformError('the store is down')
@@ -242,6 +258,11 @@
         return opened
 
 
+def version(number: int, *, era: int = 1) -> tables.Version:
+    """Return a version of the store."""
+    return tables.Version(era=era, number=number)
+
+
 class NoOtherHosts:
     """The links to other hosts, in a fleet that has only this host."""
 
--- a/tests/storage/test_change_feed.py
+++ b/tests/storage/test_change_feed.py
@@ -4,6 +4,7 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.storage import change_feed, tables, watching
+from tests import platform_fakes
 
 WAIT_SECONDS = 0.1
 TABLE = 'op'
@@ -18,11 +19,12 @@
         self.calls = 0
         self.is_down = False
         self.rows: dict[str, tables.Row] = {}
-        self.version = 1
+        self.version = platform_fakes.version(1)
         self._changed = asyncio.Event()
 
     def put(self, key: str, content: bytes | None = b'x') -> None:
-        self.version += 1
+        number = self.version.number + 1
+        self.version = self.version._replace(number=number)
         self.rows[key] = tables.Row(
             key=key,
             content=content or b'',
@@ -32,6 +34,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restore(self, keys: set[str]) -> None:
+        """Begin a new era with rows of these keys and a lower version."""
+        era = self.version.era + 1
+        self.version = platform_fakes.version(1, era=era)
+        self.rows = {}
+        for key in keys:
+            self.put(key)
+
     async def read(self, _table: str, _prefix: str = '') -> tables.Snapshot:
         self._call()
         rows = tuple(row for row in self.rows.values() if not row.is_deleted)
@@ -40,7 +50,7 @@
     async def changes(
         self,
         _table: str,
-        after: int,
+        after: tables.Version,
         *,
         longest_wait: float = tables.LONGEST_WAIT_SECONDS,
     ) -> tables.Snapshot:
@@ -48,6 +58,8 @@
         if longest_wait and self.version <= after:
             await asyncio.wait_for(self._changed.wait(), longest_wait)
         self._check()
+        if self.version.era != after.era:
+            raise tables.HistoryGoneError(f'after {after}')
         rows = tuple(row for row in self.rows.values() if row.version > after)
         return tables.Snapshot(rows=rows, version=self.version)
 
@@ -179,8 +191,14 @@
         follower = Host(self.store)
         follower.watch.accept(
             tables.Snapshot(
-                rows=(tables.Row(key='gone', content=b'', version=1),),
-                version=1,
+                rows=(
+                    tables.Row(
+                        key='gone',
+                        content=b'',
+                        version=platform_fakes.version(1),
+                    ),
+                ),
+                version=platform_fakes.version(1),
             ),
             confirmed_at=0,
         )
@@ -249,7 +267,10 @@
             await self.store.read(OTHER_TABLE), confirmed_at=0
         )
         asked = asyncio.ensure_future(
-            relay.feed_server.poll({TABLE: 0, OTHER_TABLE: 0})
+            relay.feed_server.poll({
+                TABLE: tables.NO_VERSION,
+                OTHER_TABLE: tables.NO_VERSION,
+            })
         )
         await asyncio.sleep(WAIT_SECONDS / 4)
         self.assertFalse(asked.done())
@@ -275,6 +296,30 @@
             [True, False],
         )
 
+    async def test_changes_of_a_new_era_reach_the_followers(self) -> None:
+        follower = (await self._relayed(1))[1][0]
+        self.store.restore({'restored'})
+        await asyncio.sleep(WAIT_SECONDS)
+        self.assertEqual(follower.keys, {'restored'})
+        self.store.put('written later')
+        await asyncio.sleep(WAIT_SECONDS)
+        self.assertIn('written later', follower.keys)
+
+    async def test_relay_that_has_not_noticed_the_restore_is_passed_over(
+        self,
+    ) -> None:
+        relay = Host(self.store)
+        now = relay.clock.now()
+        relay.watch.accept(await self.store.read(TABLE), confirmed_at=now)
+        follower = Host(self.store, relay='relay')
+        follower.others['relay'] = relay
+        self.store.restore({'restored'})
+        follower.watch.load(await self.store.read(TABLE))
+        confirmed_at = follower.watch.confirmed_at
+        await follower.follower._follow_host(identifiers.HostName('relay'))
+        self.assertEqual(follower.fake_source.passed_over, ['relay'])
+        self.assertEqual(follower.watch.confirmed_at, confirmed_at)
+
     async def test_started_host_reads_the_store_first(
         self,
     ) -> None:
--- a/tests/storage/test_watching.py
+++ b/tests/storage/test_watching.py
@@ -3,6 +3,7 @@
 
 from egretstep import clock
 from egretstep.storage import tables, watching
+from tests import platform_fakes
 
 MIN_PAUSE_SECONDS = 0.5
 PAUSE_PER_ROW_SECONDS = 0.02
@@ -16,16 +17,19 @@
         self._rows = rows
 
     async def read(self, _table: str, _prefix: str = '') -> tables.Snapshot:
-        return self._snapshot(version=1)
+        return self._snapshot(number=1)
 
-    async def changes(self, _table: str, version: int) -> tables.Snapshot:
+    async def changes(
+        self, _table: str, version: tables.Version
+    ) -> tables.Snapshot:
         self.read_count += 1
-        return self._snapshot(version=version + 1)
+        return self._snapshot(number=version.number + 1)
 
-    def _snapshot(self, version: int) -> tables.Snapshot:
+    def _snapshot(self, number: int) -> tables.Snapshot:
+        version = platform_fakes.version(number)
         rows = [
-            tables.Row(key=f'host/{number}', content=b'{}', version=version)
-            for number in range(self._rows)
+            tables.Row(key=f'host/{index}', content=b'{}', version=version)
+            for index in range(self._rows)
         ]
         return tables.Snapshot(rows=tuple(rows), version=version)
 
@@ -64,7 +68,8 @@
             time_source=clock.ManualClock(),
         )
 
-    def _accept(self, version: int, content: bytes) -> bool:
+    def _accept(self, number: int, content: bytes) -> bool:
+        version = platform_fakes.version(number)
         row = tables.Row(
             key='config',
             content=content,
@@ -80,10 +85,30 @@
         self.assertTrue(self._accept(5, b'newer'))
         self.assertFalse(self._accept(3, b'older'))
         self.assertEqual(self.watch.rows['config'].content, b'newer')
-        self.assertEqual(self.watch.version, 5)
+        self.assertEqual(self.watch.version, platform_fakes.version(5))
 
     def test_deleted_row_is_not_restored_by_an_older_change(self) -> None:
         self._accept(3, b'there')
         self._accept(5, b'')
         self.assertFalse(self._accept(4, b'late news'))
         self.assertEqual(dict(self.watch.rows), {})
+
+    def test_restored_rows_replace_those_of_the_former_era(self) -> None:
+        """A configuration was dropped, as its number had been given out."""
+        self._accept(5, b'lost')
+        restored = tables.Row(
+            key='config',
+            content=b'added after the return',
+            version=platform_fakes.version(5, era=2),
+        )
+        self.watch.load(
+            tables.Snapshot(rows=(restored,), version=restored.version)
+        )
+        self.assertEqual(self.watch.rows['config'].content, restored.content)
+        self.assertEqual(self.watch.version, restored.version)
+
+    def test_rows_that_a_restored_store_lacks_are_gone(self) -> None:
+        self._accept(5, b'lost')
+        version = platform_fakes.version(3, era=2)
+        self.watch.load(tables.Snapshot(rows=(), version=version))
+        self.assertEqual(dict(self.watch.rows), {})
