Verify claims in each era of the store, and write lost ones again

Cause: a lease was renewed by the store's row alone. The row was older than the claim, so the holder was not renewed; the holder stayed known and answered, so nobody claimed; nobody wrote the claim again. Also, epochs and boot numbers were one more than the stored one, and so were given out twice (two holders with one fencing token); a stored claim counted as the last one, so that a takeover could skip the wait for leases whose claims were lost. Class: a belief read from the store taken for its latest state across eras. Change: epochs and boots begin with the era (membership/fencing.py). In each era a holder has a majority confirm that no later claim is known, writes its claim again if it is missing, and only then counts the store's answers (membership/lease_renewal.py). A claim of a former era never allows a takeover without the wait, and its successor first asks the hosts for a later one (membership/claim_writer.py). A hand-over is released only on a verified claim. leases.py and wiring.py are split on the way (renewal, writing, host rows). Rows and messages keep their fields; the former build reads them. One test compared an epoch with 3; it compares the difference now.

--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -12,7 +12,7 @@
 import logbook
 import orjson
 
-from egretstep import clock, errors, identifiers
+from egretstep import clock, identifiers
 from egretstep.membership import rendezvous
 from egretstep.settings import node
 from egretstep.storage import tables
@@ -242,86 +242,3 @@
         known = self._hosts.get(host.host)
         if known is not None and known.boot != host.boot:
             self.clear_suspicion(host.host)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PendingRegistration:
-    """A starting host, and the fleet table as read before its registration.
-
-    `replaces` is the version of the stored row that the registration of this
-    host will replace.
-    """
-
-    own: Host
-    fleet: tables.Snapshot
-    replaces: tables.Version
-
-
-class Registration:
-    """Writes a host's own row in the store.
-
-    The methods raise `errors.PlatformError` if the store fails, and
-    `errors.ConflictError` if the row was changed by another writer.
-    """
-
-    def __init__(self, *, store: tables.Tables) -> None:
-        self._store = store
-
-    async def start(self, starting: Host) -> PendingRegistration:
-        """Read the fleet table and give the host its next boot number."""
-        fleet = await self._store.read(TABLE)
-        key = PREFIX + starting.host
-        missing = tables.absent_version(fleet.version.era)
-        stored = tables.Row(key=key, content=b'', version=missing)
-        for row in fleet.rows:
-            if row.key == key:
-                stored = row
-        former = decode(stored.content) if stored.content else None
-        boot = former.boot + 1 if former else 1
-        return PendingRegistration(
-            own=dataclasses.replace(starting, boot=boot),
-            fleet=fleet,
-            replaces=stored.version,
-        )
-
-    async def register(self, started: PendingRegistration) -> Host:
-        """Write the row of a host and return the host as registered.
-
-        If the row has changed meanwhile, the host gets a greater boot number
-        than the stored one. The change can come from a delayed write of an
-        earlier process, or from an earlier call whose answer was lost.
-        """
-        own = started.own
-        try:
-            await self._store.compare_and_swap(
-                TABLE,
-                PREFIX + own.host,
-                expected=started.replaces,
-                content=encode(own),
-            )
-        except errors.ConflictError:
-            stored = await self._read(own)
-            former = decode(stored.content)
-            boot = former.boot + 1 if former else own.boot
-            own = dataclasses.replace(own, boot=boot)
-            await self._put(stored, own)
-        return own
-
-    async def change(self, own: Host, state: HostState) -> None:
-        """Write a host with another state over whatever row is stored."""
-        stored = await self._read(own)
-        await self._put(stored, dataclasses.replace(own, state=state))
-
-    async def _read(self, host: Host) -> tables.Row:
-        return await self._store.read_row(TABLE, PREFIX + host.host)
-
-    async def _put(self, stored: tables.Row, host: Host) -> None:
-        await self._store.compare_and_swap(
-            TABLE,
-            stored.key,
-            expected=stored.version,
-            content=encode(host),
-        )
-
-
-WRITE_FAILURES = (errors.PlatformError, errors.ConflictError)
--- /dev/null
+++ b/src/egretstep/membership/fencing.py
@@ -0,0 +1,33 @@
+"""Numbers that order claims and processes, also after a restore of the store.
+
+A number is found by adding one to the latest number in the store. The store
+may have lost that one in a restore from a copy. A number therefore begins
+with the store's era, so that it is greater than all numbers of former eras.
+"""
+
+NUMBERS_PER_ERA = 10**9
+
+
+def next_number(latest: int, era: int) -> int:
+    """Return a number that follows `latest` and all of former eras.
+
+    >>> next_number(1_000_000_004, era=1)
+    1000000005
+    >>> next_number(1_000_000_004, era=2)
+    2000000001
+    """
+    return max(latest, era * NUMBERS_PER_ERA) + 1
+
+
+def era_of(number: int) -> int:
+    """Return the era in which a number was given out.
+
+    >>> era_of(2_000_000_001)
+    2
+    """
+    return number // NUMBERS_PER_ERA
+
+
+def is_first_of_era(number: int) -> bool:
+    """Return whether a number is the first one of its era."""
+    return number % NUMBERS_PER_ERA == 1
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -5,7 +5,8 @@
 majority of the hosts, confirms that it knows no later epoch; it is valid for
 `LEASE_SECONDS` from the moment the request was sent. A host that takes over
 a task writes the row, notifies a majority, and waits until every lease that
-was confirmed before has expired. `specifications/leases.py` models this rule.
+was confirmed before has expired. `specifications/leases.py` models this rule,
+and `lease_renewal` renews the leases.
 """
 
 import asyncio
@@ -15,12 +16,10 @@
 import logbook
 
 from egretstep import clock, errors
-from egretstep.membership import claim_rows, claims, directory, epochs
-from egretstep.observability import metrics
+from egretstep.membership import claim_writer, claims, directory
 from egretstep.storage import tables
 
 LEASE_SECONDS = 1.25
-RENEWAL_SECONDS = 0.5
 STORE_ANSWER_SECONDS = 0.3
 _logger = logbook.Logger('leases')
 
@@ -30,6 +29,9 @@
 
     `task_received` is set when another host hands over a task to this one.
     `is_synced` is set from outside once the claims in the store were read.
+    `first_era` is the store's era when the fleet started for the first time,
+    and None if this process was not started then. Only in that era, a task
+    without a claim is known to have had no holder.
     """
 
     def __init__(
@@ -39,15 +41,22 @@
         hosts: directory.Directory,
         confirmers: claims.Confirmers,
         time_source: clock.Clock,
+        first_era: int | None = None,
     ) -> None:
-        self._rows = claim_rows.ClaimRows(store=store)
+        self._writer = claim_writer.ClaimWriter(
+            store=store,
+            hosts=hosts,
+            confirmers=confirmers,
+            known=self,
+            first_era=first_era,
+        )
         self._hosts = hosts
         self._confirmers = confirmers
         self._clock = time_source
         self._claims: dict[claims.TaskName, claims.Claim] = {}
         self._expires_at: dict[claims.TaskName, float] = {}
         self._takeover_ends_at: dict[claims.TaskName, float] = {}
-        self._store_answers = True
+        self._verified_eras: dict[claims.TaskName, int] = {}
         self._revision = 0
         self.is_synced = False
         self.task_received = asyncio.Event()
@@ -62,11 +71,6 @@
         """Return the latest known claim of each task."""
         return self._claims
 
-    @property
-    def store_answers(self) -> bool:
-        """Return whether the store answered the last renewal in time."""
-        return self._store_answers
-
     def merge_rows(self, rows: typing.Mapping[str, tables.Row]) -> None:
         """Merge the claims of the given rows of the store."""
         for key, row in rows.items():
@@ -93,6 +97,32 @@
         """Return whether this host has a lease on a task that it renews."""
         return task in self._expires_at
 
+    def renewed_claims(self) -> list[claims.Claim]:
+        """Return this host's claims whose leases it renews."""
+        return [self._claims[task] for task in self._expires_at]
+
+    def extend_lease(self, claim: claims.Claim, sent_at: float) -> None:
+        """Extend a lease that was confirmed by a request sent at a time."""
+        task = claim.task
+        known = self._claims.get(task)
+        is_same = known is not None and known.epoch == claim.epoch
+        if is_same and task in self._expires_at:
+            expires_at = sent_at + LEASE_SECONDS
+            self._expires_at[task] = max(self._expires_at[task], expires_at)
+
+    def verified_era(self, task: claims.TaskName) -> int | None:
+        """Return the latest era in which this host's claim was verified.
+
+        In that era of the store, no later claim was known to a majority of
+        the hosts, and the store had this host's claim.
+        """
+        return self._verified_eras.get(task)
+
+    def record_verified(self, claim: claims.Claim, era: int) -> None:
+        """Record that this host's claim is verified in an era."""
+        if self._claims[claim.task].epoch == claim.epoch:
+            self._verified_eras[claim.task] = era
+
     def remaining_lease(self, task: claims.TaskName) -> float:
         """Return the seconds until this host's lease on a task expires."""
         expires_at = self._expires_at.get(task, 0)
@@ -159,17 +189,18 @@
         """
         sent_at = self._clock.now()
         try:
-            new_claim = await self._write_claim(task, observed)
+            written = await self._writer.write_next(task, observed)
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.info('task {} could not be claimed: {}', task, error)
             return None
-        if new_claim is None:
+        if written is None:
             return None
+        new_claim = written.claim
         self.merge(new_claim)
         if new_claim.is_settled:
             asyncio.ensure_future(self._confirmers.confirm([new_claim]))
         else:
-            if not await self._notify_majority(new_claim):
+            if not await self._writer.notify_majority(new_claim):
                 return None
             await self._wait_for_former_lease(task)
             sent_at = self._clock.now()
@@ -177,6 +208,7 @@
         if self._claims[task].epoch != new_claim.epoch:
             return None
         self._expires_at[task] = sent_at + LEASE_SECONDS
+        self._verified_eras[task] = written.era
         return new_claim
 
     async def _wait_for_former_lease(self, task: claims.TaskName) -> None:
@@ -198,136 +230,19 @@
         """
         self._expires_at.pop(task, None)
         claim = self._claims[task]
-        following = epochs.handover_claim(claim, successor)
         try:
-            if not await self._rows.replace(claim.epoch, following):
-                return False
+            following = await self._writer.release(
+                claim, successor, verified_era=self.verified_era(task)
+            )
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.warning('task {} could not be handed over: {}', task, error)
             return False
+        if following is None:
+            return False
         self.merge(following)
         await self._confirmers.confirm([following])
         return True
 
-    async def run(self) -> None:
-        """Renew the leases of this host until cancelled."""
-        while True:
-            await asyncio.sleep(RENEWAL_SECONDS)
-            own_claims = [
-                claim
-                for claim in self._claims.values()
-                if self.is_mine(claim) and claim.task in self._expires_at
-            ]
-            if own_claims:
-                await self._renew(own_claims)
-
-    async def _renew(self, own_claims: list[claims.Claim]) -> None:
-        sent_at = self._clock.now()
-        if not self._store_answers:
-            await asyncio.gather(
-                self._renew_at_store(sent_at),
-                self._renew_at_hosts(own_claims, sent_at),
-            )
-        elif not await self._renew_at_store(sent_at):
-            await self._renew_at_hosts(own_claims, self._clock.now())
-
-    async def _renew_at_store(self, sent_at: float) -> bool:
-        try:
-            async with asyncio.timeout(STORE_ANSWER_SECONDS):
-                stored = await self._rows.read_all()
-        except (errors.PlatformError, TimeoutError) as error:
-            if self._store_answers:
-                _logger.warning(
-                    'leases: renewal at the store failed: {!r}', error
-                )
-            self._store_answers = False
-            return False
-        if not self._store_answers:
-            _logger.info('leases: the store answers again')
-        self._store_answers = True
-        self.merge_rows(stored)
-        self._log_unconfirmed(stored)
-        for claim in stored.values():
-            held = claims.decode(claim.content)
-            if held is not None and self.is_mine(held):
-                self._extend_lease(held, sent_at)
-        return True
-
-    def _log_unconfirmed(self, stored: typing.Mapping[str, tables.Row]) -> None:
-        """Log the leases of this host that the rows do not confirm."""
-        for task in self._expires_at:
-            known = self._claims[task]
-            row = stored.get(f'{claims.PREFIX}{task}')
-            held = claims.decode(row.content) if row else None
-            if held is not None and held.epoch == known.epoch:
-                continue
-            metrics.unrenewed_leases.inc(task)
-            _logger.info(
-                'task {}: lease of epoch {} not renewed, the store holds {}',
-                task,
-                known.epoch,
-                held,
-            )
-
-    async def _renew_at_hosts(
-        self,
-        own_claims: list[claims.Claim],
-        sent_at: float,
-    ) -> None:
-        replies = await self._confirmers.confirm(own_claims)
-        for newer in replies:
-            for claim in newer:
-                self.merge(claim)
-        if len(replies) < self._confirmers.majority():
-            return
-        for claim in own_claims:
-            if all(claim.task not in _task_names(newer) for newer in replies):
-                self._extend_lease(claim, sent_at)
-
-    def _extend_lease(self, claim: claims.Claim, sent_at: float) -> None:
-        task = claim.task
-        known = self._claims.get(task)
-        is_same = known is not None and known.epoch == claim.epoch
-        if not is_same or task not in self._expires_at:
-            return
-        self._expires_at[task] = max(
-            self._expires_at[task],
-            sent_at + LEASE_SECONDS,
-        )
-
-    async def _notify_majority(self, new_claim: claims.Claim) -> bool:
-        replies = await self._confirmers.confirm([new_claim])
-        for newer in replies:
-            for claim in newer:
-                self.merge(claim)
-        if len(replies) >= self._confirmers.majority():
-            return True
-        _logger.warning(
-            'task {}: {} other hosts confirmed epoch {}, a majority needs {}',
-            new_claim.task,
-            len(replies),
-            new_claim.epoch,
-            self._confirmers.majority(),
-        )
-        return False
-
-    async def _write_claim(
-        self,
-        task: claims.TaskName,
-        observed: claims.Claim | None,
-    ) -> claims.Claim | None:
-        """Write the next epoch, unless the holder has changed meanwhile."""
-        row = await self._rows.read(task)
-        former = claims.decode(row.content)
-        if former is not None:
-            self.merge(former)
-            observed_epoch = observed.epoch if observed else 0
-            if former.epoch > observed_epoch and not self.is_mine(former):
-                return None
-        new_claim = epochs.next_claim(task, former, self._hosts)
-        await self._rows.swap(task, row.version, new_claim)
-        return new_claim
-
     async def _mark_settled(self, new_claim: claims.Claim) -> None:
         """Record that the leases of all former holders have expired."""
         await self._revise(new_claim, is_settled=True)
@@ -357,11 +272,7 @@
 
     async def _store_claim(self, revised: claims.Claim) -> bool:
         try:
-            return await self._rows.replace(revised.epoch, revised)
+            return await self._writer.replace(revised)
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.info('task {}: claim not stored: {}', revised.task, error)
             return False
-
-
-def _task_names(sent: typing.Sequence[claims.Claim]) -> set[claims.TaskName]:
-    return {claim.task for claim in sent}
--- a/src/egretstep/programs/graceful_shutdown.py
+++ b/src/egretstep/programs/graceful_shutdown.py
@@ -11,14 +11,14 @@
 import logbook
 
 from egretstep import clock
-from egretstep.membership import directory
+from egretstep.membership import directory, host_rows
 
 ANNOUNCE_TIMEOUT_SECONDS = 0.4
 GRACE_MARGIN_SECONDS = 1.0
 SESSION_POLL_INTERVAL_SECONDS = 0.05
 # Statements that are already in transit to this host are still answered.
 LINGER_SECONDS = 0.3
-_ANNOUNCE_FAILURES = (TimeoutError, *directory.WRITE_FAILURES)
+_ANNOUNCE_FAILURES = (TimeoutError, *host_rows.WRITE_FAILURES)
 _logger = logbook.Logger('stopping')
 
 
@@ -34,7 +34,7 @@
     def __init__(
         self,
         *,
-        registration: directory.Registration,
+        registration: host_rows.Registration,
         own: directory.Host,
         hand_over: typing.Callable[[float], typing.Awaitable[None]],
         close_idle: typing.Callable[[], int],
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -12,7 +12,7 @@
 import capnp
 import logbook
 
-from egretstep.membership import directory
+from egretstep.membership import directory, host_rows
 from egretstep.observability import logs
 from egretstep.platform import process_settings, store
 from egretstep.programs import wiring
@@ -25,8 +25,8 @@
 
 async def _start_registration(
     settings: node.NodeSettings,
-    registration: directory.Registration,
-) -> directory.PendingRegistration:
+    registration: host_rows.Registration,
+) -> host_rows.PendingRegistration:
     """Read the table of hosts, which gives this host its boot number.
 
     Retries until the store answers.
@@ -41,7 +41,7 @@
     while True:
         try:
             return await registration.start(unregistered)
-        except directory.WRITE_FAILURES as error:
+        except host_rows.WRITE_FAILURES as error:
             _logger.warning(
                 'host {} could not read the fleet table and tries again: {}',
                 settings.host,
@@ -52,7 +52,7 @@
 
 async def _serve(settings: node.NodeSettings) -> None:
     platform_store = store.PlatformStore(address=settings.store)
-    registration = directory.Registration(store=platform_store)
+    registration = host_rows.Registration(store=platform_store)
     pending = await _start_registration(settings, registration)
     own = pending.own
     _logger.info(
--- a/src/egretstep/programs/store_watches.py
+++ b/src/egretstep/programs/store_watches.py
@@ -6,7 +6,12 @@
 import functools
 
 from egretstep import clock
-from egretstep.membership import directory, fleet_links, leases, relays
+from egretstep.membership import (
+    directory,
+    fleet_links,
+    lease_renewal,
+    relays,
+)
 from egretstep.platform import operator_settings, registrations
 from egretstep.settings import configuration_follower, node
 from egretstep.storage import change_feed, tables, watching
@@ -77,7 +82,7 @@
         *,
         hosts: directory.Directory,
         peers: fleet_links.FleetLinks,
-        keeper: leases.LeaseKeeper,
+        renewal: lease_renewal.LeaseRenewal,
     ) -> list[supervisor.Child]:
         """Return the supervised tasks that keep the copies up to date."""
         follower = change_feed.FeedFollower(
@@ -87,7 +92,7 @@
                 peers.news, wait=self._feed_wait_seconds
             ),
             wait=self._feed_wait_seconds,
-            store_answers=lambda: keeper.store_answers,
+            store_answers=lambda: renewal.store_answers,
             fleet_size=lambda: len(hosts.hosts),
             start_delay=(
                 FEED_START_DELAY_SECONDS if self._is_first_start else 0
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -14,6 +14,8 @@
 from egretstep.membership import (
     claims,
     directory,
+    fencing,
+    lease_renewal,
     leases,
     registry,
     task_ranking,
@@ -43,22 +45,22 @@
         self,
         *,
         keeper: leases.LeaseKeeper,
+        renewal: lease_renewal.LeaseRenewal,
         hosts: directory.Directory,
         servers: registry.ServerRegistry,
         broker_table: brokers.BrokerTable,
         make_failover: typing.Callable[[], failover.FailoverCoordinator],
         current_deployment: typing.Callable[[], deployment.Deployment],
         time_source: clock.Clock,
-        is_first_start: bool,
     ) -> None:
         self._keeper = keeper
+        self._renewal = renewal
         self._hosts = hosts
         self._servers = servers
         self._brokers = broker_table
         self._make_failover = make_failover
         self._current_deployment = current_deployment
         self._clock = time_source
-        self._is_first_start = is_first_start
         self._owners: dict[deployment.ServiceName, primary.PrimaryOwner] = {}
         self._started_at = time_source.now()
         self._previously_held_tasks: set[claims.TaskName] = set()
@@ -129,7 +131,7 @@
         ended by then. If the fleet starts for the first time, they are full.
         """
         empty_at = self._clock.now()
-        if claim.epoch == 1 and self._is_first_start:
+        if claim.is_settled and fencing.is_first_of_era(claim.epoch):
             empty_at = bucket.LONG_AGO
         elif claim.task in self._previously_held_tasks:
             empty_at = self._started_at
@@ -208,7 +210,7 @@
         """
         latest_start = deadline - HAND_OVER_TIMEOUT_SECONDS
         while (
-            not self._keeper.store_answers and self._clock.now() < latest_start
+            not self._renewal.store_answers and self._clock.now() < latest_start
         ):
             await asyncio.sleep(STORE_CHECK_INTERVAL_SECONDS)
         other_claims = {
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -13,6 +13,9 @@
     claiming,
     directory,
     fleet_links,
+    host_registration,
+    host_rows,
+    lease_renewal,
     leases,
     registry,
 )
@@ -43,7 +46,6 @@
 from egretstep.supervision import supervisor
 
 SWEEP_INTERVAL_SECONDS = 0.5
-REGISTRATION_RETRY_SECONDS = 0.3
 # Share of the drain limit for which a server may remain primary. The rest
 # allows for the delay until this host learns that the server is draining.
 DRAIN_SHARE = 0.5
@@ -57,8 +59,8 @@
         self,
         *,
         settings: node.NodeSettings,
-        pending_registration: directory.PendingRegistration,
-        registration: directory.Registration,
+        pending_registration: host_rows.PendingRegistration,
+        registration: host_rows.Registration,
         platform_store: store.PlatformStore,
     ) -> None:
         self._settings = settings
@@ -100,6 +102,11 @@
     def _make_membership(self, own: directory.Host) -> None:
         self._hosts = directory.Directory(own=own, time_source=self._clock)
         self._hosts.is_registered = False
+        self._host_registration = host_registration.HostRegistration(
+            registration=self._registration,
+            pending=self._pending_registration,
+            hosts=self._hosts,
+        )
         self._peers = fleet_links.FleetLinks(
             hosts=self._hosts,
             time_source=self._clock,
@@ -109,9 +116,22 @@
             hosts=self._hosts,
             confirmers=self._peers,
             time_source=self._clock,
+            first_era=self._first_era(),
+        )
+        self._renewal = lease_renewal.LeaseRenewal(
+            keeper=self._keeper,
+            store=self._store,
+            confirmers=self._peers,
+            time_source=self._clock,
         )
         self._servers = registry.ServerRegistry(time_source=self._clock)
 
+    def _first_era(self) -> int | None:
+        """Return the store's era if the fleet starts for the first time."""
+        if not self._settings.is_first_start:
+            return None
+        return self._pending_registration.fleet.version.era
+
     def _make_pooling(self) -> None:
         self._brokers = brokers.BrokerTable(
             opener=self._opener,
@@ -120,13 +140,13 @@
         )
         self._tasks = tasks.FleetTasks(
             keeper=self._keeper,
+            renewal=self._renewal,
             hosts=self._hosts,
             servers=self._servers,
             broker_table=self._brokers,
             make_failover=self._make_failover,
             current_deployment=self._current_deployment,
             time_source=self._clock,
-            is_first_start=self._settings.is_first_start,
         )
         self._queries = fleet_queries.FleetQueries(
             hosts=self._hosts,
@@ -216,8 +236,8 @@
             make_server=self._make_host_endpoint,
         )
         run_functions = {
-            'registration': self._register,
-            'leases': self._keeper.run,
+            'registration': self._host_registration.run,
+            'leases': self._renewal.run,
             'peers': listener.run,
             'claimant': self._claimant.run,
             'sweep': self._sweep,
@@ -232,7 +252,7 @@
         watch_children = self._watches.children(
             hosts=self._hosts,
             peers=self._peers,
-            keeper=self._keeper,
+            renewal=self._renewal,
         )
         children = [
             supervisor.Child(name=name, run=run)
@@ -240,28 +260,6 @@
         ]
         return [*watch_children, *children]
 
-    async def _register(self) -> None:
-        """Write this host's row, with retries; callers are served meanwhile."""
-        while not self._hosts.is_registered:
-            try:
-                own = await self._registration.register(
-                    self._pending_registration
-                )
-            except directory.WRITE_FAILURES as error:
-                _logger.warning(
-                    'host {} could not register and tries again: {}',
-                    self._settings.host,
-                    error,
-                )
-                await asyncio.sleep(REGISTRATION_RETRY_SECONDS)
-            else:
-                self._hosts.mark_registered(own)
-                _logger.info(
-                    'host {} is registered with boot number {}',
-                    own.host,
-                    own.boot,
-                )
-
     def _apply_fleet_rows(self, rows: watching.Rows) -> None:
         self._hosts.update(rows)
         self._keeper.merge_rows(rows)
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -9,14 +9,14 @@
 import unittest.mock
 
 from egretstep import clock, errors
-from egretstep.membership import claiming, directory
+from egretstep.membership import claiming, directory, host_rows
 from tests import platform_fakes
 
 
 class RegistrationTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.store = platform_fakes.FakeTables()
-        self.registration = directory.Registration(store=self.store)
+        self.registration = host_rows.Registration(store=self.store)
 
     async def _start(self) -> directory.Host:
         started = await self.registration.start(platform_fakes.host('own'))
@@ -24,7 +24,15 @@
 
     async def test_each_start_has_a_greater_boot_number(self) -> None:
         boots = [(await self._start()).boot for _ in range(3)]
-        self.assertEqual(boots, [1, 2, 3])
+        self.assertEqual([boot - boots[0] for boot in boots], [0, 1, 2])
+
+    async def test_a_boot_number_is_not_reused_after_a_restore(self) -> None:
+        """Others would take the claims of the lost process for this one's."""
+        await self._start()
+        rows = dict(self.store.rows)
+        lost = await self._start()
+        self.store.restore(rows)
+        self.assertGreater((await self._start()).boot, lost.boot)
 
     async def test_a_delayed_write_of_an_earlier_process_is_noticed(
         self,
@@ -44,7 +52,7 @@
             await self.registration.register(started)
         self.store.loses_answers = False
         own = await self.registration.register(started)
-        self.assertEqual(own.boot, 2)
+        self.assertEqual(own.boot, started.own.boot + 1)
 
     async def test_no_task_is_claimed_before_the_row_is_stored(self) -> None:
         hosts = directory.Directory(
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -90,6 +90,7 @@
             hosts=self.hosts,
             confirmers=platform_fakes.NoOtherHosts(),
             time_source=self.clock,
+            first_era=1,
         )
         self.opener = platform_fakes.FakeOpener(self.server)
         self.table = brokers.BrokerTable(
@@ -190,15 +191,15 @@
             start=started.append,
             time_source=self.clock,
         )
-        claim = await self.keeper.claim(TASK)
-        self.assertIsNotNone(claim)
+        first = typing.cast(claims.Claim, await self.keeper.claim(TASK))
         self.keeper.is_synced = True
         with mock.patch.object(claiming, 'CHECK_INTERVAL_SECONDS', 5):
             self._run(claimant.run())
             await asyncio.sleep(0)
             await self.keeper.hand_over(TASK, self.hosts.own)
             await asyncio.sleep(QUICK_SECONDS)
-        self.assertEqual([each.epoch for each in started], [3])
+        epochs = [each.epoch - first.epoch for each in started]
+        self.assertEqual(epochs, [2])
 
     async def _stopped_owner(self) -> primary.PrimaryOwner:
         """Return an owner that has run a statement and was then stopped."""
--- a/tests/replication/test_planned_change.py
+++ b/tests/replication/test_planned_change.py
@@ -9,7 +9,7 @@
 
 from egretstep import clock, errors
 from egretstep.backends import answers, commands, connection
-from egretstep.membership import claims, directory, leases
+from egretstep.membership import claims, directory, lease_renewal, leases
 from egretstep.pooling import brokers
 from egretstep.pooling import work as work_module
 from egretstep.replication import failover, primary
@@ -110,6 +110,13 @@
             ),
             confirmers=platform_fakes.NoOtherHosts(),
             time_source=self.clock,
+            first_era=self.store.era,
+        )
+        self.renewal = lease_renewal.LeaseRenewal(
+            keeper=self.keeper,
+            store=self.store,
+            confirmers=platform_fakes.NoOtherHosts(),
+            time_source=self.clock,
         )
         opener = platform_fakes.FakeOpener(self.first, self.second)
         claim = await self.keeper.claim(TASK)
@@ -133,7 +140,7 @@
         )
         self.running = [
             asyncio.ensure_future(self.owner.run()),
-            asyncio.ensure_future(self.keeper.run()),
+            asyncio.ensure_future(self.renewal.run()),
         ]
         self.assertTrue((await self.owner.execute(WRITE, LINK)).is_ok)
 
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from egretstep.membership import directory
+from egretstep.membership import host_rows
 from egretstep.programs import graceful_shutdown
 from tests import platform_fakes, virtual_time
 
@@ -49,7 +49,7 @@
     async def _stop(self) -> None:
         callers = _Callers()
         stop = graceful_shutdown.GracefulShutdown(
-            registration=directory.Registration(
+            registration=host_rows.Registration(
                 store=platform_fakes.FakeTables(),
             ),
             own=platform_fakes.host('own'),
