Don't wait for changes after a version of the former era

What callers saw: NODB for an added route, in one of four runs of test_a_route_that_is_added_after_the_return_is_served since versions have eras. Cause, from the logs of that run: a watch sent its long poll (after 12) as the store came back, before any answer had shown the new era. The store had reached 12 again, so it gave no 410 and waited; the added configuration was below 12. The era of an answer helps only once there is an answer. Change: the first poll after a failure does not wait, so that its answer shows the era; and long polls end when another call shows a new era. Ruled out: the follower of the configuration (no line), the host rows that were being worked on (fleet and servers had been read again).

--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+import asyncio
 import base64
 import dataclasses
 import typing
@@ -40,6 +41,7 @@
         self._client = http.HttpClient(address=address)
         self._poll_clients: dict[str, http.HttpClient] = {}
         self._era = _ONLY_ERA
+        self._new_era = asyncio.Event()
 
     async def read(self, table: str, prefix: str = '') -> tables.Snapshot:
         """Return all rows whose keys begin with a prefix, read page by page."""
@@ -91,12 +93,8 @@
             'wait_ms': clock.to_milliseconds(longest_wait),
         }
         if longest_wait:
-            answer = await self._get(
-                'rows-feed',
-                query,
-                self._poll_client(table),
-                longest_wait + LONG_POLL_MARGIN_SECONDS,
-            )
+            timeout = longest_wait + LONG_POLL_MARGIN_SECONDS
+            answer = await self._poll_in_era(table, query, timeout)
         else:
             answer = await self._get('rows-feed', query)
         self._check_history(table, after)
@@ -156,6 +154,30 @@
             )
         return answer.version
 
+    async def _poll_in_era(
+        self,
+        table: str,
+        query: dict[str, typing.Any],
+        timeout: float,
+    ) -> '_Answer':
+        """Poll a table until it changes or another call shows a new era."""
+        call = asyncio.ensure_future(
+            self._get('rows-feed', query, self._poll_client(table), timeout)
+        )
+        new_era = asyncio.ensure_future(self._new_era.wait())
+        try:
+            await asyncio.wait(
+                {call, new_era}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if call.done():
+                return call.result()
+        finally:
+            call.cancel()
+            new_era.cancel()
+        raise tables.HistoryGoneError(
+            f'the store was restored while table {table} was polled',
+        )
+
     def _poll_client(self, table: str) -> http.HttpClient:
         client = self._poll_clients.get(table)
         if client is None:
@@ -205,6 +227,8 @@
             )
             metrics.store_era.set({}, era)
             self._era = era
+            self._new_era.set()
+            self._new_era = asyncio.Event()
         return era
 
 
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -227,11 +227,23 @@
         if self._version is None or self._must_read_whole:
             self.load(await self._store.read(self._table))
             return
-        snapshot = await self._store.changes(self._table, self._version)
+        snapshot = await self._store.changes(
+            self._table,
+            self._version,
+            longest_wait=self._longest_wait(),
+        )
         if self.accept(snapshot, confirmed_at=self._clock.now()):
             base = self._pause(self._rows)
             await asyncio.sleep(self._backoff.next_pause(base))
 
+    def _longest_wait(self) -> float:
+        """Return how long the store may wait for a change, in seconds.
+
+        A store that comes back may have been restored, and may then wait for
+        a version that means something else. Its first answer shows that.
+        """
+        return 0 if self.is_failing else tables.LONGEST_WAIT_SECONDS
+
     def _is_newer(self, row: tables.Row) -> bool:
         known = self._rows.get(row.key) or self._deleted_rows.get(row.key)
         return known is None or known.version < row.version
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -73,16 +73,25 @@
 
     async def test_a_late_answer_of_the_former_era_is_ignored(self) -> None:
         known = (await self.client.read(TABLE)).version
-        polling = asyncio.ensure_future(
-            self.client.changes(TABLE, known, longest_wait=0.3)
-        )
-        await asyncio.sleep(0.1)
         self.store.restore(self.copy)
         await self.client.read(TABLE)
-        # The stand-in answers the open poll as the former store would.
+        # The stand-in answers as the former store would.
         self.store.era -= 1
         with self.assertRaises(errors.PlatformError):
-            await polling
+            await self.client.changes(TABLE, known, longest_wait=0)
+        with self.assertRaises(errors.PlatformError):
+            await self.client.read(TABLE)
+
+    async def test_a_poll_ends_when_another_call_shows_a_new_era(self) -> None:
+        """The number of the known version was given out again meanwhile."""
+        known = (await self.client.read(TABLE)).version
+        polling = asyncio.ensure_future(self.client.changes(TABLE, known))
+        await asyncio.sleep(0.1)
+        self.store.restore(self.copy)
+        await self.client.read(TABLE)
+        with self.assertRaises(tables.HistoryGoneError):
+            async with asyncio.timeout(1):
+                await polling
 
     async def _replace(self, expected: tables.Version) -> None:
         await self.client.compare_and_swap(
--- a/tests/storage/test_watching.py
+++ b/tests/storage/test_watching.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from egretstep import clock
+from egretstep import clock, errors
 from egretstep.storage import tables, watching
 from tests import platform_fakes
 
@@ -20,7 +20,10 @@
         return self._snapshot(number=1)
 
     async def changes(
-        self, _table: str, version: tables.Version
+        self,
+        _table: str,
+        version: tables.Version,
+        **_options: object,
     ) -> tables.Snapshot:
         self.read_count += 1
         return self._snapshot(number=version.number + 1)
@@ -58,6 +61,50 @@
         return table.read_count
 
 
+class ReturningStore:
+    """A store that was restored while it did not answer."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.version = platform_fakes.version(5)
+
+    async def read(self, _table: str, _prefix: str = '') -> tables.Snapshot:
+        return tables.Snapshot(rows=(), version=self.version)
+
+    async def changes(
+        self,
+        _table: str,
+        version: tables.Version,
+        *,
+        longest_wait: float = tables.LONGEST_WAIT_SECONDS,
+    ) -> tables.Snapshot:
+        if self.is_down:
+            raise errors.PlatformError('away')
+        await asyncio.sleep(longest_wait)
+        if self.version.era != version.era:
+            raise tables.HistoryGoneError('of another era')
+        return tables.Snapshot(rows=(), version=self.version)
+
+
+class ReturnTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_first_poll_after_a_failure_does_not_wait(self) -> None:
+        """A poll waited for a change after a number of the former era."""
+        store = ReturningStore()
+        store.is_down = True
+        watch = watching.TableWatch(
+            store=store,
+            table='op',
+            time_source=clock.MonotonicClock(),
+        )
+        running = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.05)
+        store.version = platform_fakes.version(5, era=2)
+        store.is_down = False
+        await asyncio.sleep(watching.FIRST_RETRY_SECONDS * 5)
+        running.cancel()
+        self.assertEqual(watch.version, store.version)
+
+
 class AcceptTest(unittest.TestCase):
     """Changes arrive from several hosts, in any order."""
 
