Keep the hosts of the fleet across a restore, and write their rows again

Cause: the directory was the table of hosts as last read. After a restore a host that had registered in the lost seconds had no row: others could not call it and did not count it in majorities; a host that had restarted had an older boot number, a stopped one counted as up again, for ever. Class: as for claims, a row of the store taken for the latest state. Change: the directory keeps the latest state of each host by boot number and state; rows of hosts are never deleted, so a missing one is lost.

--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -2,7 +2,8 @@
 
 A host writes its row when it starts, when it begins to leave and when it has
 ended. The row doesn't say whether the host answers: each other host finds
-that out from its own calls.
+that out from its own calls. After a restore the store may lack a row or have
+an older one, so the latest known state of each host is kept.
 """
 
 import dataclasses
@@ -35,6 +36,9 @@
     GONE = 'gone'
 
 
+_STATE_ORDER = {state: order for order, state in enumerate(HostState)}
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Host:
     """A registered host.
@@ -50,6 +54,11 @@
     processor: float
     state: HostState = HostState.UP
 
+    @property
+    def precedence(self) -> tuple[int, int]:
+        """Return the sort key: a later state of a host has a greater one."""
+        return self.boot, _STATE_ORDER[self.state]
+
 
 def encode(host: Host) -> bytes:
     """Encode a host as the content of its row."""
@@ -101,6 +110,7 @@
         self._clock = time_source
         self._hosts: dict[identifiers.HostName, Host] = {own.host: own}
         self._decoded_rows: dict[str, tuple[tables.Version, Host | None]] = {}
+        self._unstored: tuple[Host, ...] = ()
         self._suspected_until: dict[identifiers.HostName, float] = {}
         self._revision = 0
         self._usable_cache: tuple[int, tuple[Host, ...]] = (-1, ())
@@ -119,6 +129,11 @@
         """Return all registered hosts and this one, by name."""
         return self._hosts
 
+    @property
+    def unstored(self) -> tuple[Host, ...]:
+        """Return the hosts whose latest known state the store has lost."""
+        return self._unstored
+
     def others(self) -> list[identifiers.HostName]:
         """Return the other hosts that are not gone; majorities count these."""
         return [
@@ -136,15 +151,23 @@
         ]
 
     def update(self, rows: typing.Mapping[str, tables.Row]) -> None:
-        """Replace the known hosts by those in the rows of the store."""
-        hosts = {self.own.host: self.own}
-        for key, row in rows.items():
-            if not key.startswith(PREFIX):
+        """Merge the hosts in the rows of the store, later states only.
+
+        Rows of hosts are never deleted, so a host without a row is kept.
+        """
+        stored = self._decode_rows(rows)
+        hosts = dict(self._hosts)
+        for host in stored.values():
+            known = hosts.get(host.host)
+            if host.host == self.own.host or _is_older(host, known):
                 continue
-            host = self._decode(row)
-            if host is not None and host.host != self.own.host:
-                self._clear_if_restarted(host)
-                hosts[host.host] = host
+            self._clear_if_restarted(host)
+            hosts[host.host] = host
+        self._unstored = tuple(
+            host
+            for host in hosts.values()
+            if host.host not in stored or _is_older(stored[host.host], host)
+        )
         if hosts != self._hosts:
             self._hosts = hosts
             self._revision += 1
@@ -230,6 +253,16 @@
                 del self._suspected_until[host]
                 self._revision += 1
 
+    def _decode_rows(
+        self, rows: typing.Mapping[str, tables.Row]
+    ) -> dict[identifiers.HostName, Host]:
+        decoded = (
+            self._decode(row)
+            for key, row in rows.items()
+            if key.startswith(PREFIX)
+        )
+        return {host.host: host for host in decoded if host is not None}
+
     def _decode(self, row: tables.Row) -> Host | None:
         """Decode a row; each version of it is decoded only once."""
         known = self._decoded_rows.get(row.key)
@@ -242,3 +275,7 @@
         known = self._hosts.get(host.host)
         if known is not None and known.boot != host.boot:
             self.clear_suspicion(host.host)
+
+
+def _is_older(host: Host, known: Host | None) -> bool:
+    return known is not None and host.precedence < known.precedence
--- a/src/egretstep/membership/host_rows.py
+++ b/src/egretstep/membership/host_rows.py
@@ -83,6 +83,15 @@
         stored = await self._read(own)
         await self._put(stored, dataclasses.replace(own, state=state))
 
+    async def write_again(self, host: directory.Host) -> bool:
+        """Write a row that the store has lost; return false if it has not."""
+        stored = await self._read(host)
+        former = directory.decode(stored.content) if stored.content else None
+        if former is not None and former.precedence >= host.precedence:
+            return False
+        await self._put(stored, host)
+        return True
+
     async def _read(self, host: directory.Host) -> tables.Row:
         return await self._store.read_row(
             directory.TABLE, directory.PREFIX + host.host
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -262,6 +262,7 @@
 
     def _apply_fleet_rows(self, rows: watching.Rows) -> None:
         self._hosts.update(rows)
+        self._host_registration.check()
         self._keeper.merge_rows(rows)
         if self._watches.fleet.is_synced and not self._keeper.is_synced:
             self._tasks.record_previous_claims()
