Start counting from the process start only directly after an own claim

What workspaces could see: tokens granted a second time (above the rate). Cause: a host that had held the counting task before its restart took it for still its own whenever it claimed it later, also when another host had counted meanwhile, or when the store was restored to that state. Class: a belief without the version that it holds for. Change: the former claim's epoch is kept, and counts only if the new claim follows it directly.

--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -63,7 +63,7 @@
         self._clock = time_source
         self._owners: dict[deployment.ServiceName, primary.PrimaryOwner] = {}
         self._started_at = time_source.now()
-        self._previously_held_tasks: set[claims.TaskName] = set()
+        self._previous_epochs: dict[claims.TaskName, int] = {}
         self._rate_limiter: grants.FleetRateLimiter | None = None
         self._counting_claim: claims.Claim | None = None
         self._supervisor = supervisor.Supervisor(name='owners')
@@ -127,15 +127,15 @@
 
         They count as empty at a time when no earlier holder of the task can
         have granted tokens any more. That is now, or the start of this process
-        if an earlier process of this host held the task, as that one had
-        ended by then. If the fleet starts for the first time, they are full.
+        if an earlier process of this host held the task in the epoch before,
+        as that one had ended by then. If the fleet starts for the first time,
+        they are full.
         """
         empty_at = self._clock.now()
         if claim.is_settled and fencing.is_first_of_era(claim.epoch):
             empty_at = bucket.LONG_AGO
-        elif claim.task in self._previously_held_tasks:
+        elif self._previous_epochs.get(claim.task) == claim.epoch - 1:
             empty_at = self._started_at
-        self._previously_held_tasks.discard(claim.task)
         self._counting_claim = claim
         self._rate_limiter = grants.FleetRateLimiter(
             current_deployment=self._current_deployment,
@@ -145,10 +145,10 @@
         )
 
     def record_previous_claims(self) -> None:
-        """Record which tasks an earlier process of this host held."""
+        """Record the claims of an earlier process of this host."""
         own = self._hosts.own
-        self._previously_held_tasks = {
-            claim.task
+        self._previous_epochs = {
+            claim.task: claim.epoch
             for claim in self._keeper.known.values()
             if claim.host == own.host
             and claim.boot < own.boot
