Keep zones in service as they are until a restored store is complete

Cause: the evacuations are the rows of the operator's table. A restored store lacks those of the lost seconds until the operator has written them again, and has those again that were taken back, so a zone could return to service, or leave it, for a moment. Change: after a change of era, zones stay as they are for 2.2 s (the platform repeats such writes within about two seconds), then follow the rows. A configuration of the same version with other content replaces the known one: it is the later row of the store.

--- a/src/egretstep/settings/configuration_follower.py
+++ b/src/egretstep/settings/configuration_follower.py
@@ -1,6 +1,8 @@
 """The operators' configuration in force, from a watched table of the store.
 
-A configuration is never replaced by an earlier version.
+A configuration is never replaced by an earlier version. After a restore of
+the store its rows may be older for a moment, until the operator's writes are
+repeated.
 """
 
 import asyncio
@@ -14,6 +16,8 @@
 from egretstep.settings import deployment
 from egretstep.storage import tables, watching
 
+# By then the operator's lost writes are in the restored store again.
+RESTORED_ROWS_SECONDS = 2.2
 _logger = logbook.Logger('configuration')
 
 
@@ -51,6 +55,8 @@
         self._format = table_format
         self._content = b''
         self._source = 'nowhere yet'
+        self._era = watch.version.era
+        self._zones_held: asyncio.TimerHandle | None = None
         self.is_known = asyncio.Event()
         self.changes: subject.BehaviorSubject[deployment.Deployment] = (
             subject.BehaviorSubject(deployment.EMPTY)
@@ -73,9 +79,39 @@
         return self._source
 
     def _on_rows(self, rows: watching.Rows) -> None:
+        is_restored = self._record_era()
         row = rows.get(self._format.key)
         if row is not None:
             self._apply(row.content)
+        if is_restored:
+            self._hold_zones()
+        if self._zones_held is None:
+            self._apply_zones(rows)
+
+    def _record_era(self) -> bool:
+        """Return whether the rows are the first ones after a restore."""
+        former = self._era
+        self._era = self._watch.version.era
+        return self._era > former and self.is_known.is_set()
+
+    def _hold_zones(self) -> None:
+        """Keep the zones in service until the operator's rows are back."""
+        if self._zones_held is not None:
+            self._zones_held.cancel()
+        _logger.info(
+            'the store was restored; zones in service are kept for {} s',
+            RESTORED_ROWS_SECONDS,
+        )
+        loop = asyncio.get_running_loop()
+        self._zones_held = loop.call_later(
+            RESTORED_ROWS_SECONDS, self._release_zones
+        )
+
+    def _release_zones(self) -> None:
+        self._zones_held = None
+        self._apply_zones(self._watch.rows)
+
+    def _apply_zones(self, rows: watching.Rows) -> None:
         zones = self._format.zones_out(rows)
         if zones != self.current.zones_out:
             _logger.info('availability zones out of service: {}', sorted(zones))
@@ -96,9 +132,9 @@
                 error,
             )
             return
-        if decoded.version <= self.version:
+        if decoded.version < self.version:
             _logger.info(
-                'configuration version {} from {} is not later than version '
+                'configuration version {} from {} is earlier than version '
                 '{} and is ignored',
                 decoded.version,
                 self._watch.source,
