Ignore registrations that are older than the known ones

Cause: a restored store shows servers as they were. One that drains was ready again, one that had left was back. Change: a registration carries its sequence; within one process of a server a lower one is ignored, also after the server has left. Registrations of another process have no order, since the time of day can step back. The stand-in counts starts and registrations as the platform does. Evidence: 3 new tests; on the former logic they end in an error, since the sequence was not decoded.

--- a/src/egretstep/backends/connection.py
+++ b/src/egretstep/backends/connection.py
@@ -24,7 +24,8 @@
 
     `slots` is the number of statements that it runs concurrently.
     `started_ms` is its start time in milliseconds, 0 if it gave none; a
-    restarted server has another one.
+    restarted server has another one. `sequence` grows with each registration
+    of a running server.
     """
 
     server: ServerId
@@ -35,6 +36,17 @@
     role: Role
     is_draining: bool = False
     started_ms: int = 0
+    sequence: int = dataclasses.field(default=0, compare=False)
+
+    def follows(self, former: 'BackendServer') -> bool:
+        """Return whether this was registered later than `former`.
+
+        Only registrations of the same process have an order; one of another
+        process is taken for a later one.
+        """
+        if self.started_ms != former.started_ms:
+            return True
+        return self.sequence > former.sequence
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -7,6 +7,7 @@
 from egretstep.settings import deployment
 
 MISSING_ENTRY_SECONDS = 2.2
+MAX_REMOVED_SERVERS = 10_000
 _logger = logbook.Logger('registry')
 
 ServersById = dict[connection.ServerId, connection.BackendServer]
@@ -17,12 +18,14 @@
 
     A server whose entry disappears is kept for `MISSING_ENTRY_SECONDS`,
     because entries that expire during an outage of the store are registered
-    again after it.
+    again after it. After a restore of the store an entry may be older than
+    the known one; it is ignored, also when the server has left meanwhile.
     """
 
     def __init__(self, *, time_source: clock.Clock) -> None:
         self._clock = time_source
         self._servers: ServersById = {}
+        self._removed: ServersById = {}
         self._missing_since: dict[connection.ServerId, float] = {}
         self._revision = 0
         self._zones_out: frozenset[identifiers.ZoneName] = frozenset()
@@ -36,6 +39,11 @@
     def update(self, current: ServersById) -> None:
         """Replace the entries by the current ones of the store."""
         now = self._clock.now()
+        current = {
+            name: self._latest(server)
+            for name, server in current.items()
+            if self._is_present(server)
+        }
         for missing in self._servers.keys() - current.keys():
             if self._missing_since.setdefault(missing, now) == now:
                 _logger.info(
@@ -46,6 +54,7 @@
             if self._servers.get(name) != server:
                 _logger.info('server is new or has changed: {}', server)
                 self._revision += 1
+            self._removed.pop(name, None)
         self._servers = {**self._servers, **current}
 
     def update_zones_out(self, zones: frozenset[identifiers.ZoneName]) -> None:
@@ -89,6 +98,20 @@
                 return server.zone
         return None
 
+    def _is_present(self, server: connection.BackendServer) -> bool:
+        """Return whether an entry is not that of a server that has left."""
+        removed = self._removed.get(server.server)
+        return removed is None or server.follows(removed)
+
+    def _latest(
+        self, server: connection.BackendServer
+    ) -> connection.BackendServer:
+        """Return the later one of an entry and the known entry."""
+        known = self._servers.get(server.server)
+        if known is None or not known.follows(server):
+            return server
+        return known if known.started_ms == server.started_ms else server
+
     def _forget_missing(self) -> None:
         limit = self._clock.now() - MISSING_ENTRY_SECONDS
         for server, since in list(self._missing_since.items()):
@@ -98,4 +121,6 @@
                 )
                 del self._missing_since[server]
                 self._revision += 1
-                self._servers.pop(server, None)
+                self._removed[server] = self._servers.pop(server)
+                if len(self._removed) > MAX_REMOVED_SERVERS:
+                    del self._removed[next(iter(self._removed))]
--- a/src/egretstep/platform/registrations.py
+++ b/src/egretstep/platform/registrations.py
@@ -65,4 +65,5 @@
         is_draining=state == 'draining',
         # `born` is when the server started, in Unix milliseconds.
         started_ms=int(fields.get('born') or 0),
+        sequence=int(fields.get('sequence') or 0),
     )
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -269,10 +269,9 @@
             self._keeper.is_synced = True
 
     def _apply_server_rows(self, rows: watching.Rows) -> None:
-        current = registrations.decode(rows)
-        self._servers.update(current)
+        self._servers.update(registrations.decode(rows))
         self._brokers.stop_reuse_of_foreign_primaries(
-            current.values(),
+            self._servers.all(),
             lambda service: self._tasks.owner(service) is not None,
         )
 
--- a/standins/platform_servers.py
+++ b/standins/platform_servers.py
@@ -84,6 +84,8 @@
         self.advertised_port = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self._listener: asyncio.Server | None = None
+        self._start_count = 0
+        self._registration_count = 0
 
     @property
     def applied_position(self) -> Position:
@@ -109,6 +111,8 @@
         )
         self.port = self._listener.sockets[0].getsockname()[1]
         self.faults.is_down = False
+        self._start_count += 1
+        self._registration_count = 0
 
     async def stop(self) -> None:
         """Stop listening and abort all sessions; the log stays."""
@@ -120,6 +124,7 @@
 
     def registration(self) -> dict[str, typing.Any]:
         """Return the row with which the server registers in the store."""
+        self._registration_count += 1
         return {
             'service': self.group.service,
             'address': f'127.0.0.1:{self.advertised_port or self.port}',
@@ -129,8 +134,8 @@
             'state': self.state,
             'cold_remaining_ms': 0,
             'db_role': 'primary' if self.is_primary else 'replica',
-            'sequence': 1,
-            'born': 1,
+            'sequence': self._registration_count,
+            'born': self._start_count,
         }
 
     async def _serve(
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -1,7 +1,9 @@
 import dataclasses
+import typing
 import unittest
 
 from egretstep import clock, identifiers
+from egretstep.backends import connection
 from egretstep.membership import registry
 from tests import platform_fakes
 
@@ -38,5 +40,41 @@
         self.registry.update_zones_out(frozenset((other,)))
         self.assertTrue(self.registry.takes_work(self.server))
 
-    def _known(self) -> list[object]:
+    def test_an_older_entry_does_not_end_draining(self) -> None:
+        """A restored store shows the server as ready again."""
+        draining = dataclasses.replace(
+            self.server, is_draining=True, sequence=7
+        )
+        self.registry.update({draining.server: draining})
+        self._register(sequence=6)
+        self.assertEqual(self._known(), [draining])
+        self._register(sequence=8)
+        self.assertFalse(self._known()[0].is_draining)
+
+    def test_an_older_entry_does_not_bring_back_a_server(self) -> None:
+        """A restored store shows a server that has left."""
+        self._register(sequence=7)
+        self._remove()
+        self._register(sequence=7)
+        self.assertEqual(self._known(), [])
+        self._register(sequence=8)
+        self.assertEqual(len(self._known()), 1)
+
+    def test_a_restarted_server_counts_its_entries_anew(self) -> None:
+        self._register(sequence=7)
+        for started_ms in (5, 3):
+            self._remove()
+            self._register(sequence=1, started_ms=started_ms)
+            self.assertEqual(self._known()[0].started_ms, started_ms)
+
+    def _register(self, **changed: typing.Any) -> None:
+        entry = dataclasses.replace(self.server, **changed)
+        self.registry.update({entry.server: entry})
+
+    def _remove(self) -> None:
+        self.registry.update({})
+        self.clock.advance(registry.MISSING_ENTRY_SECONDS + 0.1)
+        self.assertEqual(self._known(), [])
+
+    def _known(self) -> list[connection.BackendServer]:
         return list(self.registry.of_service(platform_fakes.SERVICE))
