Follow a table from the first page's version

Cause: a table of more than 500 rows is read in pages, and the version of the last page counted for all. A row of an earlier page that changed meanwhile was missed until its next change. Change: the changes are followed from the first page's version. Evidence: a new test fails on the former logic and passes now.

--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -50,6 +50,8 @@
             query['from'] = prefix
             query['to'] = f'{prefix}{_LAST_CODE_POINT}'
         page = await self._get('rows-get', query)
+        # A row of the first page may change before the last one is read, so
+        # changes must be followed from the first page's version.
         first_page = page
         rows = list(page.rows())
         while page.body['has_more']:
@@ -61,7 +63,7 @@
                     'read it again',
                 )
             rows.extend(page.rows())
-        return tables.Snapshot(rows=tuple(rows), version=page.version)
+        return tables.Snapshot(rows=tuple(rows), version=first_page.version)
 
     async def read_row(self, table: str, key: str) -> tables.Row:
         """Return a row; the version of a missing row `is_absent`."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -12,6 +12,7 @@
 # Table and key of a row.
 RowKey = tuple[str, str]
 SHUTDOWN_TIMEOUT_SECONDS = 0.05
+MAX_PAGE_ROWS = 500
 # Tables that the system can't write to. After a restore, the operator and the
 # servers write again what they wrote since the copy was made.
 _REWRITTEN_TABLES = ('op', 'servers')
@@ -75,6 +76,7 @@
         self.faults = StoreFaults()
         self.promotion_requests: list[PromotionRequest] = []
         self.request_count = 0
+        self.page_size = MAX_PAGE_ROWS
         self.port = 0
         self._groups = {group.service: group for group in groups}
         self._last_version = 0
@@ -190,7 +192,9 @@
             for key in sorted(self.rows)
             if key[0] == table and first_key <= key[1] < end_key
         ]
-        return self._respond({'rows': rows, 'has_more': False})
+        page = rows[: self.page_size]
+        has_more = len(rows) > len(page)
+        return self._respond({'rows': page, 'has_more': has_more})
 
     async def _poll_changes(self, request: web.Request) -> web.Response:
         table = request.query['table']
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """The client of the store, while the store is restored from a copy."""
 
 import asyncio
+import typing
 import unittest
 
 from egretstep import errors
@@ -97,3 +98,35 @@
         await self.client.compare_and_swap(
             TABLE, KEY, expected=expected, content=b'replaced'
         )
+
+
+class PagesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_row_that_changes_between_two_pages_is_not_missed(
+        self,
+    ) -> None:
+        stand_in = platform_store.PlatformStore(groups=())
+        for number in range(2):
+            stand_in.put(TABLE, f'host/{number}', b'first')
+        stand_in.page_size = 1
+        await stand_in.start()
+        self.addAsyncCleanup(stand_in.stop)
+        client = _ChangingPages(stand_in)
+        whole = await client.read(TABLE)
+        later = await client.changes(TABLE, whole.version, longest_wait=0)
+        self.assertEqual([row.content for row in later.rows], [b'second'])
+
+
+class _ChangingPages(store.PlatformStore):
+    """A client for which the first row changes before the last page."""
+
+    def __init__(self, stand_in: platform_store.PlatformStore) -> None:
+        super().__init__(
+            address=node.Address(host='127.0.0.1', port=stand_in.port)
+        )
+        self._stand_in = stand_in
+
+    async def _get(self, *request: typing.Any) -> typing.Any:
+        answer = await super()._get(*request)
+        if answer.body.get('has_more'):
+            self._stand_in.put(TABLE, 'host/0', b'second')
+        return answer
