A host that starts after a restore lets lost leases expire before it confirms

Cause: a claim is verified by a majority that knows no later one. A host that confirmed a takeover in the lost seconds and restarts after the return reads the restored row, and would confirm the former holder: two holders, until the new one is verified. Found on paper, while the model of leases was extended. Change: a process that first read the claims in an era confirms claims of former eras only after the time of one lease. By then the leases that its earlier process confirmed are over, or their holders have asked again. Evidence: 2 new tests fail with the wait taken out, pass with it. Membership, replication and restored-store tests: 106, 0 failed.

--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -16,7 +16,7 @@
 import logbook
 
 from egretstep import clock, errors
-from egretstep.membership import claim_writer, claims, directory
+from egretstep.membership import claim_writer, claims, directory, fencing
 from egretstep.storage import tables
 
 LEASE_SECONDS = 1.25
@@ -28,7 +28,6 @@
     """Holds the leases of this host and the latest known claim of each task.
 
     `task_received` is set when another host hands over a task to this one.
-    `is_synced` is set from outside once the claims in the store were read.
     `first_era` is the store's era when the fleet started for the first time,
     and None if this process was not started then. Only in that era, a task
     without a claim is known to have had no holder.
@@ -58,7 +57,8 @@
         self._takeover_ends_at: dict[claims.TaskName, float] = {}
         self._verified_eras: dict[claims.TaskName, int] = {}
         self._revision = 0
-        self.is_synced = False
+        self._synced_era: int | None = None
+        self._synced_at = float('-inf')
         self.task_received = asyncio.Event()
 
     @property
@@ -66,6 +66,31 @@
         """Return a number that grows with each change of the known claims."""
         return self._revision
 
+    @property
+    def is_synced(self) -> bool:
+        """Return whether the claims in the store were read."""
+        return self._synced_era is not None
+
+    def mark_synced(self, era: int) -> None:
+        """Record that the claims in the store were read in an era."""
+        self._synced_era = era
+        self._synced_at = self._clock.now()
+
+    def can_confirm(self, sent: typing.Sequence[claims.Claim]) -> bool:
+        """Return whether this host may confirm claims of other hosts.
+
+        A process that started after a restore does not know the claims that
+        the store has lost and that an earlier process of this host confirmed.
+        It first lets their leases expire.
+        """
+        if self._synced_era is None:
+            return False
+        if self._clock.now() - self._synced_at >= LEASE_SECONDS:
+            return True
+        return all(
+            fencing.era_of(claim.epoch) >= self._synced_era for claim in sent
+        )
+
     @property
     def known(self) -> typing.Mapping[claims.TaskName, claims.Claim]:
         """Return the latest known claim of each task."""
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -76,12 +76,12 @@
     ) -> None:
         """Merge the claims of another host; return those known to be newer.
 
-        The claims are confirmed only if this host has read the claims in the
-        store.
+        The claims are confirmed only if this host knows all claims that its
+        earlier processes confirmed.
         """
         decoded = [fleet_messages.decode_claim(each) for each in claims]
         newer = self._keeper.newer_claims(decoded)
-        _context.results.confirmed = self._keeper.is_synced
+        _context.results.confirmed = self._keeper.can_confirm(decoded)
         _context.results.newer = [
             fleet_messages.encode_claim(claim) for claim in newer
         ]
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -266,7 +266,7 @@
         self._keeper.merge_rows(rows)
         if self._watches.fleet.is_synced and not self._keeper.is_synced:
             self._tasks.record_previous_claims()
-            self._keeper.is_synced = True
+            self._keeper.mark_synced(self._watches.fleet.version.era)
 
     def _apply_server_rows(self, rows: watching.Rows) -> None:
         self._servers.update(registrations.decode(rows))
--- a/tests/membership/lease_case.py
+++ b/tests/membership/lease_case.py
@@ -28,7 +28,7 @@
         return [
             keeper.newer_claims(claims)
             for keeper in self.keepers
-            if keeper.is_synced
+            if keeper.can_confirm(claims)
         ]
 
     def majority(self) -> int:
@@ -86,7 +86,7 @@
             time_source=self.clock,
             first_era=FIRST_ERA,
         )
-        keeper.is_synced = True
+        keeper.mark_synced(FIRST_ERA)
         self.renewals[name] = lease_renewal.LeaseRenewal(
             keeper=keeper,
             store=self.store,
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -52,7 +52,7 @@
         claim = await self.claim('x')
         self.store.is_down = True
         for name in 'yz':
-            self.keepers[name].is_synced = False
+            self.keepers[name]._synced_era = None
         self.clock.advance(1)
         await self.renewals['x'].renew()
         self.clock.advance(leases.LEASE_SECONDS - 0.5)
--- a/tests/membership/test_leases_after_restore.py
+++ b/tests/membership/test_leases_after_restore.py
@@ -117,6 +117,33 @@
         await self.renewals['y'].renew()
         self.assertEqual(self._stored_claim().detail, 'server-2')
 
+    async def test_a_restarted_host_does_not_confirm_a_former_holder(
+        self,
+    ) -> None:
+        """It confirmed the new holder before, and has forgotten that.
+
+        Both holders would have a lease until the new one is verified.
+        """
+        former, new_claim = await self._take_over_in_lost_seconds()
+        self._forget('z')
+        self.keepers['z'].merge(self._stored_claim())
+        self.keepers['z'].mark_synced(lease_case.FIRST_ERA + 1)
+        self.confirmers['x'].keepers = [self.keepers['z']]
+        await self.renewals['x'].renew()
+        self.assertFalse(self.is_held('x', former))
+        self.assertTrue(self.is_held('y', new_claim))
+
+    async def test_a_restarted_host_confirms_once_lost_leases_are_over(
+        self,
+    ) -> None:
+        claim = await self.claim('x')
+        self.store.restore(dict(self.store.rows))
+        keeper = self.keepers['z']
+        keeper.mark_synced(lease_case.FIRST_ERA + 1)
+        self.assertFalse(keeper.can_confirm([claim]))
+        self.clock.advance(leases.LEASE_SECONDS)
+        self.assertTrue(keeper.can_confirm([claim]))
+
     async def _take_over_in_lost_seconds(
         self,
     ) -> tuple[claims.Claim, claims.Claim]:
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -192,7 +192,7 @@
             time_source=self.clock,
         )
         first = typing.cast(claims.Claim, await self.keeper.claim(TASK))
-        self.keeper.is_synced = True
+        self.keeper.mark_synced(era=1)
         with mock.patch.object(claiming, 'CHECK_INTERVAL_SECONDS', 5):
             self._run(claimant.run())
             await asyncio.sleep(0)
