Claim a task again when its lease expired before its claim was verified

Cause: verification renewed an expired lease too. When the hosts that knew a later claim have forgotten it, a former holder is verified, and then also the later one, whose epoch is greater: both hold a lease. Found on paper. Change: only a lease that has not expired is verified, since then nobody else can hold the task. Otherwise the host claims it again, with the usual wait. Evidence: 2 tests fail with the check taken out and pass with it.

--- a/src/egretstep/membership/lease_renewal.py
+++ b/src/egretstep/membership/lease_renewal.py
@@ -4,7 +4,9 @@
 restore the row may be older than it was, and may show a host that has lost
 the task meanwhile. So in each new era of the store a claim is verified before
 the store renews its lease: a majority of the hosts must know of no later one.
-If the store has lost the claim, it is written again.
+If the store has lost the claim, it is written again. That needs a lease that
+has not expired, since then no other host can hold the task. With an expired
+one the host claims the task again.
 """
 
 import asyncio
@@ -117,14 +119,28 @@
             claim
             for claim in self._keeper.renewed_claims()
             if self._keeper.verified_era(claim.task) != era
+            and not self._drop_expired(claim, era)
         ]
         if not unverified:
             return
-        for claim in unverified:
-            metrics.unrenewed_leases.inc(claim.task)
         confirmed = await self._renew_at_hosts(unverified, self._clock.now())
         await asyncio.gather(*(self._write_again(each) for each in confirmed))
 
+    def _drop_expired(self, claim: claims.Claim, era: int) -> bool:
+        """Drop a lease that has expired before its claim was verified."""
+        metrics.unrenewed_leases.inc(claim.task)
+        if self._keeper.remaining_lease(claim.task):
+            return False
+        self._keeper.drop_lease(claim.task)
+        _logger.info(
+            'task {}: the lease of epoch {} has expired before its claim was '
+            'verified in era {}; the task is claimed again',
+            claim.task,
+            claim.epoch,
+            era,
+        )
+        return True
+
     async def _write_again(self, claim: claims.Claim) -> None:
         """Make sure that the store has a claim of this host."""
         try:
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -135,6 +135,10 @@
             expires_at = sent_at + LEASE_SECONDS
             self._expires_at[task] = max(self._expires_at[task], expires_at)
 
+    def drop_lease(self, task: claims.TaskName) -> None:
+        """Stop renewing a lease, so that this host may claim the task again."""
+        self._expires_at.pop(task, None)
+
     def verified_era(self, task: claims.TaskName) -> int | None:
         """Return the latest era in which this host's claim was verified.
 
--- a/tests/membership/test_leases_after_restore.py
+++ b/tests/membership/test_leases_after_restore.py
@@ -23,10 +23,29 @@
         await self.renewals['x'].renew()
         self.assertFalse(self.is_held('x', former))
         self.assertTrue(self.is_held('y', new_claim))
+        self.assertFalse(self.keepers['x'].is_renewing(lease_case.TASK))
+        self.assertIsNone(
+            await self.keepers['x'].claim(lease_case.TASK, former)
+        )
         self.assertEqual(
             self.keepers['x'].known[lease_case.TASK].epoch, new_claim.epoch
         )
 
+    async def test_an_expired_lease_is_not_renewed_in_a_new_era(self) -> None:
+        """All that knew the later claim of y have forgotten it, but for y.
+
+        x would be verified, and then y too, since its epoch is later.
+        """
+        former, new_claim = await self._take_over_in_lost_seconds()
+        self._forget('z')
+        self.clock.advance(leases.LEASE_SECONDS)
+        self.confirmers['x'].keepers = [self.keepers['z']]
+        await self.renewals['x'].renew()
+        await self.renewals['y'].renew()
+        self.assertFalse(self.is_held('x', former))
+        self.assertFalse(self.is_held('y', new_claim))
+        self.assertGreater((await self.claim('y')).epoch, new_claim.epoch)
+
     async def test_a_claim_is_not_verified_without_a_majority(self) -> None:
         former = await self.claim('x')
         self.store.restore(dict(self.store.rows))
