A takeover is confirmed again after its wait; model of restored leases

Cause: a host that took a task over started after its wait without asking again. If another host had replaced it during the wait, and it had not heard of that, both held a lease: the next one waits only for leases that were confirmed before. In a new era two takers of the former one could start alike. Left out of the model: hosts asked after the wait while the store is silent, and an expired lease that the hosts renew in an outage after a restore.

--- a/specifications/__main__.py
+++ b/specifications/__main__.py
@@ -3,7 +3,13 @@
 import concurrent.futures
 import sys
 
-from specifications import checking, failover, freshness, leases
+from specifications import (
+    checking,
+    failover,
+    freshness,
+    leases,
+    restored_leases,
+)
 
 PROCESSES = 4
 
@@ -14,6 +20,7 @@
         *failover.specifications(),
         *freshness.specifications(),
         *leases.specifications(),
+        *restored_leases.specifications(),
     ]
 
 
--- a/src/egretstep/membership/claim_writer.py
+++ b/src/egretstep/membership/claim_writer.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from egretstep import errors
 from egretstep.membership import (
     claim_rows,
     claims,
@@ -114,6 +115,30 @@
         await self._rows.swap(stored.version, following)
         return following
 
+    async def is_current(self, written: WrittenClaim) -> bool:
+        """Return whether no other host has claimed the task since.
+
+        The store says so, unless it was restored meanwhile. If it does not
+        answer, a majority of the hosts must know of no later claim.
+        """
+        try:
+            stored = await self._rows.read(written.claim.task)
+        except errors.PlatformError as error:
+            _logger.info(
+                'task {}: the store does not confirm epoch {}, the hosts are '
+                'asked: {}',
+                written.claim.task,
+                written.claim.epoch,
+                error,
+            )
+            return await self.notify_majority(written.claim)
+        if stored.claim is not None:
+            self._known.merge(stored.claim)
+        is_same = stored.claim is not None and (
+            stored.claim.epoch == written.claim.epoch
+        )
+        return is_same and stored.era == written.era
+
     async def replace(self, revised: claims.Claim) -> bool:
         """Write a revised claim; return false if a later epoch is stored."""
         return await self._rows.replace(revised)
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -232,7 +232,11 @@
             if not await self._writer.notify_majority(new_claim):
                 return None
             await self._wait_for_former_lease(task)
+            # Another host may have taken over from this one meanwhile, and
+            # waits only for leases that were confirmed before.
             sent_at = self._clock.now()
+            if not await self._writer.is_current(written):
+                return None
             asyncio.ensure_future(self._mark_settled(new_claim))
         if self._claims[task].epoch != new_claim.epoch:
             return None
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -1,6 +1,8 @@
 """Checks that `leases` follows the rule of `specifications/leases.py`."""
 
 import asyncio
+import typing
+from unittest import mock
 
 from egretstep.membership import leases
 from tests import platform_fakes
@@ -8,6 +10,10 @@
 
 
 class LeaseTest(lease_case.LeaseTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.is_z_waiting = False
+
     async def test_a_lease_expires_without_renewal(self) -> None:
         claim = await self.claim('x')
         self.assertTrue(self.keepers['x'].is_held(lease_case.TASK, claim.epoch))
@@ -78,6 +84,36 @@
             self.keepers['y'].is_held(lease_case.TASK, new_claim.epoch)
         )
 
+    async def test_a_holder_that_is_replaced_in_its_wait_gets_no_lease(
+        self,
+    ) -> None:
+        """It did not hear of the next one, and both served for a moment."""
+        former = await self.claim('x')
+        for name in 'yz':
+            self.keepers[name].merge(former)
+        self.confirmers['z'].keepers = [self.keepers['x']]
+        with self._during_wait(self._claim_next):
+            self.assertIsNone(
+                await self.keepers['y'].claim(lease_case.TASK, former)
+            )
+        self.assertFalse(self.keepers['y'].is_renewing(lease_case.TASK))
+        self.assertTrue(self.keepers['z'].is_renewing(lease_case.TASK))
+
+    def _during_wait(
+        self, act: typing.Callable[[float], typing.Awaitable[None]]
+    ) -> typing.ContextManager[object]:
+        return mock.patch.object(leases.asyncio, 'sleep', side_effect=act)
+
+    async def _claim_next(self, seconds: float) -> None:
+        """Let z take over from y, which hears of it from nobody."""
+        self.clock.advance(seconds)
+        keeper = self.keepers['z']
+        if not self.is_z_waiting:
+            self.is_z_waiting = True
+            await keeper.claim(
+                lease_case.TASK, keeper.known.get(lease_case.TASK)
+            )
+
     async def test_a_new_holder_without_a_majority_gets_no_lease(self) -> None:
         former = await self.claim('x')
         self.keepers['y'].merge(former)
