Soak with a store that returns from older copies

The stand-in finds the operator's and servers' lost rows by comparison, so that restores may overlap.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,6 @@
 """Soaks the deployment in faults: one deployment for each seed.
 
-    python -m soak --first 1 --seeds 50 --seconds 12
+    python -m soak --first 1 --seeds 50 --seconds 12 --restores 2
 
 Prints one line a seed, and for one with a broken promise its faults. The
 exit code is 1 when there is any.
@@ -19,6 +19,12 @@
     parser.add_argument('--seeds', type=int, default=5)
     parser.add_argument('--seconds', type=float, default=12)
     parser.add_argument('--port', type=int, default=24000)
+    parser.add_argument(
+        '--restores',
+        type=int,
+        default=0,
+        help='how often the store returns from an older copy',
+    )
     return parser.parse_args()
 
 
@@ -29,6 +35,7 @@
             seed=seed,
             seconds=options.seconds,
             first_port=options.port,
+            restores=options.restores,
         )
         sys.stdout.write(f'{report.text()}\n')
         sys.stdout.flush()
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -85,6 +85,7 @@
         for faulty_proxy in self.proxies:
             faulty_proxy.heal()
         self.store.faults = type(self.store.faults)()
+        await self.store.start()
         for index in self.up:
             self.signal_host(index, signal.SIGCONT)
         for index in list(self.down):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,8 @@
 MIN_GAP_SECONDS = 0.2
 MAX_GAP_SECONDS = 1.6
 CHUNK_DELAY_RANGE_SECONDS = (0.02, 0.25)
+MAX_COPY_AGE_SECONDS = 6.0
+MAX_STORE_AWAY_SECONDS = 2.0
 
 Fault = typing.Callable[
     [deployment.SoakFleet, random.Random, float],
@@ -185,6 +187,19 @@
     fleet.configure()
 
 
+async def restore_store(
+    fleet: deployment.SoakFleet,
+    randomness: random.Random,
+) -> None:
+    """Let the store go away and return from a copy of some seconds before."""
+    copy = fleet.store.copy()
+    await asyncio.sleep(randomness.uniform(0, MAX_COPY_AGE_SECONDS))
+    await fleet.store.stop()
+    await asyncio.sleep(randomness.uniform(0, MAX_STORE_AWAY_SECONDS))
+    fleet.store.restore(copy)
+    await fleet.store.start()
+
+
 # A seed selects faults by position, so another order changes every seed.
 FAULTS: tuple[Fault, ...] = (
     kill_host,
@@ -207,6 +222,8 @@
 class FaultSchedule:
     """Injects random faults that may overlap.
 
+    The store is also restored from a copy `restores` times. Their times come
+    from `restore_randomness`, so that the other faults don't depend on them.
     `injected_faults` describes each fault with its name, and its start and
     duration in seconds.
     """
@@ -216,15 +233,20 @@
         *,
         fleet: deployment.SoakFleet,
         randomness: random.Random,
+        restores: int,
+        restore_randomness: random.Random,
     ) -> None:
         self._fleet = fleet
         self._random = randomness
+        self._restores = restores
+        self._restore_random = restore_randomness
         self.injected_faults: list[str] = []
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a time in seconds, and wait for their ends."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        restoring = asyncio.ensure_future(self._restore_store(seconds))
         running_faults: set[asyncio.Task[None]] = set()
         while loop.time() - started_at < seconds:
             duration = self._random.uniform(
@@ -246,7 +268,18 @@
                 MAX_GAP_SECONDS,
             )
             await asyncio.sleep(gap)
-        await asyncio.gather(*running_faults)
+        await asyncio.gather(restoring, *running_faults)
+
+    async def _restore_store(self, seconds: float) -> None:
+        """Restore the store some times, beside the other faults."""
+        randomness = self._restore_random
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        for _ in range(self._restores):
+            await asyncio.sleep(randomness.uniform(0, seconds / self._restores))
+            elapsed = loop.time() - started_at
+            self.injected_faults.append(f'{elapsed:.2f} restore_store')
+            await restore_store(self._fleet, randomness)
 
 
 async def _take_down_random_host(
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,18 +35,25 @@
         return '\n'.join(lines)
 
 
-async def soak(*, seed: int, seconds: float, first_port: int) -> Report:
+async def soak(
+    *, seed: int, seconds: float, first_port: int, restores: int = 0
+) -> Report:
     """Run callers and the faults of a seed against a new deployment.
 
     The faults go on for `seconds`, and the callers until the deployment has
-    recovered. The hosts listen on ports from `first_port` on. If a guarantee
+    recovered. `restores` is how often the store returns from a copy. The hosts listen on ports from `first_port` on. If a guarantee
     was violated, the logs of the hosts are kept under `soak-SEED` in the
     folder for temporary files.
     """
     randomness = random.Random(seed)
     history = callers.History()
     async with deployment.SoakFleet(first_port=first_port) as fleet:
-        schedule = faults.FaultSchedule(fleet=fleet, randomness=randomness)
+        schedule = faults.FaultSchedule(
+            fleet=fleet,
+            randomness=randomness,
+            restores=restores,
+            restore_randomness=random.Random(f'{seed}/restores'),
+        )
         all_callers = _make_callers(fleet, history, seed)
         caller_tasks = [
             asyncio.ensure_future(caller.run()) for caller in all_callers
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -87,7 +87,12 @@
             group.on_change = self.register_all
 
     async def start(self) -> None:
-        """Listen on loopback; a restart uses the same port."""
+        """Listen on loopback; a restart uses the same port.
+
+        Does nothing if the store is listening.
+        """
+        if self._runner is not None:
+            return
         application = web.Application(middlewares=[self._apply_faults])
         application.router.add_get('/v1/rows-get', self._get_rows)
         application.router.add_get('/v1/rows-feed', self._poll_changes)
@@ -126,12 +131,12 @@
 
         The operator and the servers write their lost changes again.
         """
-        lost_keys = {
-            key
-            for version, key in self._changes
-            if version > copy.version and key[0] in _REWRITTEN_TABLES
+        lost = {
+            key: self.rows.get(key)
+            for key in sorted({*self.rows, *copy.rows})
+            if key[0] in _REWRITTEN_TABLES
+            and self.rows.get(key) != copy.rows.get(key)
         }
-        lost = {key: self.rows.get(key) for key in sorted(lost_keys)}
         self.era += 1
         self.rows = dict(copy.rows)
         self._last_version = copy.version
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,8 @@
 SECONDS = 6.0
 FIRST_PORT = 25_000
 ADDITIONAL_SEED = 1
+RESTORES = 2
+RESTORES_PORT_OFFSET = 900
 
 
 def _regression_seeds() -> list[int]:
@@ -76,3 +78,12 @@
                     first_port=FIRST_PORT + 100 * index,
                 )
                 self.assertEqual(report.violations, [], report.text())
+
+    async def test_a_store_that_returns_from_a_copy(self) -> None:
+        report = await run.soak(
+            seed=ADDITIONAL_SEED,
+            seconds=SECONDS,
+            first_port=FIRST_PORT + RESTORES_PORT_OFFSET,
+            restores=RESTORES,
+        )
+        self.assertEqual(report.violations, [], report.text())
