--- a/src/egretstep/backends/connection.py
+++ b/src/egretstep/backends/connection.py
@@ -38,15 +38,13 @@
     started_ms: int = 0
     sequence: int = dataclasses.field(default=0, compare=False)
 
-    def follows(self, former: 'BackendServer') -> bool:
-        """Return whether this was registered later than `former`.
+    def is_same_process(self, other: 'BackendServer') -> bool:
+        """Return whether two registrations are of one process.
 
-        Only registrations of the same process have an order; one of another
-        process is taken for a later one.
+        Only those have an order, which `sequence` gives: the time of day, and
+        so the start time, may step back.
         """
-        if self.started_ms != former.started_ms:
-            return True
-        return self.sequence > former.sequence
+        return self.started_ms == other.started_ms
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -101,16 +101,18 @@
     def _is_present(self, server: connection.BackendServer) -> bool:
         """Return whether an entry is not that of a server that has left."""
         removed = self._removed.get(server.server)
-        return removed is None or server.follows(removed)
+        if removed is None or not server.is_same_process(removed):
+            return True
+        return server.sequence > removed.sequence
 
     def _latest(
         self, server: connection.BackendServer
     ) -> connection.BackendServer:
         """Return the later one of an entry and the known entry."""
         known = self._servers.get(server.server)
-        if known is None or not known.follows(server):
+        if known is None or not server.is_same_process(known):
             return server
-        return known if known.started_ms == server.started_ms else server
+        return known if known.sequence > server.sequence else server
 
     def _forget_missing(self) -> None:
         limit = self._clock.now() - MISSING_ENTRY_SECONDS
