Soak: start a host once, although two faults bring it up

Two faults that overlap had both found the host down and started it; only the second process was known and ended. Change: ending and starting a host takes a lock for each host.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,5 +1,6 @@
 """Deployment of a soak test, whose hosts connect through faulty proxies."""
 
+import asyncio
 import pathlib
 import signal
 import tempfile
@@ -23,6 +24,8 @@
         self.server_proxies: dict[str, proxy.Proxy] = {}
         self.store_proxies: dict[int, proxy.Proxy] = {}
         self.down: set[int] = set()
+        # Faults overlap, and two of them may end or start the same host.
+        self._host_locks = [asyncio.Lock() for _ in range(HOSTS)]
         self.paused: set[int] = set()
 
     @property
@@ -49,16 +52,18 @@
         self, index: int, signal_number: signal.Signals
     ) -> None:
         """End a host with a signal, unless it is down already."""
-        if index in self.down:
-            return
-        self.down.add(index)
-        await self.stop_host(index, signal_number)
+        async with self._host_locks[index]:
+            if index in self.down:
+                return
+            self.down.add(index)
+            await self.stop_host(index, signal_number)
 
     async def bring_up(self, index: int) -> None:
         """Start a host again if it is down."""
-        if index in self.down:
-            await self.start_host(index)
-            self.down.discard(index)
+        async with self._host_locks[index]:
+            if index in self.down:
+                await self.start_host(index)
+                self.down.discard(index)
 
     def responsive_hosts(self) -> list[int]:
         """Return the indexes of the hosts that are neither down nor paused."""
