Write a verified claim again that a late write has replaced

Cause: a claim was verified once in an era, and after that a row that showed an older claim was only not counted. A write of a former era that the store carries out late can put such a row there, since its number was given out again. Class: the same as before; the postmortem listed it as open. Change: a claim of this host that the store's rows do not show is verified again, which asks the hosts and writes it. Evidence: the new test fails on the code before and passes now. Membership and replication passed. Also: a comment in queue_forecast says why a gap counts, no more.

--- a/src/egretstep/membership/lease_renewal.py
+++ b/src/egretstep/membership/lease_renewal.py
@@ -4,7 +4,8 @@
 restore the row may be older than it was, and may show a host that has lost
 the task meanwhile. So in each new era of the store a claim is verified before
 the store renews its lease: a majority of the hosts must know of no later one.
-If the store has lost the claim, it is written again. That needs a lease that
+If the store has lost the claim, it is written again; a late write of a former
+era can also replace a claim that is verified already. That needs a lease that
 has not expired, since then no other host can hold the task. With an expired
 one the host claims the task again.
 """
@@ -66,7 +67,7 @@
         if stored is None:
             await self._renew_at_hosts(own_claims, self._clock.now())
         else:
-            await self._verify_claims(stored.version.era)
+            await self._verify_claims(own_claims, stored)
 
     async def _renew_at_store(self, sent_at: float) -> tables.Snapshot | None:
         """Return the rows of all claims, None if the store does not answer."""
@@ -113,13 +114,28 @@
             self._keeper.extend_lease(claim, sent_at)
         return confirmed
 
-    async def _verify_claims(self, era: int) -> None:
-        """Verify the claims of this host that are not verified in an era."""
-        unverified = [
+    async def _verify_claims(
+        self,
+        own_claims: typing.Sequence[claims.Claim],
+        stored: tables.Snapshot,
+    ) -> None:
+        """Verify the claims of this host that the store does not confirm.
+
+        They are not verified in the store's era, or the store lacks them.
+        """
+        era = stored.version.era
+        stored_epochs = _epochs_by_task(stored)
+        unconfirmed = [
             claim
-            for claim in self._keeper.renewed_claims()
+            for claim in own_claims
             if self._keeper.verified_era(claim.task) != era
-            and not self._drop_expired(claim, era)
+            or stored_epochs.get(claim.task) != claim.epoch
+        ]
+        renewed = self._keeper.renewed_claims()
+        unverified = [
+            claim
+            for claim in unconfirmed
+            if claim in renewed and not self._drop_expired(claim, era)
         ]
         if not unverified:
             return
@@ -166,3 +182,8 @@
             stored.era,
             stored.claim,
         )
+
+
+def _epochs_by_task(stored: tables.Snapshot) -> dict[claims.TaskName, int]:
+    decoded = (claims.decode(row.content) for row in stored.rows)
+    return {claim.task: claim.epoch for claim in decoded if claim is not None}
--- a/src/egretstep/pooling/queue_forecast.py
+++ b/src/egretstep/pooling/queue_forecast.py
@@ -14,7 +14,7 @@
 # A queue that formed more recently than this has too few grants for a rate.
 MIN_WINDOW_SECONDS = 0.25
 # A longer gap between two grants means that the server was unavailable, not
-# slow; the rate is measured anew after it.
+# slow; grants from before it say nothing about the rate after it.
 MAX_GAP_SECONDS = 0.5
 
 
--- a/tests/membership/test_leases_after_restore.py
+++ b/tests/membership/test_leases_after_restore.py
@@ -46,6 +46,20 @@
         self.assertFalse(self.is_held('y', new_claim))
         self.assertGreater((await self.claim('y')).epoch, new_claim.epoch)
 
+    async def test_a_verified_claim_that_is_overwritten_is_written_again(
+        self,
+    ) -> None:
+        """A late write of the former era met a number given out again."""
+        claim = await self.claim('x')
+        former_rows = dict(self.store.rows)
+        new_claim = await self.claim('x')
+        await self.renewals['x'].renew()
+        self.store.rows = former_rows
+        await self._renew_for_long('x')
+        self.assertGreater(new_claim.epoch, claim.epoch)
+        self.assertTrue(self.is_held('x', new_claim))
+        self.assertEqual(self._stored_epoch(), new_claim.epoch)
+
     async def test_a_claim_is_not_verified_without_a_majority(self) -> None:
         former = await self.claim('x')
         self.store.restore(dict(self.store.rows))
