--- a/src/egretstep/membership/claim_writer.py
+++ b/src/egretstep/membership/claim_writer.py
@@ -134,10 +134,15 @@
             return await self.notify_majority(written.claim)
         if stored.claim is not None:
             self._known.merge(stored.claim)
-        is_same = stored.claim is not None and (
-            stored.claim.epoch == written.claim.epoch
+        if stored.claim and stored.claim.epoch == written.claim.epoch:
+            return stored.era == written.era
+        _logger.info(
+            'task {}: epoch {} was replaced during its wait (stored: {})',
+            written.claim.task,
+            written.claim.epoch,
+            stored.claim,
         )
-        return is_same and stored.era == written.era
+        return False
 
     async def replace(self, revised: claims.Claim) -> bool:
         """Write a revised claim; return false if a later epoch is stored."""
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -110,7 +110,7 @@
         self._clock = time_source
         self._hosts: dict[identifiers.HostName, Host] = {own.host: own}
         self._decoded_rows: dict[str, tuple[tables.Version, Host | None]] = {}
-        self._unstored: tuple[Host, ...] = ()
+        self._missing_from_store: tuple[Host, ...] = ()
         self._suspected_until: dict[identifiers.HostName, float] = {}
         self._revision = 0
         self._usable_cache: tuple[int, tuple[Host, ...]] = (-1, ())
@@ -130,9 +130,9 @@
         return self._hosts
 
     @property
-    def unstored(self) -> tuple[Host, ...]:
+    def missing_from_store(self) -> tuple[Host, ...]:
         """Return the hosts whose latest known state the store has lost."""
-        return self._unstored
+        return self._missing_from_store
 
     def others(self) -> list[identifiers.HostName]:
         """Return the other hosts that are not gone; majorities count these."""
@@ -163,7 +163,7 @@
                 continue
             self._clear_if_restarted(host)
             hosts[host.host] = host
-        self._unstored = tuple(
+        self._missing_from_store = tuple(
             host
             for host in hosts.values()
             if host.host not in stored or _is_older(stored[host.host], host)
--- a/src/egretstep/membership/host_registration.py
+++ b/src/egretstep/membership/host_registration.py
@@ -44,7 +44,10 @@
 
     def check(self) -> None:
         """Check for lost rows, after a change of the hosts in the store."""
-        if any(self._is_responsible(host) for host in self._hosts.unstored):
+        if any(
+            self._is_responsible(host)
+            for host in self._hosts.missing_from_store
+        ):
             self._is_row_lost.set()
 
     async def _register(self) -> None:
@@ -66,7 +69,7 @@
     async def _write_lost_rows(self) -> None:
         spread = SPREAD_SECONDS_PER_HOST * len(self._hosts.hosts)
         await asyncio.sleep(random.uniform(0, spread))
-        for host in self._hosts.unstored:
+        for host in self._hosts.missing_from_store:
             if self._is_responsible(host):
                 await self._write_again(host)
 
--- a/src/egretstep/membership/lease_renewal.py
+++ b/src/egretstep/membership/lease_renewal.py
@@ -168,7 +168,8 @@
                 await self._rows.swap(stored.version, latest)
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.warning(
-                'task {}: claim of epoch {} not verified in the store: {}',
+                'task {}: claim of epoch {} could not be verified in the store; '
+                'tried again at the next renewal: {}',
                 claim.task,
                 claim.epoch,
                 error,
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -271,6 +271,13 @@
             _logger.warning('task {} could not be handed over: {}', task, error)
             return False
         if following is None:
+            _logger.warning(
+                'task {} was not handed over to {}: epoch {} is over, or not '
+                'verified in the era of the store; another host claims it',
+                task,
+                successor.host,
+                claim.epoch,
+            )
             return False
         self.merge(following)
         await self._confirmers.confirm([following])
