Don't release a task whose lease expired before its claim was verified

Cause: the same as for renewals: in a new era, a majority that has forgotten a later claim confirms a former holder. Its hand-over was taken for a release, so that the successor started without a wait, beside the later holder. Change: as for renewals, an expired lease that is not verified gives nothing away; the task is claimed with the usual wait. The line of an abandoned takeover names both eras.

--- a/src/egretstep/membership/claim_writer.py
+++ b/src/egretstep/membership/claim_writer.py
@@ -26,6 +26,18 @@
     era: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndedLease:
+    """A lease that its holder has just ended in order to release the task.
+
+    `verified_era` is the latest era in which the holder's claim was verified,
+    and `has_expired` says whether the lease had expired before.
+    """
+
+    verified_era: int | None
+    has_expired: bool
+
+
 class KnownClaims(typing.Protocol):
     """The latest claim of each task that this host knows."""
 
@@ -95,17 +107,18 @@
         self,
         claim: claims.Claim,
         successor: directory.Host,
-        *,
-        verified_era: int | None,
+        lease: EndedLease,
     ) -> claims.Claim | None:
         """Write the claim of a successor of this host.
 
         Returns None if this host's claim is over, or if that can't be
-        excluded: the claim was not verified in the store's era, and no
-        majority of the hosts confirms it.
+        excluded: the claim was not verified in the store's era, and the lease
+        had expired or no majority of the hosts confirms the claim.
         """
         stored = await self._rows.read(claim.task)
-        is_verified = verified_era == stored.era
+        is_verified = lease.verified_era == stored.era
+        if lease.has_expired and not is_verified:
+            return None
         if not is_verified and not await self.notify_majority(claim):
             return None
         latest = self._known.known[claim.task]
@@ -134,12 +147,16 @@
             return await self.notify_majority(written.claim)
         if stored.claim is not None:
             self._known.merge(stored.claim)
-        if stored.claim and stored.claim.epoch == written.claim.epoch:
-            return stored.era == written.era
+        is_same = stored.claim and stored.claim.epoch == written.claim.epoch
+        if is_same and stored.era == written.era:
+            return True
         _logger.info(
-            'task {}: epoch {} was replaced during its wait (stored: {})',
+            'task {}: epoch {}, written in era {}, is not confirmed after its '
+            'wait and not started; era {} of the store holds {}',
             written.claim.task,
             written.claim.epoch,
+            written.era,
+            stored.era,
             stored.claim,
         )
         return False
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -261,12 +261,14 @@
 
         The caller must have stopped the task, as the lease ends at once.
         """
-        self._expires_at.pop(task, None)
         claim = self._claims[task]
+        lease = claim_writer.EndedLease(
+            verified_era=self.verified_era(task),
+            has_expired=not self.remaining_lease(task),
+        )
+        self._expires_at.pop(task, None)
         try:
-            following = await self._writer.release(
-                claim, successor, verified_era=self.verified_era(task)
-            )
+            following = await self._writer.release(claim, successor, lease)
         except (errors.PlatformError, errors.ConflictError) as error:
             _logger.warning('task {} could not be handed over: {}', task, error)
             return False
--- a/tests/membership/test_leases_after_restore.py
+++ b/tests/membership/test_leases_after_restore.py
@@ -133,6 +133,20 @@
         self.assertFalse(released)
         self.assertTrue(self.is_held('y', new_claim))
 
+    async def test_an_expired_lease_is_not_released_in_a_new_era(self) -> None:
+        """All that knew the later claim of y have forgotten it, but for y.
+
+        The successor would start at once, beside y.
+        """
+        _, new_claim = await self._take_over_in_lost_seconds()
+        self._forget('z')
+        self.confirmers['x'].keepers = [self.keepers['z']]
+        released = await self.keepers['x'].hand_over(
+            lease_case.TASK, platform_fakes.host('z')
+        )
+        self.assertFalse(released)
+        self.assertTrue(self.is_held('y', new_claim))
+
     async def test_a_planned_hand_over_follows_a_lost_claim(self) -> None:
         await self._take_over_in_lost_seconds()
         released = await self.keepers['y'].hand_over(
