Tests of pauses and planned changes run on virtual time

Cause: the test counted the reads of 0.6 s of real time. Undisturbed there are 5 and 3; the fifth read is due at 0.55 s, so that a machine that stands still for 50 ms or more loses it.

Change: VirtualTimeTestCase runs a test on the loop of virtual time that the tests of load had already, and the monotonic clock shows the same time. The check is unchanged. Seven modules of tests without sockets or threads use it: the one above, planned changes, hand-overs, failover, grants, brokers, running statements.

Ruled out: a fault in the backoff; its pauses are the same to the millisecond in all undisturbed runs.

--- a/tests/limits/test_grants.py
+++ b/tests/limits/test_grants.py
@@ -8,7 +8,7 @@
 from egretstep import clock, identifiers
 from egretstep.limits import bucket, grants
 from egretstep.settings import deployment
-from tests import platform_fakes
+from tests import platform_fakes, virtual_time
 
 HOSTS = tuple(identifiers.HostName(f'host-{index}') for index in range(4))
 RATE = 20
@@ -95,7 +95,7 @@
         self.assertAlmostEqual(grant.wait, 3 / RATE)
 
 
-class HostRateLimiterTest(unittest.IsolatedAsyncioTestCase):
+class HostRateLimiterTest(virtual_time.VirtualTimeTestCase):
     def setUp(self) -> None:
         self.clock = clock.ManualClock(start=100)
         self.grant: grants.Grant | None = grants.Grant(granted=1)
--- a/tests/pooling/test_broker.py
+++ b/tests/pooling/test_broker.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import unittest
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
@@ -12,7 +11,7 @@
     workspace_connections,
 )
 from egretstep.pooling import work as work_module
-from tests import platform_fakes
+from tests import platform_fakes, virtual_time
 
 LINK = work_module.LinkId(1)
 READ = commands.Command(action=commands.Action.READ, text=b'READ a')
@@ -38,7 +37,7 @@
     )
 
 
-class BrokerTest(unittest.IsolatedAsyncioTestCase):
+class BrokerTest(virtual_time.VirtualTimeTestCase):
     def setUp(self) -> None:
         self.server = platform_fakes.FakeServer(name='server-1')
         self.clock = clock.ManualClock(start=100)
--- a/tests/pooling/test_running.py
+++ b/tests/pooling/test_running.py
@@ -6,17 +6,17 @@
 
 import asyncio
 import time
-import unittest
 
 from egretstep import clock, identifiers
 from egretstep.pooling import running
+from tests import virtual_time
 
 SERVER = identifiers.ServerName('p')
 CLEANUP_SECONDS = 0.2
 LONG_SECONDS = 5.0
 
 
-class RunningStatementsTest(unittest.IsolatedAsyncioTestCase):
+class RunningStatementsTest(virtual_time.VirtualTimeTestCase):
     def setUp(self) -> None:
         self.clock = clock.MonotonicClock()
         self.statements = running.RunningStatements(time_source=self.clock)
--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -1,13 +1,12 @@
 """Tests which server is primary, and when its replacement ends."""
 
 import asyncio
-import unittest
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, connection
 from egretstep.replication import failover
 from egretstep.settings import deployment
-from tests import platform_fakes
+from tests import platform_fakes, virtual_time
 
 
 class _Servers:
@@ -51,7 +50,7 @@
             promoted.term += 1
 
 
-class FailoverTest(unittest.IsolatedAsyncioTestCase):
+class FailoverTest(virtual_time.VirtualTimeTestCase):
     def setUp(self) -> None:
         self.first = platform_fakes.FakeServer(
             name='first',
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -4,7 +4,6 @@
 import contextlib
 import time
 import typing
-import unittest
 from unittest import mock
 
 from egretstep import clock, identifiers
@@ -21,7 +20,7 @@
 from egretstep.replication import failover, primary
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
-from tests import platform_fakes
+from tests import platform_fakes, virtual_time
 
 TASK = dispatcher.ownership_task(platform_fakes.SERVICE)
 LINK = work_module.LinkId(1)
@@ -74,8 +73,9 @@
         return self.remaining
 
 
-class HandOverTest(unittest.IsolatedAsyncioTestCase):
+class HandOverTest(virtual_time.VirtualTimeTestCase):
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.server = platform_fakes.FakeServer(
             name='first',
             role=connection.Role.PRIMARY,
--- a/tests/replication/test_planned_change.py
+++ b/tests/replication/test_planned_change.py
@@ -5,7 +5,6 @@
 import dataclasses
 import time
 import typing
-import unittest
 
 from egretstep import clock, errors
 from egretstep.backends import answers, commands, connection
@@ -15,7 +14,7 @@
 from egretstep.replication import failover, primary
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
-from tests import platform_fakes
+from tests import platform_fakes, virtual_time
 
 TASK = dispatcher.ownership_task(platform_fakes.SERVICE)
 LINK = work_module.LinkId(1)
@@ -91,8 +90,9 @@
         self._promoted.term = 2
 
 
-class PlannedChangeTest(unittest.IsolatedAsyncioTestCase):
+class PlannedChangeTest(virtual_time.VirtualTimeTestCase):
     async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
         self.first = platform_fakes.FakeServer(
             name='first',
             role=connection.Role.PRIMARY,
--- a/tests/storage/test_watching.py
+++ b/tests/storage/test_watching.py
@@ -3,7 +3,7 @@
 
 from egretstep import clock, errors
 from egretstep.storage import tables, watching
-from tests import platform_fakes
+from tests import platform_fakes, virtual_time
 
 MIN_PAUSE_SECONDS = 0.5
 PAUSE_PER_ROW_SECONDS = 0.02
@@ -37,7 +37,7 @@
         return tables.Snapshot(rows=tuple(rows), version=version)
 
 
-class PauseTest(unittest.IsolatedAsyncioTestCase):
+class PauseTest(virtual_time.VirtualTimeTestCase):
     def test_small_tables_have_the_minimum_pause(self) -> None:
         pause = watching.pause_by_rows(MIN_PAUSE_SECONDS, PAUSE_PER_ROW_SECONDS)
         self.assertEqual(pause(dict.fromkeys(range(25))), MIN_PAUSE_SECONDS)
@@ -86,7 +86,7 @@
         return tables.Snapshot(rows=(), version=self.version)
 
 
-class ReturnTest(unittest.IsolatedAsyncioTestCase):
+class ReturnTest(virtual_time.VirtualTimeTestCase):
     async def test_the_first_poll_after_a_failure_does_not_wait(self) -> None:
         """A poll waited for a change after a number of the former era."""
         store = ReturningStore()
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -3,6 +3,8 @@
 import asyncio
 import selectors
 import typing
+import unittest
+from unittest import mock
 
 
 class _VirtualSelector(selectors.SelectSelector):
@@ -50,3 +52,34 @@
     """Run a coroutine on virtual time and return its result."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(coroutine)
+
+
+class _VirtualLoopPolicy(asyncio.DefaultEventLoopPolicy):
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        return VirtualLoop()
+
+
+class VirtualTimeTestCase(unittest.IsolatedAsyncioTestCase):
+    """Test case on virtual time, which `clock.MonotonicClock` shows too.
+
+    A busy machine delays nothing in it. Only for tests without sockets and
+    threads.
+    """
+
+    def run(
+        self,
+        result: unittest.TestResult | None = None,
+    ) -> unittest.TestResult | None:
+        """Run the test in a loop on virtual time."""
+        asyncio.set_event_loop_policy(_VirtualLoopPolicy())
+        try:
+            return super().run(result)
+        finally:
+            asyncio.set_event_loop_policy(None)
+
+    async def asyncSetUp(self) -> None:
+        """Let the monotonic clock show the time of the loop."""
+        loop = asyncio.get_running_loop()
+        patch = mock.patch('time.monotonic', loop.time)
+        patch.start()
+        self.addCleanup(patch.stop)
