Keep following a relay that has read only some tables after a restore

What callers would see: nothing at once; after a return of the store, hosts left their relays and read the store's tables whole themselves. With 1,400 hosts that is a wave of whole reads at the moment of the return.

Cause: an update of the feed stated the era of the host's first table. A relay reads its tables again one by one, each after a random pause of up to 0.1 s. If another table came first, followers took its new era from the update, and found the next update, still of the first table's era, to be "of an earlier era".

Change: an update states the latest era that the host knows. How old its tables are is bounded by the age as before; a host that knows of no later era is passed over as before.

Evidence: found as the tests of the feed went onto virtual time: test_changes_of_a_new_era_reach_the_followers failed in 6 of 25 runs, its log shows the order of reads above. test_relay_that_has_reread_some_tables_stays_ followed fails on the code before (10 of 10) and passes (30 of 30).

Ruled out: an exception of the confirmation (HistoryGoneError is logged and bounded by the age).

--- a/src/egretstep/storage/change_feed.py
+++ b/src/egretstep/storage/change_feed.py
@@ -33,7 +33,8 @@
     """Changes of some tables.
 
     `age` is the number of seconds since the store confirmed that there was
-    nothing newer, in the store's era `era`.
+    nothing newer. `era` is the latest era of the store that the host knows;
+    after a restore it may still have some of its tables to read again.
     """
 
     age: float
@@ -102,8 +103,11 @@
             found = self._collect(known)
         if self.age > self._wait:
             await self._confirm()
-        era = self._watches[0].version.era
-        return FeedUpdate(age=self.age, era=era, tables=found)
+        return FeedUpdate(
+            age=self.age,
+            era=_latest_era(self._watches),
+            tables=found,
+        )
 
     def _has_answer(self, found: dict[str, tables.Snapshot]) -> bool:
         """Tell whether there are changes to answer with.
@@ -240,7 +244,7 @@
 
     def _is_recent(self, update: FeedUpdate) -> bool:
         """Return whether an update is recent and of no earlier era."""
-        known_era = max(watch.version.era for watch in self._watches.values())
+        known_era = _latest_era(self._watches.values())
         return update.age <= self._max_age and update.era >= known_era
 
     async def _request_changes(
@@ -278,3 +282,7 @@
                 watch.follows_store.set()
             else:
                 watch.follows_store.clear()
+
+
+def _latest_era(watches: typing.Iterable[watching.TableWatch]) -> int:
+    return max(watch.version.era for watch in watches)
