--- a/tests/storage/test_change_feed.py
+++ b/tests/storage/test_change_feed.py
@@ -2,167 +2,43 @@
 import typing
 from unittest import mock
 
-from egretstep import clock, errors, identifiers
+from egretstep import identifiers
 from egretstep.storage import change_feed, tables, watching
 from tests import platform_fakes, virtual_time
+from tests.storage import feed_fakes
 
-WAIT_SECONDS = 0.1
-TABLE = 'op'
-OTHER_TABLE = 'servers'
 SOON = 0.5
 
 
-class FakeStore:
-    """A store whose change feed answers as soon as a row changes."""
-
-    def __init__(self) -> None:
-        self.calls = 0
-        self.is_down = False
-        self.rows: dict[str, tables.Row] = {}
-        self.version = platform_fakes.version(1)
-        self._changed = asyncio.Event()
-
-    def put(self, key: str, content: bytes | None = b'x') -> None:
-        number = self.version.number + 1
-        self.version = self.version._replace(number=number)
-        self.rows[key] = tables.Row(
-            key=key,
-            content=content or b'',
-            version=self.version,
-            is_deleted=content is None,
-        )
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def restore(self, keys: set[str]) -> None:
-        """Begin a new era with rows of these keys and a lower version."""
-        era = self.version.era + 1
-        self.version = platform_fakes.version(1, era=era)
-        self.rows = {}
-        for key in keys:
-            self.put(key)
-
-    async def read(self, _table: str, _prefix: str = '') -> tables.Snapshot:
-        self._call()
-        rows = tuple(row for row in self.rows.values() if not row.is_deleted)
-        return tables.Snapshot(rows=rows, version=self.version)
-
-    async def changes(
-        self,
-        _table: str,
-        after: tables.Version,
-        *,
-        longest_wait: float = tables.LONGEST_WAIT_SECONDS,
-    ) -> tables.Snapshot:
-        self._call()
-        if longest_wait and self.version <= after:
-            await asyncio.wait_for(self._changed.wait(), longest_wait)
-        self._check()
-        if self.version.era != after.era:
-            raise tables.HistoryGoneError(f'after {after}')
-        rows = tuple(row for row in self.rows.values() if row.version > after)
-        return tables.Snapshot(rows=rows, version=self.version)
-
-    def _call(self) -> None:
-        self.calls += 1
-        self._check()
-
-    def _check(self) -> None:
-        if self.is_down:
-            raise errors.PlatformError('the store is down')
-
-
-class FakeSource:
-    """Source that returns the hosts that the test sets."""
-
-    def __init__(self, relay: str | None) -> None:
-        self.relay_host = relay
-        self.other_host: str | None = None
-        self.passed_over: list[str] = []
-
-    def relay(self) -> typing.Any:
-        return None if self.relay_host in self.passed_over else self.relay_host
-
-    def any_host(self) -> typing.Any:
-        return self.other_host
-
-    def avoid(self, host: identifiers.HostName) -> None:
-        self.passed_over.append(host)
-
-
-class Host:
-    """The watches, feed server and feed follower of one host."""
-
-    def __init__(self, store: FakeStore, relay: str | None = None) -> None:
-        self.clock = clock.MonotonicClock()
-        self.watches = [
-            watching.TableWatch(
-                store=typing.cast(tables.Tables, store),
-                table=table,
-                time_source=self.clock,
-            )
-            for table in (TABLE, OTHER_TABLE)
-        ]
-        self.watch = self.watches[0]
-        self.feed_server = change_feed.FeedServer(
-            watches=self.watches,
-            wait=WAIT_SECONDS,
-            time_source=self.clock,
-        )
-        self.fake_source = FakeSource(relay)
-        self.others: dict[str, Host] = {}
-        self.store_answers = True
-        self.follower = change_feed.FeedFollower(
-            watches=self.watches,
-            source=self.fake_source,
-            poll_host=self._poll_host,
-            wait=WAIT_SECONDS,
-            store_answers=lambda: self.store_answers,
-            fleet_size=lambda: 3,
-            start_delay=0,
-            time_source=self.clock,
-        )
-
-    @property
-    def keys(self) -> set[str]:
-        return set(self.watch.rows)
-
-    async def _poll_host(
-        self,
-        host: identifiers.HostName,
-        known: change_feed.Versions,
-    ) -> change_feed.FeedUpdate | None:
-        other_host = self.others.get(host)
-        return await other_host.feed_server.poll(known) if other_host else None
-
-
 class ChangeFeedTest(virtual_time.VirtualTimeTestCase):
     """Many hosts follow the same tables of the store."""
 
     def setUp(self) -> None:
         self.running: list[asyncio.Future[None]] = []
-        self.store = FakeStore()
+        self.store = feed_fakes.FakeStore()
         self.store.put('first')
 
     def tearDown(self) -> None:
         for task in self.running:
             task.cancel()
 
-    async def _start(self, host: Host) -> Host:
+    async def _start(self, host: feed_fakes.Host) -> feed_fakes.Host:
         for run in (*(each.run for each in host.watches), host.follower.run):
             self.running.append(asyncio.ensure_future(run()))
         await asyncio.sleep(0.02)
         return host
 
-    async def _relayed(self, count: int) -> tuple[Host, list[Host]]:
-        relay = await self._start(Host(self.store))
+    async def _relayed(
+        self, count: int
+    ) -> tuple[feed_fakes.Host, list[feed_fakes.Host]]:
+        relay = await self._start(feed_fakes.Host(self.store))
         followers = []
         for _ in range(count):
-            follower = Host(self.store, relay='relay')
+            follower = feed_fakes.Host(self.store, relay='relay')
             follower.others['relay'] = relay
             followers.append(await self._start(follower))
         self.store.put('settling')
-        await asyncio.sleep(WAIT_SECONDS * 2.5)
+        await asyncio.sleep(feed_fakes.WAIT_SECONDS * 2.5)
         return relay, followers
 
     async def test_store_calls_do_not_grow_with_the_fleet(self) -> None:
@@ -187,8 +63,8 @@
     async def test_relay_without_history_sends_all_keys(
         self,
     ) -> None:
-        late = Host(self.store)
-        follower = Host(self.store)
+        late = feed_fakes.Host(self.store)
+        follower = feed_fakes.Host(self.store)
         follower.watch.accept(
             tables.Snapshot(
                 rows=(
@@ -203,35 +79,43 @@
             confirmed_at=0,
         )
         late.watch.accept(
-            await self.store.read(TABLE),
+            await self.store.read(feed_fakes.TABLE),
             confirmed_at=late.clock.now(),
         )
         late.watch._history_start = self.store.version
-        answer = await late.feed_server.poll({TABLE: follower.watch.version})
-        follower.watch.accept(answer.tables[TABLE], confirmed_at=0)
+        answer = await late.feed_server.poll({
+            feed_fakes.TABLE: follower.watch.version
+        })
+        follower.watch.accept(answer.tables[feed_fakes.TABLE], confirmed_at=0)
         self.assertEqual(follower.keys, {'first'})
 
     async def test_stale_relay_sends_no_changes(self) -> None:
-        behind = Host(self.store)
-        ahead = Host(self.store)
-        behind.watch.accept(await self.store.read(TABLE), confirmed_at=0)
+        behind = feed_fakes.Host(self.store)
+        ahead = feed_fakes.Host(self.store)
+        behind.watch.accept(
+            await self.store.read(feed_fakes.TABLE), confirmed_at=0
+        )
         self.store.put('newer')
-        ahead.watch.accept(await self.store.read(TABLE), confirmed_at=0)
-        answer = await behind.feed_server.poll({TABLE: ahead.watch.version})
+        ahead.watch.accept(
+            await self.store.read(feed_fakes.TABLE), confirmed_at=0
+        )
+        answer = await behind.feed_server.poll({
+            feed_fakes.TABLE: ahead.watch.version
+        })
         self.assertEqual(dict(answer.tables), {})
         self.assertEqual(ahead.keys, {'first', 'newer'})
 
     async def test_relay_with_stale_answers_is_passed_over(self) -> None:
         relay, (follower,) = await self._relayed(1)
         self.assertFalse(follower.watch.follows_store.is_set())
-        cut_off = FakeStore()
+        cut_off = feed_fakes.FakeStore()
         cut_off.is_down = True
         for watch in relay.watches:
             watch._store = typing.cast(tables.Tables, cut_off)
         # The open feeds of the relay receive nothing any more.
         self.running[0].cancel()
         self.running[1].cancel()
-        await asyncio.sleep(WAIT_SECONDS * 4)
+        await asyncio.sleep(feed_fakes.WAIT_SECONDS * 4)
         self.store.put('after the cut')
         await asyncio.sleep(0.05)
         self.assertEqual(follower.fake_source.passed_over[:1], ['relay'])
@@ -240,53 +124,61 @@
     async def test_unreachable_relay_is_passed_over_at_once(self) -> None:
         follower = (await self._relayed(1))[1][0]
         follower.others.clear()
-        await asyncio.sleep(WAIT_SECONDS * 1.5)
+        await asyncio.sleep(feed_fakes.WAIT_SECONDS * 1.5)
         self.store.put('after the loss')
         await asyncio.sleep(0.05)
         self.assertIn('after the loss', follower.keys)
 
     async def test_host_without_the_store_follows_another_host(self) -> None:
-        other_host = await self._start(Host(self.store))
-        refused = FakeStore()
+        other_host = await self._start(feed_fakes.Host(self.store))
+        refused = feed_fakes.FakeStore()
         refused.put('first')
-        alone = Host(refused)
+        alone = feed_fakes.Host(refused)
         alone.others['other'] = other_host
         alone.fake_source.other_host = 'other'
         await self._start(alone)
         self.store.put('only told to others')
         # Its own feed is open but silent; a lease call found the store down.
         alone.store_answers = False
-        await asyncio.sleep(change_feed.SOURCE_CHECK_SECONDS + WAIT_SECONDS * 2)
+        await asyncio.sleep(
+            change_feed.SOURCE_CHECK_SECONDS + feed_fakes.WAIT_SECONDS * 2
+        )
         self.assertIn('only told to others', alone.keys)
         self.assertEqual(alone.watch.source, 'other')
 
     async def test_starting_relay_answers_after_its_first_read(self) -> None:
         """A whole fleet starts at once, including its relays."""
-        relay = Host(self.store)
+        relay = feed_fakes.Host(self.store)
         relay.watches[1].accept(
-            await self.store.read(OTHER_TABLE), confirmed_at=0
+            await self.store.read(feed_fakes.OTHER_TABLE), confirmed_at=0
         )
         asked = asyncio.ensure_future(
             relay.feed_server.poll({
-                TABLE: tables.NO_VERSION,
-                OTHER_TABLE: tables.NO_VERSION,
+                feed_fakes.TABLE: tables.NO_VERSION,
+                feed_fakes.OTHER_TABLE: tables.NO_VERSION,
             })
         )
-        await asyncio.sleep(WAIT_SECONDS / 4)
+        await asyncio.sleep(feed_fakes.WAIT_SECONDS / 4)
         self.assertFalse(asked.done())
         now = relay.clock.now()
-        relay.watch.accept(await self.store.read(TABLE), confirmed_at=now)
+        relay.watch.accept(
+            await self.store.read(feed_fakes.TABLE), confirmed_at=now
+        )
         answer = await asked
-        self.assertLess(answer.age, WAIT_SECONDS)
-        self.assertEqual(set(answer.tables), {TABLE, OTHER_TABLE})
+        self.assertLess(answer.age, feed_fakes.WAIT_SECONDS)
+        self.assertEqual(
+            set(answer.tables), {feed_fakes.TABLE, feed_fakes.OTHER_TABLE}
+        )
 
     async def test_table_that_the_relay_has_not_read_stays_unsynced(
         self,
     ) -> None:
-        relay = Host(self.store)
+        relay = feed_fakes.Host(self.store)
         now = relay.clock.now()
-        relay.watch.accept(await self.store.read(TABLE), confirmed_at=now)
-        new = Host(self.store, relay='relay')
+        relay.watch.accept(
+            await self.store.read(feed_fakes.TABLE), confirmed_at=now
+        )
+        new = feed_fakes.Host(self.store, relay='relay')
         new.others['relay'] = relay
         for watch in new.watches:
             watch._requires_store_read = False
@@ -296,27 +188,31 @@
             [True, False],
         )
 
-    @mock.patch.object(watching, 'WHOLE_READ_SPREAD_SECONDS', WAIT_SECONDS / 10)
+    @mock.patch.object(
+        watching, 'WHOLE_READ_SPREAD_SECONDS', feed_fakes.WAIT_SECONDS / 10
+    )
     async def test_changes_of_a_new_era_reach_the_followers(self) -> None:
         follower = (await self._relayed(1))[1][0]
         self.store.restore({'restored'})
-        await asyncio.sleep(WAIT_SECONDS)
+        await asyncio.sleep(feed_fakes.WAIT_SECONDS)
         self.assertEqual(follower.keys, {'restored'})
         self.store.put('written later')
-        await asyncio.sleep(WAIT_SECONDS)
+        await asyncio.sleep(feed_fakes.WAIT_SECONDS)
         self.assertIn('written later', follower.keys)
         self.assertEqual(follower.fake_source.passed_over, [])
 
     async def test_relay_that_has_not_noticed_the_restore_is_passed_over(
         self,
     ) -> None:
-        relay = Host(self.store)
+        relay = feed_fakes.Host(self.store)
         now = relay.clock.now()
-        relay.watch.accept(await self.store.read(TABLE), confirmed_at=now)
-        follower = Host(self.store, relay='relay')
+        relay.watch.accept(
+            await self.store.read(feed_fakes.TABLE), confirmed_at=now
+        )
+        follower = feed_fakes.Host(self.store, relay='relay')
         follower.others['relay'] = relay
         self.store.restore({'restored'})
-        follower.watch.load(await self.store.read(TABLE))
+        follower.watch.load(await self.store.read(feed_fakes.TABLE))
         confirmed_at = follower.watch.confirmed_at
         await follower.follower._follow_host(identifiers.HostName('relay'))
         self.assertEqual(follower.fake_source.passed_over, ['relay'])
@@ -326,8 +222,8 @@
         self,
     ) -> None:
         """All hosts left their relays for the store after each restore."""
-        relay = Host(self.store)
-        follower = Host(self.store, relay='relay')
+        relay = feed_fakes.Host(self.store)
+        follower = feed_fakes.Host(self.store, relay='relay')
         follower.others['relay'] = relay
         for watch in (*relay.watches, *follower.watches):
             watch.load(await self.store.read(watch.table))
@@ -346,8 +242,8 @@
     async def test_started_host_reads_the_store_first(
         self,
     ) -> None:
-        relay = await self._start(Host(self.store))
-        new = Host(self.store, relay='relay')
+        relay = await self._start(feed_fakes.Host(self.store))
+        new = feed_fakes.Host(self.store, relay='relay')
         new.others['relay'] = relay
         await new.follower._follow_host(
             identifiers.HostName('relay'),
