Write the stacks of threads and tasks of a process on SIGUSR1

Change: SIGUSR1 writes the threads' stacks, by a handler that needs no event loop, and then a log line for each place at which tasks wait (at most 50). The soak sends it to a host that owes an answer, before it ends the host.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -229,3 +229,4 @@
         """Record a missing answer, unless the host is paused or down."""
         if self._host_index in self._fleet.responsive_hosts():
             self._history.unanswered.append(item)
+            self._fleet.write_stacks(self._host_index)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -69,6 +69,10 @@
         """Return the indexes of the hosts that are neither down nor paused."""
         return [index for index in self.up if index not in self.paused]
 
+    def write_stacks(self, index: int) -> None:
+        """Let a host write to its log where its threads and tasks stand."""
+        self.signal_host(index, signal.SIGUSR1)
+
     def keep_logs(self, name: str) -> pathlib.Path:
         """Copy the logs of the hosts to a folder that outlives the fleet.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -41,9 +41,9 @@
     """Run callers and the faults of a seed against a new deployment.
 
     The faults go on for `seconds`, and the callers until the deployment has
-    recovered. `restores` is how often the store returns from a copy. The hosts listen on ports from `first_port` on. If a guarantee
-    was violated, the logs of the hosts are kept under `soak-SEED` in the
-    folder for temporary files.
+    recovered. `restores` is how often the store returns from a copy. The hosts
+    listen on ports from `first_port` on. If a guarantee was violated, the logs
+    of the hosts are kept under `soak-SEED` in the folder for temporary files.
     """
     randomness = random.Random(seed)
     history = callers.History()
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -13,7 +13,7 @@
 import logbook
 
 from egretstep.membership import directory, host_rows
-from egretstep.observability import logs
+from egretstep.observability import logs, stacks
 from egretstep.platform import process_settings, store
 from egretstep.programs import wiring
 from egretstep.settings import node
@@ -75,6 +75,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
     loop.add_signal_handler(signal.SIGHUP, _reload)
+    stacks.write_on_signal()
     with contextlib.suppress(asyncio.CancelledError):
         await task
 
