Claim the task of a process that has ended and that nobody claims again

What callers saw: after two returns of the store with all hosts killed in between, a service had no owner to the end ("this host does not own the service"), although all hosts were up and the store answered.

Cause: hosts knew different holders. Two had read in era 1 that host-3 holds the service in epoch; the others read in era 2 and 3 that host-0 holds it in epoch, since the copy was older. Both processes had been killed and their hosts started again. Each side saw the holder that it believed in answer probes, so none claimed; host-3 and host-0 did not claim "their" task either, as each believed the other one's claim. Another belief that was compared without its scope: that a host answers says nothing of the process that held the task.

Change: a candidate claims a task if the directory knows a later boot number of the holder than that of the claim, and 2 s (and 1 s for each rank) have passed, in which a host that has started again claims its task itself. How the takeover waits for leases is unchanged: a claim of a former era waits.

Ruled out: load (the logs show no late step), a late write, the leases (counting, whose holder all hosts agreed on, was claimed again in 1 s).

--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -2,12 +2,15 @@
 
 Every host computes the same ranking of candidates for a task. The candidates
 probe the holder, and claim the task when the holder has failed or no host
-holds it. Each candidate waits longer than the one ranked before it, so that
+holds it. They also claim the task of a process that has ended: its host has
+started again, but may not know of a claim that the store has lost. Each
+candidate waits longer than the one ranked before it, so that
 usually only the first one claims.
 """
 
 import asyncio
 import contextlib
+import dataclasses
 import typing
 
 import logbook
@@ -29,6 +32,8 @@
 RANK_DELAY_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.5
 STARTUP_DELAY_SECONDS = 1.0
+# Longer than a host that has started again takes to claim its task itself.
+RESTARTED_HOLDER_DELAY_SECONDS = 2.0
 _logger = logbook.Logger('claiming')
 
 
@@ -42,6 +47,14 @@
         """Return whether a majority of hosts agrees that a host is lost."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _RestartedHolder:
+    """The claim of an ended process, and when this host first noticed."""
+
+    claim: claims.Claim
+    since: float
+
+
 class Claimant:
     """Claims tasks for this host and starts those that it has claimed.
 
@@ -71,6 +84,7 @@
         self._start = start
         self._clock = time_source
         self._unreachable_since: dict[identifiers.HostName, float] = {}
+        self._restarted_since: dict[claims.TaskName, _RestartedHolder] = {}
         self._started_at = time_source.now()
         self._is_leaving = False
         self._in_progress: set[claims.TaskName] = set()
@@ -147,6 +161,9 @@
             delay = STARTUP_DELAY_SECONDS + rank * RANK_DELAY_SECONDS
             if self._clock.now() - self._started_at > delay:
                 await self._claim(task, claim, 'nobody holds it')
+        elif self._has_holder_restarted(claim, rank):
+            reason = f'{claim.host} has restarted and did not claim it again'
+            await self._claim(task, claim, reason)
         elif await self._is_holder_down(claim, rank):
             await self._claim(task, claim, f'{claim.host} does not answer')
 
@@ -157,6 +174,18 @@
         self._probed_at[task.name] = now
         return True
 
+    def _has_holder_restarted(self, claim: claims.Claim, rank: int) -> bool:
+        """Return whether the process that held a task ended long ago."""
+        if self._hosts.hosts[claim.host].boot <= claim.boot:
+            return False
+        now = self._clock.now()
+        holder = self._restarted_since.get(claim.task)
+        if holder is None or holder.claim != claim:
+            holder = _RestartedHolder(claim=claim, since=now)
+            self._restarted_since[claim.task] = holder
+        delay = RESTARTED_HOLDER_DELAY_SECONDS + rank * RANK_DELAY_SECONDS
+        return now - holder.since >= delay
+
     async def _is_holder_down(self, claim: claims.Claim, rank: int) -> bool:
         now = self._clock.now()
         if await self._prober.reaches(claim.host):
