Mutants: ended processes and relays after a restore; mend one that had gone stale

The mutant of the feed's age named code that the change to eras had reworded, so that make mutants would have stopped with an error since then; it was not run. Three new ones.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -219,8 +219,8 @@
     Mutant(
         name='feed answers of any age are accepted',
         path='src/egretstep/storage/change_feed.py',
-        old='update.age > self._max_age',
-        new='update.age < 0',
+        old='update.age <= self._max_age',
+        new='update.age < UNKNOWN_AGE_SECONDS * 2',
         tests='tests.storage.test_change_feed',
     ),
     Mutant(
@@ -244,6 +244,27 @@
         new='if self._is_leaving:',
         tests='tests.membership.test_registration',
     ),
+    Mutant(
+        name='the task of a process that has ended is left to it',
+        path='src/egretstep/membership/claiming.py',
+        old='if self._hosts.hosts[claim.host].boot <= claim.boot:',
+        new='if True:',
+        tests='tests.membership.test_claiming',
+    ),
+    Mutant(
+        name='a host that has started again gets no time to claim its task',
+        path='src/egretstep/membership/claiming.py',
+        old='RESTARTED_HOLDER_DELAY_SECONDS = 2.0',
+        new='RESTARTED_HOLDER_DELAY_SECONDS = 0.0',
+        tests='tests.membership.test_claiming',
+    ),
+    Mutant(
+        name='a relay is left while it reads its tables after a restore',
+        path='src/egretstep/storage/change_feed.py',
+        old='era=_latest_era(self._watches),',
+        new='era=self._watches[0].version.era,',
+        tests='tests.storage.test_change_feed',
+    ),
     Mutant(
         name='a server may drain without a time limit',
         path='src/egretstep/replication/failover.py',
