--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -4,8 +4,8 @@
 probe the holder, and claim the task when the holder has failed or no host
 holds it. They also claim the task of a process that has ended: its host has
 started again, but may not know of a claim that the store has lost. Each
-candidate waits longer than the one ranked before it, so that
-usually only the first one claims.
+candidate waits longer than the one ranked before it, so that usually only the
+first one claims.
 """
 
 import asyncio
