--- /dev/null
+++ b/tests/replication/registered_servers.py
@@ -0,0 +1,32 @@
+"""Fake of the registry of backend servers, for tests of the owner."""
+
+from egretstep.backends import connection
+from egretstep.settings import deployment
+from tests import platform_fakes
+
+
+class RegisteredServers:
+    """The servers of one service; the one named in `draining` leaves."""
+
+    def __init__(self, *servers: platform_fakes.FakeServer) -> None:
+        self._servers = servers
+        self.draining = ''
+
+    def of_service(
+        self,
+        _service: deployment.ServiceName,
+    ) -> list[connection.BackendServer]:
+        """Return all servers."""
+        return [server.backend() for server in self._servers]
+
+    def find(
+        self,
+        name: connection.ServerId,
+    ) -> connection.BackendServer | None:
+        """Return the server with a name, None if there is none."""
+        found = [each for each in self._servers if each.name == name]
+        return found[0].backend() if found else None
+
+    def takes_work(self, server: connection.BackendServer) -> bool:
+        """Tell whether a server does not leave."""
+        return not server.is_draining and server.server != self.draining
--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -7,27 +7,7 @@
 from egretstep.replication import failover
 from egretstep.settings import deployment
 from tests import platform_fakes, virtual_time
-
-
-class _Servers:
-    def __init__(self, *servers: platform_fakes.FakeServer) -> None:
-        self._servers = servers
-
-    def of_service(
-        self,
-        _service: deployment.ServiceName,
-    ) -> list[connection.BackendServer]:
-        return [server.backend() for server in self._servers]
-
-    def find(
-        self,
-        name: connection.ServerId,
-    ) -> connection.BackendServer | None:
-        found = [each for each in self._servers if each.name == name]
-        return found[0].backend() if found else None
-
-    def takes_work(self, server: connection.BackendServer) -> bool:
-        return not server.is_draining
+from tests.replication import registered_servers
 
 
 class _Promotions:
@@ -63,7 +43,9 @@
         self.recorded: list[str] = []
         self.is_owner = True
         self.failover = failover.FailoverCoordinator(
-            servers=_Servers(self.first, self.second, self.third),
+            servers=registered_servers.RegisteredServers(
+                self.first, self.second, self.third
+            ),
             opener=opener,
             promotions=self.promotions,
             time_source=clock.MonotonicClock(),
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -21,6 +21,7 @@
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
 from tests import platform_fakes, virtual_time
+from tests.replication import registered_servers
 
 TASK = dispatcher.ownership_task(platform_fakes.SERVICE)
 LINK = work_module.LinkId(1)
@@ -34,26 +35,6 @@
 )
 
 
-class _Servers:
-    def __init__(self, server: platform_fakes.FakeServer) -> None:
-        self._server = server
-
-    def of_service(
-        self,
-        _service: deployment.ServiceName,
-    ) -> list[connection.BackendServer]:
-        return [self._server.backend()]
-
-    def find(
-        self,
-        _name: connection.ServerId,
-    ) -> connection.BackendServer | None:
-        return self._server.backend()
-
-    def takes_work(self, _server: connection.BackendServer) -> bool:
-        return True
-
-
 class _Owners:
     def __init__(self) -> None:
         self.arriving = False
@@ -101,7 +82,7 @@
         self.owners = _Owners()
         self.local = local_host.LocalHost(
             broker_table=self.table,
-            servers=_Servers(self.server),
+            servers=registered_servers.RegisteredServers(self.server),
             owners=self.owners,
             floors=lambda _service: None,
         )
@@ -217,7 +198,7 @@
             keeper=self.keeper,
             broker_table=self.table,
             failover_coordinator=failover.FailoverCoordinator(
-                servers=_Servers(self.server),
+                servers=registered_servers.RegisteredServers(self.server),
                 opener=self.opener,
                 promotions=mock.AsyncMock(),
                 time_source=self.clock,
--- a/tests/replication/test_planned_change.py
+++ b/tests/replication/test_planned_change.py
@@ -15,6 +15,7 @@
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
 from tests import platform_fakes, virtual_time
+from tests.replication import registered_servers
 
 TASK = dispatcher.ownership_task(platform_fakes.SERVICE)
 LINK = work_module.LinkId(1)
@@ -48,28 +49,6 @@
         return await super().compare_and_swap(*place, **row)
 
 
-class _Servers:
-    def __init__(self, *servers: platform_fakes.FakeServer) -> None:
-        self._servers = servers
-        self.draining = ''
-
-    def of_service(
-        self,
-        _service: deployment.ServiceName,
-    ) -> list[connection.BackendServer]:
-        return [server.backend() for server in self._servers]
-
-    def find(
-        self,
-        name: connection.ServerId,
-    ) -> connection.BackendServer | None:
-        found = {server.name: server.backend() for server in self._servers}
-        return found.get(name)
-
-    def takes_work(self, server: connection.BackendServer) -> bool:
-        return server.server != self.draining
-
-
 class _Promotions:
     """Promotes a server after a delay, unless `is_unreachable` is set."""
 
@@ -98,7 +77,9 @@
             role=connection.Role.PRIMARY,
         )
         self.second = platform_fakes.FakeServer(name='second')
-        self.servers = _Servers(self.first, self.second)
+        self.servers = registered_servers.RegisteredServers(
+            self.first, self.second
+        )
         self.promotions = _Promotions(self.second)
         self.store = _UnresponsiveTables()
         self.clock = clock.MonotonicClock()
