A failure of a holder counts only for the claim in which it was seen

What callers could see: a service changed its owner after one missed probe.

Cause: a candidate kept, by host, since when the holder does not answer, and forgot it only when that host answered a probe. If the task went to another host meanwhile, the time stayed. When the host held the task again later, the first missed probe was taken for a failure of that long, and only the majority's answer at that moment stood between it and a takeover. A belief kept without the epoch that it is about, the class of the incident; found by reading.

Change: both times of a holder (it does not answer; its process has ended) are kept for the epoch of the claim, in one type.

Evidence: test_an_earlier_failure_of_the_holder_does_not_count fails on the code before (3 of 3) and passes (3 of 3); the other tests of claiming and their mutants as before.

--- a/src/egretstep/membership/claiming.py
+++ b/src/egretstep/membership/claiming.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import typing
 
 import logbook
@@ -47,12 +46,26 @@
         """Return whether a majority of hosts agrees that a host is lost."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _RestartedHolder:
-    """The claim of an ended process, and when this host first noticed."""
+class _HolderTimes:
+    """For how long something has been true of the holder of each task.
 
-    claim: claims.Claim
-    since: float
+    A later claim of a task starts anew: it may be of another process.
+    """
+
+    def __init__(self) -> None:
+        self._epochs: dict[claims.TaskName, int] = {}
+        self._since: dict[claims.TaskName, float] = {}
+
+    def elapsed(self, claim: claims.Claim, now: float) -> float:
+        """Return the seconds since the first call for the claim's epoch."""
+        if self._epochs.get(claim.task) != claim.epoch:
+            self._epochs[claim.task] = claim.epoch
+            self._since[claim.task] = now
+        return now - self._since[claim.task]
+
+    def reset(self, task: claims.TaskName) -> None:
+        """Record that it is no longer true."""
+        self._epochs.pop(task, None)
 
 
 class Claimant:
@@ -83,8 +96,8 @@
         self._check_interval_seconds = CHECK_INTERVAL_SECONDS
         self._start = start
         self._clock = time_source
-        self._unreachable_since: dict[identifiers.HostName, float] = {}
-        self._restarted_since: dict[claims.TaskName, _RestartedHolder] = {}
+        self._unreachable = _HolderTimes()
+        self._restarted = _HolderTimes()
         self._started_at = time_source.now()
         self._is_leaving = False
         self._in_progress: set[claims.TaskName] = set()
@@ -178,22 +191,16 @@
         """Return whether the process that held a task ended long ago."""
         if self._hosts.hosts[claim.host].boot <= claim.boot:
             return False
-        now = self._clock.now()
-        holder = self._restarted_since.get(claim.task)
-        if holder is None or holder.claim != claim:
-            holder = _RestartedHolder(claim=claim, since=now)
-            self._restarted_since[claim.task] = holder
         delay = RESTARTED_HOLDER_DELAY_SECONDS + rank * RANK_DELAY_SECONDS
-        return now - holder.since >= delay
+        return self._restarted.elapsed(claim, self._clock.now()) >= delay
 
     async def _is_holder_down(self, claim: claims.Claim, rank: int) -> bool:
         now = self._clock.now()
         if await self._prober.reaches(claim.host):
-            self._unreachable_since.pop(claim.host, None)
+            self._unreachable.reset(claim.task)
             return False
-        since = self._unreachable_since.setdefault(claim.host, now)
         delay = FAILURE_DETECTION_SECONDS + rank * RANK_DELAY_SECONDS
-        if now - since < delay:
+        if self._unreachable.elapsed(claim, now) < delay:
             return False
         return await self._prober.is_lost(claim.host)
 
--- a/tests/membership/test_claiming.py
+++ b/tests/membership/test_claiming.py
@@ -20,8 +20,21 @@
 LONG_SECONDS = 20
 
 
+class _LostHost:
+    """Other hosts, of which all agree that y is lost, or that it is not."""
+
+    def __init__(self) -> None:
+        self.is_lost_now = True
+
+    async def reaches(self, host: identifiers.HostName) -> bool:
+        return not await self.is_lost(host)
+
+    async def is_lost(self, host: identifiers.HostName) -> bool:
+        return self.is_lost_now and host == 'y'
+
+
 class ClaimingTest(virtual_time.VirtualTimeTestCase):
-    """Hosts x and y, whose processes have all restarted."""
+    """Hosts x, y and z, whose processes have all restarted."""
 
     def setUp(self) -> None:
         self.store = platform_fakes.FakeTables()
@@ -47,7 +60,31 @@
         await asyncio.sleep(LONG_SECONDS)
         self.assertEqual([claim.host for claim in self.started], ['y'])
 
-    def _run_host(self, name: str, *, known: claims.Claim) -> None:
+    async def test_an_earlier_failure_of_the_holder_does_not_count(
+        self,
+    ) -> None:
+        """One missed probe ended a lease, long after a former failure."""
+        prober = _LostHost()
+        first = _claim('y', boot=SECOND_BOOT, epoch=3)
+        keeper = self._run_host('x', known=first, prober=prober)
+        await asyncio.sleep(claiming.FAILURE_DETECTION_SECONDS / 2)
+        keeper.merge(_claim('z', boot=SECOND_BOOT, epoch=4))
+        prober.is_lost_now = False
+        await asyncio.sleep(LONG_SECONDS)
+        keeper.merge(_claim('y', boot=SECOND_BOOT, epoch=5))
+        prober.is_lost_now = True
+        await asyncio.sleep(claiming.FAILURE_DETECTION_SECONDS / 2)
+        prober.is_lost_now = False
+        await asyncio.sleep(LONG_SECONDS)
+        self.assertEqual(self.started, [])
+
+    def _run_host(
+        self,
+        name: str,
+        *,
+        known: claims.Claim,
+        prober: claiming.Prober | None = None,
+    ) -> leases.LeaseKeeper:
         hosts = directory.Directory(
             own=platform_fakes.host(name, boot=SECOND_BOOT),
             time_source=clock.MonotonicClock(),
@@ -65,18 +102,19 @@
         claimant = claiming.Claimant(
             keeper=keeper,
             hosts=hosts,
-            prober=platform_fakes.NoOtherHosts(),
+            prober=prober or platform_fakes.NoOtherHosts(),
             wanted=_wanted_tasks,
             start=self.started.append,
             time_source=clock.MonotonicClock(),
         )
         running = asyncio.ensure_future(claimant.run())
         self.addCleanup(running.cancel)
+        return keeper
 
 
 def _host_rows() -> dict[str, tables.Row]:
     version = platform_fakes.version(1)
-    hosts = [platform_fakes.host(name, boot=SECOND_BOOT) for name in 'xy']
+    hosts = [platform_fakes.host(name, boot=SECOND_BOOT) for name in 'xyz']
     return {
         f'{directory.PREFIX}{host.host}': tables.Row(
             key=f'{directory.PREFIX}{host.host}',
