Logs say what happens next; the change feed's call and channel get its name

Log lines of leases and of the change feed named a cause but no next step (claimed again, hosts asked, only the hosts have it, another host claims it). The call `news` and the log channel `news` are now `changes` and `change-feed`, like the module; on the wire only positions count, so that hosts of both versions understand each other.

--- a/src/egretstep/membership/claim_writer.py
+++ b/src/egretstep/membership/claim_writer.py
@@ -152,7 +152,8 @@
             return True
         _logger.info(
             'task {}: epoch {}, written in era {}, is not confirmed after its '
-            'wait and not started; era {} of the store holds {}',
+            'wait; the task is not started and is claimed again if nobody '
+            'holds it; era {} of the store holds {}',
             written.claim.task,
             written.claim.epoch,
             written.era,
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -153,7 +153,7 @@
             return None
         return reply.epoch, fleet_messages.decode_position(reply.position)
 
-    async def news(
+    async def changes(
         self,
         host: identifiers.HostName,
         known: change_feed.Versions,
@@ -169,7 +169,7 @@
         versions = fleet_messages.encode_versions(known)
         try:
             reply = await self._link(host).call(
-                lambda remote: remote.news(known=versions),
+                lambda remote: remote.changes(known=versions),
                 timeout=wait
                 + change_feed.CONFIRM_TIMEOUT_SECONDS
                 + CONTROL_TIMEOUT_SECONDS,
--- a/src/egretstep/membership/lease_renewal.py
+++ b/src/egretstep/membership/lease_renewal.py
@@ -77,7 +77,9 @@
         except (errors.PlatformError, TimeoutError) as error:
             if self._store_answers:
                 _logger.warning(
-                    'leases: renewal at the store failed: {!r}', error
+                    'leases: renewal at the store failed, the hosts are asked: '
+                    '{!r}',
+                    error,
                 )
             self._store_answers = False
             return None
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -220,7 +220,11 @@
         try:
             written = await self._writer.write_next(task, observed)
         except (errors.PlatformError, errors.ConflictError) as error:
-            _logger.info('task {} could not be claimed: {}', task, error)
+            _logger.info(
+                'task {} could not be claimed and is tried again: {}',
+                task,
+                error,
+            )
             return None
         if written is None:
             return None
@@ -270,7 +274,13 @@
         try:
             following = await self._writer.release(claim, successor, lease)
         except (errors.PlatformError, errors.ConflictError) as error:
-            _logger.warning('task {} could not be handed over: {}', task, error)
+            _logger.warning(
+                'task {} could not be handed over to {}; another host claims '
+                'it: {}',
+                task,
+                successor.host,
+                error,
+            )
             return False
         if following is None:
             _logger.warning(
@@ -316,5 +326,12 @@
         try:
             return await self._writer.replace(revised)
         except (errors.PlatformError, errors.ConflictError) as error:
-            _logger.info('task {}: claim not stored: {}', revised.task, error)
+            _logger.info(
+                'task {}: revision {} of epoch {} is not stored; only the '
+                'hosts have it: {}',
+                revised.task,
+                revised.revision,
+                revised.epoch,
+                error,
+            )
             return False
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -41,7 +41,7 @@
 struct Claim { resource @0 :Text; host @1 :Text; boot @2 :UInt64; epoch @3 :UInt64; isReleased @4 :Bool; isSettled @5 :Bool; detail @6 :Text; revision @7 :UInt32; }
 struct TableVersion { table @0 :Text; version @1 :UInt64; era @2 :UInt64; }
 struct Row { key @0 :Text; content @1 :Data; version @2 :UInt64; isDeleted @3 :Bool; era @4 :UInt64; }
-struct TableNews { table @0 :Text; version @1 :UInt64; rows @2 :List(Row); isWhole @3 :Bool; keys @4 :List(Text); era @5 :UInt64; }
+struct TableChanges { table @0 :Text; version @1 :UInt64; rows @2 :List(Row); isWhole @3 :Bool; keys @4 :List(Text); era @5 :UInt64; }
 struct Demand { workspace @0 :Text; wanted @1 :UInt32; }
 struct Lot { workspace @0 :Text; granted @1 :UInt32; retryAfterMs @2 :UInt32; waitMs @3 :UInt32; }
 
@@ -53,5 +53,5 @@
   confirm @4 (claims :List(Claim)) -> (confirmed :Bool, newer :List(Claim));
   reaches @5 (host :Text) -> (reached :Bool);
   takeTokens @6 (demands :List(Demand), caller :Text) -> (serving :Bool, lots :List(Lot));
-  news @7 (known :List(TableVersion)) -> (ageMs :UInt64, tables :List(TableNews), era :UInt64);
+  changes @7 (known :List(TableVersion)) -> (ageMs :UInt64, tables :List(TableChanges), era :UInt64);
 }
--- a/src/egretstep/peers/fleet_messages.py
+++ b/src/egretstep/peers/fleet_messages.py
@@ -184,7 +184,7 @@
     table: str,
     changed: tables.Snapshot,
 ) -> dict[str, typing.Any]:
-    """Encode the changes of a table as the fields of a `TableNews` struct."""
+    """Encode the changes of a table as the fields of a `TableChanges` struct."""
     return {
         'table': table,
         'version': changed.version.number,
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -122,7 +122,7 @@
         _context.results.serving = True
         _context.results.lots = granted_lots
 
-    async def news(
+    async def changes(
         self,
         known: typing.Any,
         _context: typing.Any,
--- a/src/egretstep/programs/store_watches.py
+++ b/src/egretstep/programs/store_watches.py
@@ -89,7 +89,7 @@
             watches=self._watches,
             source=relays.RelayChoice(hosts=hosts, time_source=self._clock),
             poll_host=functools.partial(
-                peers.news, wait=self._feed_wait_seconds
+                peers.changes, wait=self._feed_wait_seconds
             ),
             wait=self._feed_wait_seconds,
             store_answers=lambda: renewal.store_answers,
@@ -103,7 +103,10 @@
             supervisor.Child(name=f'{watch.table} watch', run=watch.run)
             for watch in self._watches
         ]
-        return [*watches, supervisor.Child(name='news', run=follower.run)]
+        return [
+            *watches,
+            supervisor.Child(name='change-feed', run=follower.run),
+        ]
 
     def _watch(self, table: str, pause: watching.Pause) -> watching.TableWatch:
         return watching.TableWatch(
--- a/src/egretstep/storage/change_feed.py
+++ b/src/egretstep/storage/change_feed.py
@@ -25,7 +25,7 @@
 MAX_AGE_WAITS = 2
 # Age of a table that was never confirmed, and the highest age reported.
 UNKNOWN_AGE_SECONDS = 3600.0
-_logger = logbook.Logger('news')
+_logger = logbook.Logger('change-feed')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -156,7 +156,8 @@
                 await watch.confirm()
         except (errors.PlatformError, TimeoutError) as error:
             _logger.info(
-                'the store did not confirm that table {} is current: {!r}',
+                'the store did not confirm that table {} is current, so that its '
+                'age grows: {!r}',
                 watch.table,
                 error,
             )
--- a/tests/storage/test_watching.py
+++ b/tests/storage/test_watching.py
@@ -137,7 +137,7 @@
     def test_deleted_row_is_not_restored_by_an_older_change(self) -> None:
         self._accept(3, b'there')
         self._accept(5, b'')
-        self.assertFalse(self._accept(4, b'late news'))
+        self.assertFalse(self._accept(4, b'late change'))
         self.assertEqual(dict(self.watch.rows), {})
 
     def test_restored_rows_replace_those_of_the_former_era(self) -> None:
