Hosts show how old their configuration is

Change: the line of a new configuration says for how long the former one was not confirmed; egretstep_settings_age_seconds and egretstep_settings_version, which were declared but never set on these hosts, are set; 'host status' shows the age. No decision changes.

--- a/src/egretstep/programs/command_hosts.py
+++ b/src/egretstep/programs/command_hosts.py
@@ -105,5 +105,6 @@
 def _describe_settings(report: dict[str, typing.Any]) -> str:
     return (
         f'configuration {report["settings_version"]}, '
-        f'from {report["settings_source"]}'
+        f'from {report["settings_source"]}, '
+        f'confirmed {report["settings_age_s"]} s ago'
     )
--- a/src/egretstep/programs/host_report.py
+++ b/src/egretstep/programs/host_report.py
@@ -9,7 +9,6 @@
 
 import orjson
 
-from egretstep import clock
 from egretstep.backends import connection
 from egretstep.membership import claims, directory, leases, registry
 from egretstep.settings import configuration_follower, deployment
@@ -81,7 +80,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Report:
-    """The view that a host has of the fleet at one time."""
+    """The view that a host has of the fleet at one time.
+
+    `settings_age_s` is the number of seconds since it was confirmed that the
+    configuration is the latest.
+    """
 
     host: str
     zone: str
@@ -89,6 +92,7 @@
     is_ready: bool
     settings_version: int
     settings_source: str
+    settings_age_s: float
     zones_out: list[str]
     hosts: list[HostSummary]
     tasks: list[TaskSummary]
@@ -134,6 +138,7 @@
             is_ready=self._is_ready(),
             settings_version=current.version,
             settings_source=self._configuration.source,
+            settings_age_s=_round_seconds(self._configuration.age),
             zones_out=sorted(current.zones_out),
             hosts=[
                 self._summarize_host(item)
@@ -170,8 +175,7 @@
     def _summarize_task(self, claim: claims.Claim) -> TaskSummary:
         left = None
         if self._keeper.is_mine(claim):
-            seconds = self._keeper.remaining_lease(claim.task)
-            left = clock.to_seconds(clock.to_milliseconds(seconds))
+            left = _round_seconds(self._keeper.remaining_lease(claim.task))
         return TaskSummary(
             task=claim.task,
             host=claim.host,
@@ -192,6 +196,10 @@
         )
 
 
+def _round_seconds(seconds: float) -> float:
+    return round(seconds, 3)
+
+
 def _summarize_route(
     route: deployment.Route,
     current: deployment.Deployment,
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -19,7 +19,7 @@
     leases,
     registry,
 )
-from egretstep.observability import metrics_page
+from egretstep.observability import metrics, metrics_page
 from egretstep.peers import links
 from egretstep.platform import (
     backend,
@@ -316,10 +316,16 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             self._brokers.sweep()
+            self._publish_settings_age()
             if self._queries.is_isolated:
                 # The load balancer connects these callers to another host.
                 self._ingress.close_idle()
 
+    def _publish_settings_age(self) -> None:
+        configuration = self._watches.configuration
+        metrics.settings_version.set({}, configuration.version)
+        metrics.settings_age.set({}, configuration.age)
+
     async def _stop(self) -> None:
         _logger.info(
             'host {} is stopping: handing over tasks and closing sessions',
--- a/src/egretstep/settings/configuration_follower.py
+++ b/src/egretstep/settings/configuration_follower.py
@@ -78,6 +78,11 @@
         """Return the source from which the configuration was received."""
         return self._source
 
+    @property
+    def age(self) -> float:
+        """Return the seconds since it was confirmed that none is later."""
+        return self._watch.age
+
     def _on_rows(self, rows: watching.Rows) -> None:
         is_restored = self._record_era()
         row = rows.get(self._format.key)
@@ -142,10 +147,12 @@
             )
             return
         _logger.info(
-            'configuration version {} from {} replaces version {}',
+            'configuration version {} from {} replaces version {}, which was '
+            'last confirmed {:.1f} s before',
             decoded.version,
             self._watch.source,
             self.version,
+            self._watch.unconfirmed_seconds,
         )
         self._content = content
         self.is_known.set()
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -71,6 +71,7 @@
         self._must_read_whole = True
         self._history_start = tables.NO_VERSION
         self._confirmed_at = float('-inf')
+        self._unconfirmed_seconds = float('inf')
         self._failing_since: float | None = None
         self._source = STORE_SOURCE
         self.follows_store = asyncio.Event()
@@ -104,6 +105,19 @@
         """Return the monotonic time at which the rows were last confirmed."""
         return self._confirmed_at
 
+    @property
+    def age(self) -> float:
+        """Return the seconds since the rows were last confirmed."""
+        return self._clock.now() - self._confirmed_at
+
+    @property
+    def unconfirmed_seconds(self) -> float:
+        """Return how old the former rows were when the current ones arrived.
+
+        It is infinite for the first rows.
+        """
+        return self._unconfirmed_seconds
+
     @property
     def is_synced(self) -> bool:
         """Tell whether the table was read at least once by this process."""
@@ -167,6 +181,8 @@
             self._put(row)
         is_first = self._version is None
         self._version = max(self.version, snapshot.version)
+        if changed or is_first:
+            self._unconfirmed_seconds = self.age
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         if changed or is_first:
             self._source = source
--- a/tests/platform/test_host_report.py
+++ b/tests/platform/test_host_report.py
@@ -9,6 +9,9 @@
 from standins import platform_fleet
 from tests import test_command
 
+# A configuration must be in force within this time.
+MAX_SETTINGS_AGE_SECONDS = 3.0
+
 
 class HostReportTest(unittest.IsolatedAsyncioTestCase):
     async def test_status_and_explain_of_a_running_host(self) -> None:
@@ -17,13 +20,15 @@
             completed = await _run_host_command('status', address)
             self.assertEqual(completed.returncode, 0, completed.stderr)
             self.assertRegex(
-                completed.stdout, r'configuration \d+, from the store'
+                completed.stdout,
+                r'configuration \d+, from the store, confirmed [\d.]+ s ago',
             )
             self.assertIn('counting', completed.stdout)
             completed = await _run_host_command('status', address, '--json')
             report = orjson.loads(completed.stdout)
             self.assertEqual(len(report['hosts']), 3)
             self.assertTrue(report['is_ready'])
+            self.assertLess(report['settings_age_s'], MAX_SETTINGS_AGE_SECONDS)
             self.assertNotIn('keys', completed.stdout)
             database = report['routes'][0]['database']
             completed = await _run_host_command('explain', address, database)
