--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -16,7 +16,7 @@
 from egretstep.web import client as http
 
 REQUEST_TIMEOUT_SECONDS = 1.0
-LONG_POLL_MARGIN_SECONDS = 2.0
+LONG_POLL_MARGIN_SECONDS = 0.5
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
--- a/src/egretstep/programs/store_watches.py
+++ b/src/egretstep/programs/store_watches.py
@@ -23,9 +23,9 @@
 FLEET_PAUSE_SECONDS_PER_ROW = 0.005
 SERVERS_PAUSE_SECONDS = 0.1
 SETTINGS_PAUSE_SECONDS = 0.15
-# Share of the maximum settings delay for which a poll of the change feed waits.
-# A host that gets no answer from another one turns to the store within two of
-# these waits, which leaves time for the store's answer.
+# Share of the maximum settings delay for which a poll for settings waits, at the
+# store or at another host. A host that gets no answer turns to the other source
+# within two of these waits, which leaves time for its answer.
 FEED_WAIT_SHARE = 0.25
 # All hosts of a new fleet register within about this time. Until then, they
 # do not follow the tables.
@@ -65,6 +65,7 @@
         self.settings = self._watch(
             operator_settings.TABLE,
             watching.pause_by_rows(SETTINGS_PAUSE_SECONDS),
+            longest_wait=self._feed_wait_seconds,
         )
         self._watches = (self.settings, self.servers, self.fleet)
         self.feed_server = change_feed.FeedServer(
@@ -108,11 +109,18 @@
             supervisor.Child(name='change-feed', run=follower.run),
         ]
 
-    def _watch(self, table: str, pause: watching.Pause) -> watching.TableWatch:
+    def _watch(
+        self,
+        table: str,
+        pause: watching.Pause,
+        *,
+        longest_wait: float = tables.LONGEST_WAIT_SECONDS,
+    ) -> watching.TableWatch:
         return watching.TableWatch(
             store=self._store,
             table=table,
             time_source=self._clock,
             pause=pause,
+            longest_wait=longest_wait,
             requires_store_read=table == directory.TABLE,
         )
--- a/src/egretstep/storage/change_feed.py
+++ b/src/egretstep/storage/change_feed.py
@@ -19,9 +19,11 @@
 
 SOURCE_CHECK_SECONDS = 0.2
 NO_SOURCE_PAUSE_SECONDS = 0.3
-# Without a usable source, all hosts together send one request in this time.
+# Without a usable source for long, all hosts together send one request in this
+# time. The pause of each doubles up to that.
 NO_SOURCE_PAUSE_PER_HOST_SECONDS = 0.005
 CONFIRM_TIMEOUT_SECONDS = 0.5
+CONFIRM_AGE_WAITS = 1.5
 MAX_AGE_WAITS = 2
 # Age of a table that was never confirmed, and the highest age reported.
 UNKNOWN_AGE_SECONDS = 3600.0
@@ -96,12 +98,12 @@
         Waits until there are any, for at most the feed's `wait`. Tables that
         are not in `known` are left out.
         """
-        deadline = self._clock.now() + self._wait
+        deadline = self._clock.now() + self._longest_wait()
         found = self._collect(known)
         while not self._has_answer(found) and self._clock.now() < deadline:
             await self._wait_for_change(deadline)
             found = self._collect(known)
-        if self.age > self._wait:
+        if self.age > CONFIRM_AGE_WAITS * self._wait:
             await self._confirm()
         return FeedUpdate(
             age=self.age,
@@ -109,6 +111,16 @@
             tables=found,
         )
 
+    def _longest_wait(self) -> float:
+        """Return how long a request may wait for changes, in seconds.
+
+        While the store does not answer this host, it answers before the age
+        makes its answer useless, so that the other host asks elsewhere.
+        """
+        if not self._watches[0].is_failing:
+            return self._wait
+        return min(self._wait, max(0.0, MAX_AGE_WAITS * self._wait - self.age))
+
     def _has_answer(self, found: dict[str, tables.Snapshot]) -> bool:
         """Tell whether there are changes to answer with.
 
@@ -144,7 +156,12 @@
                 waiting.set_result(None)
 
     async def _confirm(self) -> None:
-        """Ask the store for newer changes; concurrent requests share a call."""
+        """Ask the store for newer changes, if it answers this host.
+
+        Concurrent requests share a call.
+        """
+        if self._watches[0].is_failing:
+            return
         if self._confirming is None or self._confirming.done():
             self._confirming = asyncio.ensure_future(self._ask_store())
         await asyncio.shield(self._confirming)
@@ -193,6 +210,7 @@
         self._fleet_size = fleet_size
         self._clock = time_source
         self._host: identifiers.HostName | None = None
+        self._no_source_pause = NO_SOURCE_PAUSE_SECONDS
         for watch in watches:
             watch.follows_store.clear()
 
@@ -235,6 +253,7 @@
             await self._avoid(host)
             return
         self._set_source_host(host if replaces_store else None)
+        self._no_source_pause = NO_SOURCE_PAUSE_SECONDS
         confirmed_at = self._clock.now() - update.age
         for table, watch in self._watches.items():
             changed = update.tables.get(table)
@@ -246,7 +265,7 @@
     def _is_recent(self, update: FeedUpdate) -> bool:
         """Return whether an update is recent and of no earlier era."""
         known_era = _latest_era(self._watches.values())
-        return update.age <= self._max_age and update.era >= known_era
+        return update.age < self._max_age and update.era >= known_era
 
     async def _request_changes(
         self, host: identifiers.HostName
@@ -265,11 +284,11 @@
         if self._source.relay() is not None:
             return
         self._set_source_host(None)
-        pause = max(
-            NO_SOURCE_PAUSE_SECONDS,
-            NO_SOURCE_PAUSE_PER_HOST_SECONDS * self._fleet_size(),
+        await asyncio.sleep(self._no_source_pause)
+        longest = NO_SOURCE_PAUSE_PER_HOST_SECONDS * self._fleet_size()
+        self._no_source_pause = max(
+            NO_SOURCE_PAUSE_SECONDS, min(longest, 2 * self._no_source_pause)
         )
-        await asyncio.sleep(pause)
 
     def _set_source_host(self, host: identifiers.HostName | None) -> None:
         """Follow a host, or the store if it is None."""
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -41,6 +41,10 @@
     After a change it waits for the pause before it reads the next one, so that
     changes in quick succession cost the fleet one call per host.
 
+    A store that gives this host no answer looks like one without changes
+    until a poll times out, so `longest_wait`, in seconds, bounds how long that
+    stays unnoticed.
+
     Changes may also come from other hosts, in any order. A table with
     `requires_store_read` accepts them only after a first read from the store.
 
@@ -57,11 +61,13 @@
         table: str,
         time_source: clock.Clock,
         pause: Pause | None = None,
+        longest_wait: float = tables.LONGEST_WAIT_SECONDS,
         requires_store_read: bool = True,
     ) -> None:
         self._store = store
         self._table = table
         self._pause = pause or pause_by_rows(0)
+        self._longest_wait = longest_wait
         self._requires_store_read = requires_store_read
         self._clock = time_source
         self._backoff = poll_backoff.PollBackoff(time_source=time_source)
@@ -246,19 +252,23 @@
         snapshot = await self._store.changes(
             self._table,
             self._version,
-            longest_wait=self._longest_wait(),
+            longest_wait=self._next_wait(),
         )
         if self.accept(snapshot, confirmed_at=self._clock.now()):
             base = self._pause(self._rows)
             await asyncio.sleep(self._backoff.next_pause(base))
 
-    def _longest_wait(self) -> float:
+    def _next_wait(self) -> float:
         """Return how long the store may wait for a change, in seconds.
 
         A store that comes back may have been restored, and may then wait for
-        a version that means something else. Its first answer shows that.
+        a version that means something else. Its first answer shows that. It
+        also shows at once whether a store that was not followed for a while
+        answers.
         """
-        return 0 if self.is_failing else tables.LONGEST_WAIT_SECONDS
+        if self.is_failing or self.age > self._longest_wait:
+            return 0
+        return self._longest_wait
 
     def _is_newer(self, row: tables.Row) -> bool:
         known = self._rows.get(row.key) or self._deleted_rows.get(row.key)
--- a/tests/storage/feed_fakes.py
+++ b/tests/storage/feed_fakes.py
@@ -1,6 +1,7 @@
 """Fakes for tests of the change feed: a store, a source and a host."""
 
 import asyncio
+import contextlib
 import typing
 
 from egretstep import clock, errors, identifiers
@@ -56,7 +57,8 @@
     ) -> tables.Snapshot:
         self._call()
         if longest_wait and self.version <= after:
-            await asyncio.wait_for(self._changed.wait(), longest_wait)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), longest_wait)
         self._check()
         if self.version.era != after.era:
             raise tables.HistoryGoneError(f'after {after}')
