A poll that the store may never answer ends when the store answers again

What callers would see: after the store gave a host no answer for a while, the host sent work to a server that had registered as draining meanwhile, for up to 20 s: its poll for servers was lost in the silence, and only the poll for settings is short. Change: a call that is answered after one that was not ends all polls; the watches poll again at once. The stand-in can lose polls. Ruled out: short polls for all tables (three times the calls to the store). Evidence: tests.platform.test_store.SilenceTest failed on the code before (TimeoutError).

--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -32,8 +32,10 @@
     """Implements `tables.Tables` with the store's HTTP interface.
 
     Long polls for the changes of a table have a connection for each table,
-    so that other requests don't wait for them. Versions are numbers on the
-    wire; their era is that of the answer, or of the latest answer.
+    so that other requests don't wait for them. A poll ends when another call
+    shows that its answer may never come: the store was restored, or answers
+    again after it did not. Versions are numbers on the wire; their era is that
+    of the answer, or of the latest answer.
     """
 
     def __init__(self, *, address: node.Address) -> None:
@@ -41,7 +43,8 @@
         self._client = http.HttpClient(address=address)
         self._poll_clients: dict[str, http.HttpClient] = {}
         self._era = _ONLY_ERA
-        self._new_era = asyncio.Event()
+        self._is_answering = True
+        self._polls_ended = asyncio.Event()
 
     async def read(self, table: str, prefix: str = '') -> tables.Snapshot:
         """Return all rows whose keys begin with a prefix, read page by page."""
@@ -86,7 +89,9 @@
 
         Waits up to `longest_wait` seconds for the first change. Raises
         `tables.HistoryGoneError` when the store no longer has the changes
-        since that version, which is so when the version is of another era.
+        since that version, which is so when the version is of another era, and
+        `tables.PollEndedError` when another call shows that the store did not
+        answer meanwhile.
         """
         self._check_history(table, after)
         query = {
@@ -96,7 +101,7 @@
         }
         if longest_wait:
             timeout = longest_wait + LONG_POLL_MARGIN_SECONDS
-            answer = await self._poll_in_era(table, query, timeout)
+            answer = await self._poll(table, query, timeout)
         else:
             answer = await self._get('rows-feed', query)
         self._check_history(table, after)
@@ -139,8 +144,8 @@
             target='/v1/rows-tx',
             body=orjson.dumps(transaction),
         )
-        response = await self._client.call(
-            request, timeout=REQUEST_TIMEOUT_SECONDS
+        response = await self._call(
+            self._client, request, REQUEST_TIMEOUT_SECONDS
         )
         era = self._record_era(response)
         if response.status == _PRECONDITION_FAILED:
@@ -156,30 +161,40 @@
             )
         return answer.version
 
-    async def _poll_in_era(
+    async def _poll(
         self,
         table: str,
         query: dict[str, typing.Any],
         timeout: float,
     ) -> '_Answer':
-        """Poll a table until it changes or another call shows a new era."""
+        """Poll a table until it changes or another call ends the poll."""
+        era = self._era
         call = asyncio.ensure_future(
             self._get('rows-feed', query, self._poll_client(table), timeout)
         )
-        new_era = asyncio.ensure_future(self._new_era.wait())
+        ended = asyncio.ensure_future(self._polls_ended.wait())
         try:
             await asyncio.wait(
-                {call, new_era}, return_when=asyncio.FIRST_COMPLETED
+                {call, ended}, return_when=asyncio.FIRST_COMPLETED
             )
             if call.done():
                 return call.result()
         finally:
             call.cancel()
-            new_era.cancel()
-        raise tables.HistoryGoneError(
-            f'the store was restored while table {table} was polled',
+            ended.cancel()
+        if era != self._era:
+            raise tables.HistoryGoneError(
+                f'the store was restored while table {table} was polled',
+            )
+        raise tables.PollEndedError(
+            f'the store did not answer for a while since table {table} is '
+            'polled; poll again',
         )
 
+    def _end_polls(self) -> None:
+        self._polls_ended.set()
+        self._polls_ended = asyncio.Event()
+
     def _poll_client(self, table: str) -> http.HttpClient:
         client = self._poll_clients.get(table)
         if client is None:
@@ -198,11 +213,27 @@
             method='GET',
             target=f'/v1/{call}?{urllib.parse.urlencode(query)}',
         )
-        used_client = client or self._client
-        response = await used_client.call(request, timeout=timeout)
+        response = await self._call(client or self._client, request, timeout)
         era = self._record_era(response)
         return _decode_answer(response, request, era)
 
+    async def _call(
+        self,
+        client: http.HttpClient,
+        request: http.Request,
+        timeout: float,
+    ) -> http.Response:
+        """Send a request; end all polls if it is answered again."""
+        try:
+            response = await client.call(request, timeout=timeout)
+        except errors.PlatformError:
+            self._is_answering = False
+            raise
+        if not self._is_answering:
+            self._is_answering = True
+            self._end_polls()
+        return response
+
     def _check_history(self, table: str, after: tables.Version) -> None:
         if after.era != self._era and self._era != _ONLY_ERA:
             raise tables.HistoryGoneError(
@@ -229,8 +260,7 @@
             )
             metrics.store_era.set({}, era)
             self._era = era
-            self._new_era.set()
-            self._new_era = asyncio.Event()
+            self._end_polls()
         return era
 
 
--- a/src/egretstep/storage/tables.py
+++ b/src/egretstep/storage/tables.py
@@ -73,6 +73,10 @@
     """The store no longer has the changes since a version."""
 
 
+class PollEndedError(errors.PlatformError):
+    """The store answers other calls again, but may never answer this poll."""
+
+
 class Tables(typing.Protocol):
     """The platform's store.
 
@@ -97,7 +101,8 @@
 
         Waits up to `longest_wait` seconds for a change and then returns no
         rows. Raises `HistoryGoneError` if the whole table must be read again,
-        which is so after a change of the era.
+        which is so after a change of the era, and `PollEndedError` if the
+        changes should be requested again at once.
         """
 
     async def compare_and_swap(
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -159,6 +159,8 @@
                 await asyncio.sleep(
                     random.uniform(0, WHOLE_READ_SPREAD_SECONDS)
                 )
+            except tables.PollEndedError as error:
+                _logger.info('table {} is polled again: {}', self._table, error)
             except errors.PlatformError as error:
                 self._record_failure(error)
                 await asyncio.sleep(pause * random.uniform(0.5, 1))
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -25,7 +25,8 @@
     `is_silent` delays all requests until it is off, `is_busy` answers all
     requests with 503, and `delay` delays each request by some seconds. The
     next `lost_writes` transactions take effect and are answered 2 seconds
-    late. `forgets` answers polls of the change feed with 410, as if the
+    late. `loses_polls` leaves polls of the change feed that arrive without an
+    answer for good. `forgets` answers polls of the change feed with 410, as if the
     requested changes were no longer kept.
     """
 
@@ -33,6 +34,7 @@
     is_busy: bool = False
     delay: float = 0
     lost_writes: int = 0
+    loses_polls: bool = False
     forgets: bool = False
 
 
@@ -204,6 +206,8 @@
     async def _poll_changes(self, request: web.Request) -> web.Response:
         table = request.query['table']
         after_version = int(request.query['after'])
+        if self.faults.loses_polls:
+            await asyncio.Event().wait()
         if self.faults.forgets or after_version > self._last_version:
             return web.Response(status=410)
         wait_seconds = int(request.query['wait_ms']) / 1000
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -100,6 +100,34 @@
         )
 
 
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    """The store answered calls again, but never the poll sent before."""
+
+    async def test_a_poll_ends_when_another_call_is_answered_again(
+        self,
+    ) -> None:
+        stand_in = platform_store.PlatformStore(groups=())
+        stand_in.put(TABLE, KEY, b'first')
+        await stand_in.start()
+        self.addAsyncCleanup(stand_in.stop)
+        client = store.PlatformStore(
+            address=node.Address(host='127.0.0.1', port=stand_in.port),
+        )
+        known = (await client.read(TABLE)).version
+        stand_in.faults.loses_polls = True
+        polling = asyncio.ensure_future(client.changes(TABLE, known))
+        await asyncio.sleep(0.1)
+        stand_in.faults = platform_store.StoreFaults(is_silent=True)
+        with self.assertRaises(errors.PlatformError):
+            await client.read(TABLE)
+        stand_in.put(TABLE, KEY, b'second')
+        stand_in.faults.is_silent = False
+        await client.read(TABLE)
+        with self.assertRaises(tables.PollEndedError):
+            async with asyncio.timeout(1):
+                await polling
+
+
 class PagesTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_row_that_changes_between_two_pages_is_not_missed(
         self,
