A poll without a wait times out after half a second, like one with a wait

Cause: the poll that finds out whether the store answers had the timeout of other calls, 1 s. Change: all polls time out 0.5 s after their wait.

--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -16,7 +16,7 @@
 from egretstep.web import client as http
 
 REQUEST_TIMEOUT_SECONDS = 1.0
-LONG_POLL_MARGIN_SECONDS = 0.5
+POLL_ANSWER_SECONDS = 0.5
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
@@ -99,11 +99,11 @@
             'after': after.number,
             'wait_ms': clock.to_milliseconds(longest_wait),
         }
+        timeout = longest_wait + POLL_ANSWER_SECONDS
         if longest_wait:
-            timeout = longest_wait + LONG_POLL_MARGIN_SECONDS
             answer = await self._poll(table, query, timeout)
         else:
-            answer = await self._get('rows-feed', query)
+            answer = await self._get('rows-feed', query, self._client, timeout)
         self._check_history(table, after)
         return tables.Snapshot(
             rows=tuple(answer.rows()), version=answer.version
--- a/tests/storage/test_silent_store.py
+++ b/tests/storage/test_silent_store.py
@@ -46,9 +46,7 @@
         *,
         longest_wait: float = tables.LONGEST_WAIT_SECONDS,
     ) -> tables.Snapshot:
-        timeout = store.REQUEST_TIMEOUT_SECONDS
-        if longest_wait:
-            timeout = longest_wait + store.LONG_POLL_MARGIN_SECONDS
+        timeout = longest_wait + store.POLL_ANSWER_SECONDS
         polled = self._shared.changes(table, after, longest_wait=longest_wait)
         return await self._call(polled, timeout)
 
