A process that starts asks other hosts for a later configuration

What callers would see: after the store returned from a copy, a key that had been withdrawn worked again on each host that started before the operator had repeated the withdrawal. Cause: a process starts with the store's configuration. The other hosts keep the later one, but their change feed only carries rows with the store's versions, so that a new process could not learn of it. Callers that arrive earlier wait, as they do for the first configuration. Ruled out: keeping the later content in the table copies under the version of the restored row (the copies of two hosts then differ under one version); serving beside the question (a withdrawn key would work for that moment).

--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import random
 import typing
 
 import logbook
@@ -142,6 +143,13 @@
             if host.host != self.own.host and host.state is not HostState.GONE
         ]
 
+    def choose_others(self, count: int) -> list[identifiers.HostName]:
+        """Return some other usable hosts, at most `count`, at random."""
+        names = [
+            host.host for host in self.usable() if host.host != self.own.host
+        ]
+        return random.sample(names, min(count, len(names)))
+
     def up_host_names(self) -> list[identifiers.HostName]:
         """Return the names of the hosts in state `UP`, this one included."""
         return [
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -179,6 +179,24 @@
             return None
         return fleet_messages.decode_feed_update(reply)
 
+    async def later_configuration(
+        self,
+        host: identifiers.HostName,
+        version: identifiers.SettingsVersion,
+    ) -> bytes:
+        """Return a host's configuration if it is later than a version.
+
+        Empty if it is not, or if the host does not answer.
+        """
+        try:
+            reply = await self._link(host).call(
+                lambda remote: remote.laterConfiguration(version=version),
+                timeout=CONTROL_TIMEOUT_SECONDS,
+            )
+        except _LINK_ERRORS:
+            return b''
+        return bytes(reply.content)
+
     async def reaches(self, host: identifiers.HostName) -> bool:
         """Return whether another host answers this one."""
         try:
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -54,4 +54,5 @@
   reaches @5 (host :Text) -> (reached :Bool);
   takeTokens @6 (demands :List(Demand), caller :Text) -> (serving :Bool, lots :List(Lot));
   changes @7 (known :List(TableVersion)) -> (ageMs :UInt64, tables :List(TableChanges), era :UInt64);
+  laterConfiguration @8 (version :UInt64) -> (content :Data);
 }
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -8,7 +8,7 @@
 from egretstep.pooling import brokers, local_host
 from egretstep.pooling import work as work_module
 from egretstep.programs import tasks
-from egretstep.settings import deployment
+from egretstep.settings import configuration_follower, deployment
 from egretstep.storage import change_feed
 
 
@@ -25,6 +25,7 @@
         peers: fleet_links.FleetLinks,
         fleet_tasks: tasks.FleetTasks,
         feed_server: change_feed.FeedServer,
+        configuration: configuration_follower.ConfigurationFollower,
     ) -> None:
         self._link = link
         self._local = local
@@ -33,6 +34,7 @@
         self._peers = peers
         self._tasks = fleet_tasks
         self._feed_server = feed_server
+        self._configuration = configuration
 
     async def execute(
         self,
@@ -138,6 +140,16 @@
             for table, changed in update.tables.items()
         ]
 
+    async def laterConfiguration(
+        self,
+        version: int,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Return the configuration in force here if it is a later version."""
+        known = identifiers.SettingsVersion(version)
+        _context.results.content = self._configuration.content_after(known)
+
     async def link_closed(self) -> None:
         """Roll back the transactions left open by callers of the other host."""
         self._brokers.release_link(self._link)
--- a/src/egretstep/programs/store_watches.py
+++ b/src/egretstep/programs/store_watches.py
@@ -3,6 +3,7 @@
 The copies are updated from the store or from the change feed of another host.
 """
 
+import asyncio
 import functools
 
 from egretstep import clock
@@ -13,7 +14,7 @@
     relays,
 )
 from egretstep.platform import operator_settings, registrations
-from egretstep.settings import configuration_follower, node
+from egretstep.settings import configuration_follower, node, startup_check
 from egretstep.storage import change_feed, tables, watching
 from egretstep.supervision import supervisor
 
@@ -36,7 +37,8 @@
     """Watches on the tables of hosts, servers and settings.
 
     `feed_server` serves changes to other hosts, and `configuration` follows
-    the configuration in the settings table.
+    the configuration in the settings table. `is_configured` is set once it has
+    one that callers may be served with.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
             watch=self.settings,
             table_format=operator_settings.FORMAT,
         )
+        self.is_configured = asyncio.Event()
 
     def children(
         self,
@@ -100,6 +103,12 @@
             ),
             time_source=self._clock,
         )
+        check = startup_check.StartupCheck(
+            follower=self.configuration,
+            choose_hosts=hosts.choose_others,
+            ask=peers.later_configuration,
+            is_done=self.is_configured,
+        )
         watches = [
             supervisor.Child(name=f'{watch.table} watch', run=watch.run)
             for watch in self._watches
@@ -107,6 +116,7 @@
         return [
             *watches,
             supervisor.Child(name='change-feed', run=follower.run),
+            supervisor.Child(name='startup-check', run=check.run),
         ]
 
     def _watch(
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -202,7 +202,7 @@
             ),
             release_here=self._release_here,
             is_stopping=lambda: self._is_stopping,
-            is_configured=self._watches.configuration.is_known,
+            is_configured=self._watches.is_configured,
         )
         self._ingress = ingress.Ingress(
             address=self._settings.callers,
@@ -284,6 +284,7 @@
             peers=self._peers,
             fleet_tasks=self._tasks,
             feed_server=self._watches.feed_server,
+            configuration=self._watches.configuration,
         )
 
     def _current_deployment(self) -> deployment.Deployment:
--- a/src/egretstep/settings/configuration_follower.py
+++ b/src/egretstep/settings/configuration_follower.py
@@ -69,7 +69,7 @@
         return self.changes.value
 
     @property
-    def version(self) -> int:
+    def version(self) -> identifiers.SettingsVersion:
         """Return the version of the configuration in force."""
         return self.current.version
 
@@ -83,11 +83,22 @@
         """Return the seconds since it was confirmed that none is later."""
         return self._watch.age
 
+    def content_after(self, version: identifiers.SettingsVersion) -> bytes:
+        """Return the configuration as stored if it is later than a version.
+
+        Empty if it is not.
+        """
+        return self._content if self.version > version else b''
+
+    def offer(self, content: bytes, *, source: str) -> None:
+        """Apply a configuration from another host if it is a later one."""
+        self._apply(content, source)
+
     def _on_rows(self, rows: watching.Rows) -> None:
         is_restored = self._record_era()
         row = rows.get(self._format.key)
         if row is not None:
-            self._apply(row.content)
+            self._apply(row.content, self._watch.source)
         if is_restored:
             self._hold_zones()
         if self._zones_held is None:
@@ -124,7 +135,7 @@
                 dataclasses.replace(self.current, zones_out=zones),
             )
 
-    def _apply(self, content: bytes) -> None:
+    def _apply(self, content: bytes, source: str) -> None:
         if content == self._content:
             return
         try:
@@ -132,7 +143,7 @@
         except errors.SettingsError as error:
             _logger.error(
                 'invalid configuration from {}, keeping version {}: {}',
-                self._watch.source,
+                source,
                 self.version,
                 error,
             )
@@ -142,7 +153,7 @@
                 'configuration version {} from {} is earlier than version '
                 '{} and is ignored',
                 decoded.version,
-                self._watch.source,
+                source,
                 self.version,
             )
             return
@@ -150,13 +161,13 @@
             'configuration version {} from {} replaces version {}, which was '
             'last confirmed {:.1f} s before',
             decoded.version,
-            self._watch.source,
+            source,
             self.version,
             self._watch.unconfirmed_seconds,
         )
         self._content = content
         self.is_known.set()
-        self._source = self._watch.source
+        self._source = source
         self.changes.on_next(
             dataclasses.replace(decoded, zones_out=self.current.zones_out),
         )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -128,15 +128,21 @@
             changes=list(self._changes),
         )
 
-    def restore(self, copy: StoreCopy) -> None:
+    def restore(
+        self,
+        copy: StoreCopy,
+        *,
+        rewritten_tables: typing.Collection[str] = _REWRITTEN_TABLES,
+    ) -> None:
         """Return to an earlier copy; all writes since then are lost.
 
-        The operator and the servers write their lost changes again.
+        The operator and the servers write their lost changes of the
+        `rewritten_tables` again.
         """
         lost = {
             key: self.rows.get(key)
             for key in sorted({*self.rows, *copy.rows})
-            if key[0] in _REWRITTEN_TABLES
+            if key[0] in rewritten_tables
             and self.rows.get(key) != copy.rows.get(key)
         }
         self.era += 1
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import signal
+import typing
 import unittest
 
 from standins import platform_caller, platform_fleet, platform_store
@@ -61,6 +62,23 @@
             await _restore(fleet, copy)
             await self._assert_recovers(fleet)
 
+    async def test_a_withdrawn_key_stays_withdrawn_on_a_started_host(
+        self,
+    ) -> None:
+        """The operator has not yet repeated the withdrawal."""
+        async with platform_fleet.PlatformFleet(first_port=23950) as fleet:
+            copy = fleet.store.copy()
+            started = (fleet.owner() + 1) % 3
+            fleet.keys['depot'] = []
+            fleet.configure()
+            await asyncio.sleep(0.5)
+            await fleet.stop_host(started, signal.SIGKILL)
+            await _restore(fleet, copy, rewritten_tables=('servers',))
+            await fleet.start_host(started)
+            with self.assertRaises(platform_caller.AnswerError) as refused:
+                await _connect_when_started(fleet, started)
+            self.assertEqual(refused.exception.code, 'NOAUTH')
+
     async def _assert_recovers(
         self, fleet: platform_fleet.PlatformFleet
     ) -> None:
@@ -81,8 +99,23 @@
 async def _restore(
     fleet: platform_fleet.PlatformFleet,
     copy: platform_store.StoreCopy,
+    rewritten_tables: typing.Collection[str] = ('op', 'servers'),
 ) -> None:
     await fleet.store.stop()
     await asyncio.sleep(AWAY_SECONDS)
-    fleet.store.restore(copy)
+    fleet.store.restore(copy, rewritten_tables=rewritten_tables)
     await fleet.store.start()
+
+
+async def _connect_when_started(
+    fleet: platform_fleet.PlatformFleet, index: int
+) -> None:
+    """Connect to a host as soon as it accepts connections."""
+    async with asyncio.timeout(MAX_RECOVERY_SECONDS):
+        while True:
+            try:
+                await platform_caller.Caller.connect(fleet.port(index))
+            except OSError:
+                await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+            else:
+                return
--- a/tests/settings/test_configuration_follower.py
+++ b/tests/settings/test_configuration_follower.py
@@ -14,7 +14,7 @@
 HOLD_SECONDS = 0.05
 
 
-def _content(version: int) -> bytes:
+def make_content(version: int) -> bytes:
     return orjson.dumps({
         'version': version,
         'routes': [],
@@ -23,6 +23,17 @@
     })
 
 
+def make_follower() -> configuration_follower.ConfigurationFollower:
+    return configuration_follower.ConfigurationFollower(
+        watch=watching.TableWatch(
+            store=platform_fakes.FakeTables(),
+            table='op',
+            time_source=clock.ManualClock(),
+        ),
+        table_format=operator_settings.FORMAT,
+    )
+
+
 class ConfigurationFollowerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.watch = watching.TableWatch(
@@ -37,17 +48,17 @@
 
     def test_the_version_never_decreases(self) -> None:
         for version, expected in ((3, 3), (7, 7), (5, 7), (8, 8)):
-            self._publish(_content(version))
+            self._publish(make_content(version))
             self.assertEqual(self.follower.version, expected)
 
     def test_invalid_content_is_ignored(self) -> None:
-        self._publish(_content(3))
+        self._publish(make_content(3))
         for invalid in (b'', b'{', b'[]', b'{"version": 9}', b'\xff'):
             self._publish(invalid)
             self.assertEqual(self.follower.version, 3)
 
     def test_zones_out_follow_the_rows(self) -> None:
-        rows = self._rows(_content(3))
+        rows = self._rows(make_content(3))
         rows['evacuate/north'] = tables.Row(
             key='evacuate/north',
             content=b'{}',
@@ -56,9 +67,15 @@
         self.watch.changes.on_next(rows)
         self.assertEqual(self.follower.current.zones_out, {'north'})
         self.assertEqual(self.follower.version, 3)
-        self._publish(_content(4))
+        self._publish(make_content(4))
         self.assertEqual(self.follower.current.zones_out, frozenset())
 
+    def test_other_hosts_get_a_later_version_only(self) -> None:
+        content = make_content(7)
+        self._publish(content)
+        self.assertEqual(self.follower.content_after(6), content)
+        self.assertEqual(self.follower.content_after(7), b'')
+
     def _publish(self, content: bytes) -> None:
         self.watch.changes.on_next(self._rows(content))
 
@@ -126,7 +143,7 @@
         """Read the whole table, as after a restore."""
         number = self.watch.version.number + 1
         stored_at = platform_fakes.version(number, era=era)
-        contents = {'config': _content(version)}
+        contents = {'config': make_content(version)}
         contents.update((f'evacuate/{zone}', b'{}') for zone in zones)
         rows = tuple(
             tables.Row(key=key, content=content, version=stored_at)
