Soak: a database that is added after the faults is served within 3 s

Change: after the faults, and once writes are accepted, a database is added and every host must serve it within the stated bound.

--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,8 @@
 READERS = 3
 RECOVERY_TIMEOUT_SECONDS = 12.0
 SETTLE_SECONDS = 1.0
+MAX_SETTINGS_DELAY_SECONDS = 3.0
+ADDED_DATABASE = 'added-after-the-faults'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +66,7 @@
         ]
         await fleet.heal()
         violations += await _wait_recovered(fleet)
+        violations += await _find_hosts_without_change(fleet)
         for task in caller_tasks:
             task.cancel()
         await asyncio.gather(*caller_tasks, return_exceptions=True)
@@ -111,6 +114,29 @@
     return []
 
 
+async def _find_hosts_without_change(
+    fleet: deployment.SoakFleet,
+) -> list[str]:
+    """Add a database; return the hosts that do not serve it in time."""
+    fleet.added_databases.append(ADDED_DATABASE)
+    fleet.configure()
+    await asyncio.sleep(MAX_SETTINGS_DELAY_SECONDS)
+    behind = []
+    for index in fleet.up:
+        try:
+            caller = await platform_caller.Caller.connect(
+                fleet.port(index), database=ADDED_DATABASE
+            )
+        except (OSError, platform_caller.AnswerError) as error:
+            behind.append(
+                f'host-{index} does not serve a database '
+                f'{MAX_SETTINGS_DELAY_SECONDS} s after it was added: {error!r}'
+            )
+        else:
+            caller.close()
+    return behind
+
+
 def _stored_items(fleet: deployment.SoakFleet) -> list[str]:
     """Return the written items in the order of the primary's log.
 
