--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -19,7 +19,7 @@
     leases,
     registry,
 )
-from egretstep.observability import metrics, metrics_page
+from egretstep.observability import metrics_page
 from egretstep.peers import links
 from egretstep.platform import (
     backend,
@@ -37,6 +37,7 @@
     host_endpoint,
     host_report,
     store_watches,
+    sweeper,
     tasks,
 )
 from egretstep.replication import evidence, failover
@@ -45,7 +46,6 @@
 from egretstep.storage import watching
 from egretstep.supervision import supervisor
 
-SWEEP_INTERVAL_SECONDS = 0.5
 # Share of the drain limit for which a server may remain primary. The rest
 # allows for the delay until this host learns that the server is draining.
 DRAIN_SHARE = 0.5
@@ -221,6 +221,12 @@
             configuration=self._watches.configuration,
             is_ready=self._is_ready,
         )
+        self._sweeper = sweeper.Sweeper(
+            broker_table=self._brokers,
+            configuration=self._watches.configuration,
+            is_isolated=lambda: self._queries.is_isolated,
+            close_idle_sessions=self._ingress.close_idle,
+        )
 
     def _subscribe_to_tables(self) -> None:
         self._watches.fleet.changes.subscribe(self._apply_fleet_rows)
@@ -240,7 +246,7 @@
             'leases': self._renewal.run,
             'peers': listener.run,
             'claimant': self._claimant.run,
-            'sweep': self._sweep,
+            'sweep': self._sweeper.run,
             'counted': self._queries.maintain_contact,
             'callers': self._ingress.run,
             'readiness': self._readiness.run,
@@ -313,20 +319,6 @@
     def _release_here(self, pin_id: identifiers.PinId) -> None:
         self._brokers.release(dispatcher.LOCAL_LINK_ID, pin_id)
 
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
-            self._brokers.sweep()
-            self._publish_settings_age()
-            if self._queries.is_isolated:
-                # The load balancer connects these callers to another host.
-                self._ingress.close_idle()
-
-    def _publish_settings_age(self) -> None:
-        configuration = self._watches.configuration
-        metrics.settings_version.set({}, configuration.version)
-        metrics.settings_age.set({}, configuration.age)
-
     async def _stop(self) -> None:
         _logger.info(
             'host {} is stopping: handing over tasks and closing sessions',
--- a/tests/platform/test_host_report.py
+++ b/tests/platform/test_host_report.py
@@ -1,9 +1,11 @@
 """Operator commands that query one host of the fleet."""
 
 import asyncio
+import re
 import subprocess
 import unittest
 
+import aiohttp
 import orjson
 
 from standins import platform_fleet
@@ -11,6 +13,7 @@
 
 # A configuration must be in force within this time.
 MAX_SETTINGS_AGE_SECONDS = 3.0
+SWEEP_SECONDS = 1.0
 
 
 class HostReportTest(unittest.IsolatedAsyncioTestCase):
@@ -37,6 +40,18 @@
             self.assertEqual(completed.returncode, 1)
             self.assertIn(database, completed.stderr)
 
+    async def test_the_age_of_the_settings_is_published(self) -> None:
+        async with platform_fleet.PlatformFleet(first_port=23750) as fleet:
+            url = f'http://127.0.0.1:{fleet.metrics_port(0)}/metrics'
+            await asyncio.sleep(SWEEP_SECONDS)
+            async with aiohttp.request('GET', url) as response:
+                page = await response.text()
+            age = re.search(
+                r'^egretstep_settings_age_seconds (\S+)$', page, re.M
+            )
+            self.assertIsNotNone(age, page)
+            self.assertLess(float(age[1]), MAX_SETTINGS_AGE_SECONDS)
+
     async def test_invalid_address_is_quoted(self) -> None:
         completed = await _run_host_command('status', 'host-1')
         self.assertEqual(completed.returncode, 2)
