--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -219,7 +219,7 @@
     Mutant(
         name='feed answers of any age are accepted',
         path='src/egretstep/storage/change_feed.py',
-        old='update.age <= self._max_age',
+        old='update.age < self._max_age',
         new='update.age < UNKNOWN_AGE_SECONDS * 2',
         tests='tests.storage.test_change_feed',
     ),
@@ -293,6 +293,34 @@
         new='await asyncio.sleep(0)',
         tests='tests.platform.test_ingress',
     ),
+    Mutant(
+        name='a poll for settings waits as long as the others',
+        path='src/egretstep/programs/store_watches.py',
+        old='longest_wait=self._feed_wait_seconds,',
+        new='longest_wait=tables.LONGEST_WAIT_SECONDS,',
+        tests='tests.storage.test_silent_store',
+    ),
+    Mutant(
+        name='a host without the store replies too late to be of use',
+        path='src/egretstep/storage/change_feed.py',
+        old='if not self._watches[0].is_failing:',
+        new='if self._wait:',
+        tests='tests.storage.test_silent_store',
+    ),
+    Mutant(
+        name='polls go on when the store answers again',
+        path='src/egretstep/platform/store.py',
+        old='if not self._is_answering:',
+        new='if self._is_answering is None:',
+        tests='tests.platform.test_store',
+    ),
+    Mutant(
+        name='a process that starts serves before other hosts have answered',
+        path='src/egretstep/settings/startup_check.py',
+        old='timeout=ANSWER_SECONDS)',
+        new='timeout=0)',
+        tests='tests.settings.test_startup_check',
+    ),
     Mutant(
         name='the suspicion of a host expires before it is probed',
         path='src/egretstep/membership/fleet_links.py',
