Tests of a late write over the row of a host after the store's return

Two tests, for this host's own row and for a stopped host's: the later state stays in use and is written again.

--- a/tests/membership/test_host_registration.py
+++ b/tests/membership/test_host_registration.py
@@ -77,6 +77,28 @@
         self._restore()
         self.assertEqual(self.hosts.hosts[OTHER], restarted)
 
+    async def test_a_late_write_of_a_former_era_is_replaced(self) -> None:
+        """Its version number was given out again, so the store accepts it."""
+        former = self.hosts.own
+        self._restore()
+        await asyncio.sleep(SOON_SECONDS)
+        restarted = await self._restart_own()
+        self._put_late(former)
+        self._follow_store()
+        self.assertEqual(self.hosts.own, restarted)
+        await asyncio.sleep(SOON_SECONDS)
+        self.assertEqual(self._stored(OWN), restarted)
+
+    async def test_a_late_write_over_a_stopped_host_is_replaced(self) -> None:
+        await self.registration.change(self.other, directory.HostState.GONE)
+        self._follow_store()
+        self._put_late(self.other)
+        self._follow_store()
+        self.assertEqual(self.hosts.others(), [])
+        await asyncio.sleep(SOON_SECONDS)
+        stored = self._stored(OTHER)
+        self.assertEqual(stored and stored.state, directory.HostState.GONE)
+
     async def test_a_write_that_fails_is_tried_again(self) -> None:
         with mock.patch.object(
             host_registration, 'RETRY_SECONDS', SOON_SECONDS / 4
@@ -92,6 +114,20 @@
         self.store.restore(self.before)
         self._follow_store()
 
+    async def _restart_own(self) -> directory.Host:
+        restarted = await self._register(OWN)
+        self.hosts.mark_registered(restarted)
+        return restarted
+
+    def _put_late(self, host: directory.Host) -> None:
+        """Let a delayed write replace whatever row is stored."""
+        key = directory.PREFIX + host.host
+        self.store.rows[directory.TABLE, key] = tables.Row(
+            key=key,
+            content=directory.encode(host),
+            version=self.store._next_version(),
+        )
+
     def _follow_store(self) -> None:
         self.hosts.update({
             key: row for (_, key), row in self.store.rows.items()
