Mutants count only if their tests pass on the unchanged code

Change: the fake answers the call; `make mutants` runs the tests once on an unchanged copy first and says so if they fail there.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -2,16 +2,20 @@
 
 For each mutant, `make mutants` copies the project, removes one mechanism
 from the copy, and runs the scenario or test module for it there, which must
-fail. Arguments of the command are names of features or test modules; only
+fail. It must pass on an unchanged copy. Arguments of the command are names of features or test modules; only
 their mutants run.
 """
 
+import contextlib
+import enum
+import functools
 import os
 import pathlib
 import shutil
 import subprocess
 import sys
 import tempfile
+import typing
 
 from tests import mutations
 
@@ -20,6 +24,17 @@
 PORT_OFFSET = '7000'
 
 
+class State(enum.Enum):
+    """What the tests of a mutant show.
+
+    Tests that fail on the unchanged code show nothing.
+    """
+
+    NOTICED = 'noticed'
+    UNNOTICED = 'NOT NOTICED'
+    FAILS_UNCHANGED = 'TESTS FAIL ON THE UNCHANGED CODE'
+
+
 def main() -> int:
     """Run the mutants and return how many no test noticed."""
     selected = set(sys.argv[1:])
@@ -27,19 +42,36 @@
     for mutant in mutations.MUTANTS:
         if selected and not {mutant.feature, mutant.tests} & selected:
             continue
-        is_noticed = _is_noticed(mutant)
-        unnoticed_count += not is_noticed
-        state = 'noticed' if is_noticed else 'NOT NOTICED'
-        sys.stdout.write(f'{mutant.name}: {state}\n')
+        state = _state(mutant)
+        unnoticed_count += state is not State.NOTICED
+        sys.stdout.write(f'{mutant.name}: {state.value}\n')
         sys.stdout.flush()
     return unnoticed_count
 
 
-def _is_noticed(mutant: mutations.Mutant) -> bool:
+def _state(mutant: mutations.Mutant) -> State:
+    if not _passes_unchanged(tuple(_command(mutant))):
+        return State.FAILS_UNCHANGED
+    return State.NOTICED if _is_noticed(mutant) else State.UNNOTICED
+
+
+@functools.cache
+def _passes_unchanged(command: tuple[str, ...]) -> bool:
+    with _copy_of_project() as copy:
+        return _run(command, copy).returncode == 0
+
+
+@contextlib.contextmanager
+def _copy_of_project() -> typing.Generator[pathlib.Path, None, None]:
     with tempfile.TemporaryDirectory(prefix='egretstep-mutant-') as name:
         copy = pathlib.Path(name)
         for folder in COPIED_FOLDERS:
             shutil.copytree(ROOT / folder, copy / folder)
+        yield copy
+
+
+def _is_noticed(mutant: mutations.Mutant) -> bool:
+    with _copy_of_project() as copy:
         path = copy / mutant.path
         text = path.read_text()
         if mutant.old not in text:
@@ -52,8 +84,20 @@
 
 
 def _fails(mutant: mutations.Mutant, copy: pathlib.Path) -> bool:
-    completed = subprocess.run(
-        _command(mutant),
+    completed = _run(_command(mutant), copy)
+    # A run that fails before any assertion, as on an import error, does not
+    # show that the tests notice the change.
+    failure_markers = ('ASSERT FAILED', 'FAILED (')
+    return completed.returncode != 0 and any(
+        text in completed.stdout for text in failure_markers
+    )
+
+
+def _run(
+    command: typing.Sequence[str], copy: pathlib.Path
+) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        command,
         cwd=copy,
         env={
             **os.environ,
@@ -64,12 +108,6 @@
         stderr=subprocess.STDOUT,
         text=True,
     )
-    # A run that fails before any assertion, as on an import error, does not
-    # show that the tests notice the change.
-    failure_markers = ('ASSERT FAILED', 'FAILED (')
-    return completed.returncode != 0 and any(
-        text in completed.stdout for text in failure_markers
-    )
 
 
 def _command(mutant: mutations.Mutant) -> list[str]:
--- a/tests/storage/test_silent_store.py
+++ b/tests/storage/test_silent_store.py
@@ -120,6 +120,13 @@
     ) -> change_feed.FeedUpdate | None:
         return await self.hosts[host].watches.feed_server.poll(known)
 
+    async def later_configuration(
+        self,
+        _host: identifiers.HostName,
+        _version: identifiers.SettingsVersion,
+    ) -> bytes:
+        return b''
+
     def configure(self, version: int) -> None:
         content = orjson.dumps({
             'version': version,
