--- a/src/egretstep/programs/store_watches.py
+++ b/src/egretstep/programs/store_watches.py
@@ -15,7 +15,7 @@
 )
 from egretstep.platform import operator_settings, registrations
 from egretstep.settings import configuration_follower, node, startup_check
-from egretstep.storage import change_feed, tables, watching
+from egretstep.storage import change_feed, feed_follower, tables, watching
 from egretstep.supervision import supervisor
 
 # Changes of claims are also sent from host to host, so the fleet table
@@ -89,7 +89,7 @@
         renewal: lease_renewal.LeaseRenewal,
     ) -> list[supervisor.Child]:
         """Return the supervised tasks that keep the copies up to date."""
-        follower = change_feed.FeedFollower(
+        follower = feed_follower.FeedFollower(
             watches=self._watches,
             source=relays.RelayChoice(hosts=hosts, time_source=self._clock),
             poll_host=functools.partial(
--- a/src/egretstep/storage/change_feed.py
+++ b/src/egretstep/storage/change_feed.py
@@ -1,10 +1,9 @@
-"""Change feed of the store's tables between the hosts of a fleet.
+"""Change feed of the store's tables, which a host serves to other hosts.
 
-`FeedServer` serves the feed to other hosts; `FeedFollower` reads the feed of
-another host instead of asking the store. Each answer of the feed carries its
-age: the time since the store last confirmed that nothing newer existed. A
-host rejects answers that are too old, which bounds how far a chain of hosts
-can fall behind the store.
+Each answer of the feed carries its age: the time since the store last
+confirmed that nothing newer existed. A host rejects answers that are too old,
+which bounds how far a chain of hosts can fall behind the store. The module
+`feed_follower` reads the feed of another host.
 """
 
 import asyncio
@@ -14,14 +13,9 @@
 
 import logbook
 
-from egretstep import clock, errors, identifiers
+from egretstep import clock, errors
 from egretstep.storage import tables, watching
 
-SOURCE_CHECK_SECONDS = 0.2
-NO_SOURCE_PAUSE_SECONDS = 0.3
-# Without a usable source for long, all hosts together send one request in this
-# time. The pause of each doubles up to that.
-NO_SOURCE_PAUSE_PER_HOST_SECONDS = 0.005
 CONFIRM_TIMEOUT_SECONDS = 0.5
 CONFIRM_AGE_WAITS = 1.5
 MAX_AGE_WAITS = 2
@@ -44,24 +38,7 @@
     tables: typing.Mapping[str, tables.Snapshot]
 
 
-class FeedSource(typing.Protocol):
-    """Chooses the host whose feed this host reads."""
-
-    def relay(self) -> identifiers.HostName | None:
-        """Return the host to follow instead of the store, or None."""
-
-    def any_host(self) -> identifiers.HostName | None:
-        """Return a host to ask while the store does not answer, or None."""
-
-    def avoid(self, host: identifiers.HostName) -> None:
-        """Avoid a host for a while: it gave no answer, or too old a one."""
-
-
 Versions = typing.Mapping[str, tables.Version]
-PollHost = typing.Callable[
-    [identifiers.HostName, Versions],
-    typing.Awaitable[FeedUpdate | None],
-]
 
 
 class FeedServer:
@@ -107,7 +84,7 @@
             await self._confirm()
         return FeedUpdate(
             age=self.age,
-            era=_latest_era(self._watches),
+            era=latest_era(self._watches),
             tables=found,
         )
 
@@ -180,129 +157,6 @@
             )
 
 
-class FeedFollower:
-    """Follows the change feed of another host instead of the store.
-
-    It does so while `source` names a relay, or while the store does not
-    answer this host. The watches stay idle for the first `start_delay`
-    seconds. `store_answers` tells whether the store answers this host's other
-    calls.
-    """
-
-    def __init__(
-        self,
-        *,
-        watches: typing.Sequence[watching.TableWatch],
-        source: FeedSource,
-        poll_host: PollHost,
-        wait: float,
-        store_answers: typing.Callable[[], bool],
-        fleet_size: typing.Callable[[], int],
-        start_delay: float,
-        time_source: clock.Clock,
-    ) -> None:
-        self._start_delay = start_delay
-        self._watches = {watch.table: watch for watch in watches}
-        self._source = source
-        self._poll_host = poll_host
-        self._max_age = MAX_AGE_WAITS * wait
-        self._store_answers = store_answers
-        self._fleet_size = fleet_size
-        self._clock = time_source
-        self._host: identifiers.HostName | None = None
-        self._no_source_pause = NO_SOURCE_PAUSE_SECONDS
-        for watch in watches:
-            watch.follows_store.clear()
-
-    @property
-    def host(self) -> identifiers.HostName | None:
-        """Return the host that is followed, or None if the store is."""
-        return self._host
-
-    async def run(self) -> None:
-        """Follow a host, or let the watches follow the store."""
-        await asyncio.sleep(self._start_delay)
-        while True:
-            relay = self._source.relay()
-            if relay:
-                await self._follow_host(relay, replaces_store=True)
-                continue
-            if self._store_is_unreachable():
-                await self._follow_host(self._source.any_host())
-                continue
-            self._set_source_host(None)
-            await asyncio.sleep(SOURCE_CHECK_SECONDS)
-
-    def _store_is_unreachable(self) -> bool:
-        watches = self._watches.values()
-        is_failing = any(watch.is_failing for watch in watches)
-        return is_failing or not self._store_answers()
-
-    async def _follow_host(
-        self,
-        host: identifiers.HostName | None,
-        *,
-        replaces_store: bool = False,
-    ) -> None:
-        """Make one long poll to a host and apply its answer.
-
-        With `replaces_store`, the watches stop following the store.
-        """
-        update = await self._request_changes(host) if host else None
-        if host is None or update is None or not self._is_recent(update):
-            await self._avoid(host)
-            return
-        self._set_source_host(host if replaces_store else None)
-        self._no_source_pause = NO_SOURCE_PAUSE_SECONDS
-        confirmed_at = self._clock.now() - update.age
-        for table, watch in self._watches.items():
-            changed = update.tables.get(table)
-            if changed is None and watch.is_synced:
-                changed = watch.no_changes()
-            if changed is not None and watch.accepts_changes:
-                watch.accept(changed, confirmed_at=confirmed_at, source=host)
-
-    def _is_recent(self, update: FeedUpdate) -> bool:
-        """Return whether an update is recent and of no earlier era."""
-        known_era = _latest_era(self._watches.values())
-        return update.age < self._max_age and update.era >= known_era
-
-    async def _request_changes(
-        self, host: identifiers.HostName
-    ) -> FeedUpdate | None:
-        known = {
-            table: watch.version
-            for table, watch in self._watches.items()
-            if watch.accepts_changes
-        }
-        return await self._poll_host(host, known)
-
-    async def _avoid(self, host: identifiers.HostName | None) -> None:
-        """Avoid a host; without another relay, follow the store and pause."""
-        if host is not None:
-            self._source.avoid(host)
-        if self._source.relay() is not None:
-            return
-        self._set_source_host(None)
-        await asyncio.sleep(self._no_source_pause)
-        longest = NO_SOURCE_PAUSE_PER_HOST_SECONDS * self._fleet_size()
-        self._no_source_pause = max(
-            NO_SOURCE_PAUSE_SECONDS, min(longest, 2 * self._no_source_pause)
-        )
-
-    def _set_source_host(self, host: identifiers.HostName | None) -> None:
-        """Follow a host, or the store if it is None."""
-        if host != self._host:
-            _logger.info(
-                'changes of tables now come from {}', host or 'the store'
-            )
-        self._host = host
-        for watch in self._watches.values():
-            if host is None:
-                watch.follows_store.set()
-            else:
-                watch.follows_store.clear()
-
-
-def _latest_era(watches: typing.Iterable[watching.TableWatch]) -> int:
+def latest_era(watches: typing.Iterable[watching.TableWatch]) -> int:
+    """Return the latest era of the store that one of the copies is from."""
     return max(watch.version.era for watch in watches)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -218,9 +218,9 @@
     ),
     Mutant(
         name='feed answers of any age are accepted',
-        path='src/egretstep/storage/change_feed.py',
+        path='src/egretstep/storage/feed_follower.py',
         old='update.age < self._max_age',
-        new='update.age < UNKNOWN_AGE_SECONDS * 2',
+        new='update.age < change_feed.UNKNOWN_AGE_SECONDS * 2',
         tests='tests.storage.test_change_feed',
     ),
     Mutant(
@@ -261,7 +261,7 @@
     Mutant(
         name='a relay is left while it reads its tables after a restore',
         path='src/egretstep/storage/change_feed.py',
-        old='era=_latest_era(self._watches),',
+        old='era=latest_era(self._watches),',
         new='era=self._watches[0].version.era,',
         tests='tests.storage.test_change_feed',
     ),
@@ -305,7 +305,7 @@
         path='src/egretstep/storage/change_feed.py',
         old='if not self._watches[0].is_failing:',
         new='if self._wait:',
-        tests='tests.storage.test_silent_store',
+        tests='tests.storage.test_change_feed',
     ),
     Mutant(
         name='polls go on when the store answers again',
--- a/tests/storage/feed_fakes.py
+++ b/tests/storage/feed_fakes.py
@@ -5,7 +5,7 @@
 import typing
 
 from egretstep import clock, errors, identifiers
-from egretstep.storage import change_feed, tables, watching
+from egretstep.storage import change_feed, feed_follower, tables, watching
 from tests import platform_fakes
 
 TABLE = 'op'
@@ -114,7 +114,7 @@
         self.fake_source = FakeSource(relay)
         self.others: dict[str, Host] = {}
         self.store_answers = True
-        self.follower = change_feed.FeedFollower(
+        self.follower = feed_follower.FeedFollower(
             watches=self.watches,
             source=self.fake_source,
             poll_host=self._poll_host,
--- a/tests/storage/test_change_feed.py
+++ b/tests/storage/test_change_feed.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from egretstep import identifiers
-from egretstep.storage import change_feed, tables, watching
+from egretstep.storage import feed_follower, tables, watching
 from tests import platform_fakes, virtual_time
 from tests.storage import feed_fakes
 
@@ -141,11 +141,34 @@
         # Its own feed is open but silent; a lease call found the store down.
         alone.store_answers = False
         await asyncio.sleep(
-            change_feed.SOURCE_CHECK_SECONDS + feed_fakes.WAIT_SECONDS * 2
+            feed_follower.SOURCE_CHECK_SECONDS + feed_fakes.WAIT_SECONDS * 2
         )
         self.assertIn('only told to others', alone.keys)
         self.assertEqual(alone.watch.source, 'other')
 
+    async def test_relay_without_the_store_answers_while_that_is_of_use(
+        self,
+    ) -> None:
+        """Its followers waited for answers that they then rejected."""
+        relay = feed_fakes.Host(self.store)
+        former_age = feed_fakes.WAIT_SECONDS * 1.5
+        asked_at = relay.clock.now()
+        for watch in relay.watches:
+            watch.accept(
+                await self.store.read(watch.table),
+                confirmed_at=asked_at - former_age,
+            )
+        self.store.is_down = True
+        relay.watch.follows_store.set()
+        failing = asyncio.ensure_future(relay.watch.run())
+        self.running.append(failing)
+        await asyncio.sleep(0)
+        self.assertTrue(relay.watch.is_failing)
+        await relay.feed_server.poll({feed_fakes.TABLE: relay.watch.version})
+        self.assertAlmostEqual(
+            relay.clock.now() - asked_at, feed_fakes.WAIT_SECONDS / 2
+        )
+
     async def test_starting_relay_answers_after_its_first_read(self) -> None:
         """A whole fleet starts at once, including its relays."""
         relay = feed_fakes.Host(self.store)
