A host whose relays are silent asks the store

Both relays of a zone were silent to a host; a relay was avoided for 2.0 s and a poll without an answer took up to 2.15 s, so that one relay was always allowed again and the store never asked. Change: a relay is avoided for three polls. When the settings are older than an answer of another host may be, the store is followed beside the next relay. Of the other hosts, those that failed are asked last in place of not at all for 2 s. Lines say why a host's changes were missing or refused.

--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import logbook
+
 from egretstep import clock, errors, identifiers
 from egretstep.backends import answers
 from egretstep.membership import claims as claims_module
@@ -20,6 +22,7 @@
 STRAGGLER_WAIT_SECONDS = 0.05
 _Reply = typing.TypeVar('_Reply')
 _LINK_ERRORS = (errors.LinkError, errors.LinkLostError)
+_logger = logbook.Logger('links')
 
 
 class FleetLinks:
@@ -170,12 +173,16 @@
         try:
             reply = await self._link(host).call(
                 lambda remote: remote.changes(known=versions),
-                timeout=wait
-                + change_feed.CONFIRM_TIMEOUT_SECONDS
-                + CONTROL_TIMEOUT_SECONDS,
+                timeout=change_feed.poll_timeout(wait),
                 is_long_poll=True,
             )
-        except _LINK_ERRORS:
+        except _LINK_ERRORS as error:
+            _logger.info(
+                'host {} gives no changes of tables, another source is asked: '
+                '{}',
+                host,
+                error,
+            )
             return None
         return fleet_messages.decode_feed_update(reply)
 
--- a/src/egretstep/membership/relays.py
+++ b/src/egretstep/membership/relays.py
@@ -8,29 +8,34 @@
 reads the change feed of any other host.
 """
 
-import random
-
 from egretstep import clock, identifiers
 from egretstep.membership import directory, rendezvous
 
 RELAYS_PER_ZONE = 2
 MIN_RELAYED_ZONE_HOSTS = 8
-AVOIDANCE_SECONDS = 2.0
+# A relay stays avoided while polls to all relays fail one after another, and for
+# one poll more, so that the host then asks the store.
+AVOIDANCE_POLLS = RELAYS_PER_ZONE + 1
 _HASH_KEY = 'relay'
 
 
 class RelayChoice:
-    """Chooses which host to ask for changes, or the store itself."""
+    """Chooses which host to ask for changes, or the store itself.
+
+    `poll_timeout` is the longest time that a poll takes, in seconds.
+    """
 
     def __init__(
         self,
         *,
         hosts: directory.Directory,
+        poll_timeout: float,
         time_source: clock.Clock,
     ) -> None:
         self._hosts = hosts
+        self._avoidance_seconds = AVOIDANCE_POLLS * poll_timeout
         self._clock = time_source
-        self._avoided_until: dict[identifiers.HostName, float] = {}
+        self._failed_at: dict[identifiers.HostName, float] = {}
         self._relays: tuple[identifiers.HostName, ...] = ()
         self._relays_revision = -1
 
@@ -45,22 +50,23 @@
         return None
 
     def any_host(self) -> identifiers.HostName | None:
-        """Return a random host to ask while the store does not answer."""
-        own = self._hosts.own.host
-        names = [
-            host.host
-            for host in self._hosts.usable()
-            if host.host != own and self._is_allowed(host.host)
-        ]
-        return random.choice(names) if names else None
+        """Return a random host to ask while the store does not answer.
+
+        Hosts that have failed come last, the latest failure at the end.
+        """
+        names = self._hosts.choose_others(len(self._hosts.hosts))
+        return min(names, key=self._last_failure, default=None)
 
     def avoid(self, host: identifiers.HostName) -> None:
         """Avoid a host for a while, because its data were not recent."""
-        until = self._clock.now() + AVOIDANCE_SECONDS
-        self._avoided_until[host] = until
+        self._failed_at[host] = self._clock.now()
+
+    def _last_failure(self, host: identifiers.HostName) -> float:
+        return self._failed_at.get(host, float('-inf'))
 
     def _is_allowed(self, host: identifiers.HostName) -> bool:
-        return self._avoided_until.get(host, 0) <= self._clock.now()
+        since = self._clock.now() - self._last_failure(host)
+        return since >= self._avoidance_seconds
 
     def _current_relays(self) -> tuple[identifiers.HostName, ...]:
         """Return the relays of this host's zone, the preferred one first."""
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -16,7 +16,6 @@
 from egretstep.web import client as http
 
 REQUEST_TIMEOUT_SECONDS = 1.0
-POLL_ANSWER_SECONDS = 0.5
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
@@ -99,7 +98,7 @@
             'after': after.number,
             'wait_ms': clock.to_milliseconds(longest_wait),
         }
-        timeout = longest_wait + POLL_ANSWER_SECONDS
+        timeout = longest_wait + tables.POLL_ANSWER_SECONDS
         if longest_wait:
             answer = await self._poll(table, query, timeout)
         else:
--- a/src/egretstep/programs/store_watches.py
+++ b/src/egretstep/programs/store_watches.py
@@ -91,7 +91,11 @@
         """Return the supervised tasks that keep the copies up to date."""
         follower = feed_follower.FeedFollower(
             watches=self._watches,
-            source=relays.RelayChoice(hosts=hosts, time_source=self._clock),
+            source=relays.RelayChoice(
+                hosts=hosts,
+                poll_timeout=change_feed.poll_timeout(self._feed_wait_seconds),
+                time_source=self._clock,
+            ),
             poll_host=functools.partial(
                 peers.changes, wait=self._feed_wait_seconds
             ),
@@ -134,3 +138,15 @@
             longest_wait=longest_wait,
             requires_store_read=table == directory.TABLE,
         )
+
+
+def longest_source_change(max_settings_delay: float) -> float:
+    """Return how long a host may wait until it asks a source that answers.
+
+    A poll to a relay and then one to the store are not answered; the store is
+    asked again over a new connection. All times are in seconds; this one must
+    be below `max_settings_delay`, so that changes are in force in time.
+    """
+    relay_poll = change_feed.poll_timeout(max_settings_delay * FEED_WAIT_SHARE)
+    store_poll = tables.POLL_ANSWER_SECONDS
+    return relay_poll + 2 * store_poll + watching.FIRST_RETRY_SECONDS
--- a/src/egretstep/storage/change_feed.py
+++ b/src/egretstep/storage/change_feed.py
@@ -17,6 +17,7 @@
 from egretstep.storage import tables, watching
 
 CONFIRM_TIMEOUT_SECONDS = 0.5
+REPLY_ALLOWANCE_SECONDS = 0.4
 CONFIRM_AGE_WAITS = 1.5
 MAX_AGE_WAITS = 2
 # Age of a table that was never confirmed, and the highest age reported.
@@ -157,6 +158,17 @@
             )
 
 
+def poll_timeout(wait: float) -> float:
+    """Return how long to wait for the answer to a poll, in seconds.
+
+    `wait` is how long the feed waits for changes.
+
+    >>> poll_timeout(1.0)
+    1.9
+    """
+    return wait + CONFIRM_TIMEOUT_SECONDS + REPLY_ALLOWANCE_SECONDS
+
+
 def latest_era(watches: typing.Iterable[watching.TableWatch]) -> int:
     """Return the latest era of the store that one of the copies is from."""
     return max(watch.version.era for watch in watches)
--- a/src/egretstep/storage/feed_follower.py
+++ b/src/egretstep/storage/feed_follower.py
@@ -40,7 +40,8 @@
     It does so while `source` names a relay, or while the store does not
     answer this host. The watches stay idle for the first `start_delay`
     seconds. `store_answers` tells whether the store answers this host's other
-    calls.
+    calls. Once the first of `watches` is older than an answer of another host
+    may be, the store is followed until a host gives a recent answer.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
     ) -> None:
         self._start_delay = start_delay
         self._watches = {watch.table: watch for watch in watches}
+        self._first_watch = watches[0]
         self._source = source
         self._poll_host = poll_host
         self._max_age = change_feed.MAX_AGE_WAITS * wait
@@ -103,7 +105,18 @@
         With `replaces_store`, the watches stop following the store.
         """
         update = await self._request_changes(host) if host else None
-        if host is None or update is None or not self._is_recent(update):
+        if host is None or update is None:
+            await self._avoid(host)
+            return
+        if not self._is_recent(update):
+            _logger.info(
+                'changes of tables from {} are refused: they are {:.1f} s old '
+                '(allowed: {:.1f} s) and of era {}; another source is asked',
+                host,
+                update.age,
+                self._max_age,
+                update.era,
+            )
             await self._avoid(host)
             return
         self._set_source_host(host if replaces_store else None)
@@ -132,12 +145,17 @@
         return await self._poll_host(host, known)
 
     async def _avoid(self, host: identifiers.HostName | None) -> None:
-        """Avoid a host; without another relay, follow the store and pause."""
+        """Avoid a host; without another relay, follow the store and pause.
+
+        If another relay may answer too late, the store is followed beside it.
+        """
         if host is not None:
             self._source.avoid(host)
-        if self._source.relay() is not None:
+        has_relay = self._source.relay() is not None
+        if not has_relay or self._first_watch.age > self._max_age:
+            self._set_source_host(None)
+        if has_relay:
             return
-        self._set_source_host(None)
         await asyncio.sleep(self._no_source_pause)
         longest = NO_SOURCE_PAUSE_PER_HOST_SECONDS * self._fleet_size()
         self._no_source_pause = max(
--- a/src/egretstep/storage/tables.py
+++ b/src/egretstep/storage/tables.py
@@ -12,6 +12,8 @@
 from egretstep import errors
 
 LONGEST_WAIT_SECONDS = 20.0
+# How long after its wait a poll may be answered.
+POLL_ANSWER_SECONDS = 0.5
 _ABSENT_NUMBER = 0
 
 
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -46,6 +46,7 @@
     ) -> relays.RelayChoice:
         return relays.RelayChoice(
             hosts=make_directory(sizes, own),
+            poll_timeout=1.0,
             time_source=clock.ManualClock(),
         )
 
