The time limit of an HTTP call counts the wait for earlier calls

Callers' view: a host whose connection to the store is silent was held up for the sum of the time limits of all its calls, since each waited for the ones before it outside its own limit (one connection, one call at a time). Change: the limit holds for the wait as well. A call that is given up before it was sent fails like one without an answer. Evidence: tests.web.test_client, 20 calls of 0.1 s at once: TimeoutError after 1 s on the code before; now each fails after its own 0.1 s.

--- a/src/egretstep/web/client.py
+++ b/src/egretstep/web/client.py
@@ -48,17 +48,17 @@
         """Send a request and return its response.
 
         Raises `errors.PlatformError` if no complete response arrives within
-        `timeout` seconds; the request may have taken effect.
+        `timeout` seconds, the wait for earlier requests included; the request
+        may have taken effect.
         """
-        async with self._lock:
-            try:
-                async with asyncio.timeout(timeout):
-                    return await self._call(request)
-            except (OSError, TimeoutError, h11.ProtocolError) as error:
-                raise errors.PlatformError(
-                    f'no answer from {self._address} to {request.method} '
-                    f'{request.target}: {error!r}',
-                ) from error
+        try:
+            async with asyncio.timeout(timeout), self._lock:
+                return await self._call(request)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            raise errors.PlatformError(
+                f'no answer from {self._address} to {request.method} '
+                f'{request.target} (time limit: {timeout} s): {error!r}',
+            ) from error
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
