A poll of the store over a silent connection ends when other calls show a change

Callers' view: a host that follows the tables of servers and hosts itself could miss a server that drains, or a new primary, for 20.5 s: each table is polled over a connection of its own, with a wait of 20 s, and one that went silent looks like one without changes. Change: every answer of the store shows its newest version. A poll for the changes since an earlier one ends 1.5 s after such an answer, and is sent again without a wait. The polls for settings, 0.75 to 1.25 s long, show it in time: 1.25 + 1.5 + 0.5 s is less than half of the drain limit of 7 s. Evidence: tests.platform.test_store, a_poll_ends_when_another_call_shows_a later_version: TimeoutError on the code before.

--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's metadata store."""
 
-import asyncio
 import base64
 import dataclasses
 import typing
@@ -11,6 +10,7 @@
 
 from egretstep import clock, errors
 from egretstep.observability import metrics
+from egretstep.platform import store_polls
 from egretstep.settings import node
 from egretstep.storage import tables
 from egretstep.web import client as http
@@ -32,8 +32,7 @@
 
     Long polls for the changes of a table have a connection for each table,
     so that other requests don't wait for them. A poll ends when another call
-    shows that its answer may never come: the store was restored, or answers
-    again after it did not. Versions are numbers on the wire; their era is that
+    shows that its answer may never come. Versions are numbers on the wire; their era is that
     of the answer, or of the latest answer.
     """
 
@@ -43,7 +42,7 @@
         self._poll_clients: dict[str, http.HttpClient] = {}
         self._era = _ONLY_ERA
         self._is_answering = True
-        self._polls_ended = asyncio.Event()
+        self._polls = store_polls.PendingPolls()
 
     async def read(self, table: str, prefix: str = '') -> tables.Snapshot:
         """Return all rows whose keys begin with a prefix, read page by page."""
@@ -89,8 +88,8 @@
         Waits up to `longest_wait` seconds for the first change. Raises
         `tables.HistoryGoneError` when the store no longer has the changes
         since that version, which is so when the version is of another era, and
-        `tables.PollEndedError` when another call shows that the store did not
-        answer meanwhile.
+        `tables.PollEndedError` when another call shows that the answer may
+        never come.
         """
         self._check_history(table, after)
         query = {
@@ -100,7 +99,7 @@
         }
         timeout = longest_wait + tables.POLL_ANSWER_SECONDS
         if longest_wait:
-            answer = await self._poll(table, query, timeout)
+            answer = await self._poll(table, after, query, timeout)
         else:
             answer = await self._get('rows-feed', query, self._client, timeout)
         self._check_history(table, after)
@@ -163,36 +162,17 @@
     async def _poll(
         self,
         table: str,
+        after: tables.Version,
         query: dict[str, typing.Any],
         timeout: float,
     ) -> '_Answer':
         """Poll a table until it changes or another call ends the poll."""
-        era = self._era
-        call = asyncio.ensure_future(
-            self._get('rows-feed', query, self._poll_client(table), timeout)
-        )
-        ended = asyncio.ensure_future(self._polls_ended.wait())
+        call = self._get('rows-feed', query, self._poll_client(table), timeout)
         try:
-            await asyncio.wait(
-                {call, ended}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if call.done():
-                return call.result()
-        finally:
-            call.cancel()
-            ended.cancel()
-        if era != self._era:
-            raise tables.HistoryGoneError(
-                f'the store was restored while table {table} was polled',
-            )
-        raise tables.PollEndedError(
-            f'the store did not answer for a while since table {table} is '
-            'polled; poll again',
-        )
-
-    def _end_polls(self) -> None:
-        self._polls_ended.set()
-        self._polls_ended = asyncio.Event()
+            return await self._polls.run(call, table=table, after=after)
+        except tables.PollEndedError:
+            self._check_history(table, after)
+            raise
 
     def _poll_client(self, table: str) -> http.HttpClient:
         client = self._poll_clients.get(table)
@@ -214,7 +194,9 @@
         )
         response = await self._call(client or self._client, request, timeout)
         era = self._record_era(response)
-        return _decode_answer(response, request, era)
+        answer = _decode_answer(response, request, era)
+        self._polls.record_version(answer.version)
+        return answer
 
     async def _call(
         self,
@@ -230,7 +212,7 @@
             raise
         if not self._is_answering:
             self._is_answering = True
-            self._end_polls()
+            self._polls.end_all('the store did not answer for a while')
         return response
 
     def _check_history(self, table: str, after: tables.Version) -> None:
@@ -259,7 +241,7 @@
             )
             metrics.store_era.set({}, era)
             self._era = era
-            self._end_polls()
+            self._polls.end_all('the store was restored')
         return era
 
 
--- a/src/egretstep/storage/tables.py
+++ b/src/egretstep/storage/tables.py
@@ -76,7 +76,7 @@
 
 
 class PollEndedError(errors.PlatformError):
-    """The store answers other calls again, but may never answer this poll."""
+    """Another call shows that the store may never answer this poll."""
 
 
 class Tables(typing.Protocol):
--- a/src/egretstep/storage/watching.py
+++ b/src/egretstep/storage/watching.py
@@ -75,6 +75,7 @@
         self._deleted_rows: dict[str, tables.Row] = {}
         self._version: tables.Version | None = None
         self._must_read_whole = True
+        self._is_poll_ended = False
         self._history_start = tables.NO_VERSION
         self._confirmed_at = float('-inf')
         self._unconfirmed_seconds = float('inf')
@@ -160,6 +161,7 @@
                     random.uniform(0, WHOLE_READ_SPREAD_SECONDS)
                 )
             except tables.PollEndedError as error:
+                self._is_poll_ended = True
                 _logger.info('table {} is polled again: {}', self._table, error)
             except errors.PlatformError as error:
                 self._record_failure(error)
@@ -256,6 +258,7 @@
             self._version,
             longest_wait=self._next_wait(),
         )
+        self._is_poll_ended = False
         if self.accept(snapshot, confirmed_at=self._clock.now()):
             base = self._pause(self._rows)
             await asyncio.sleep(self._backoff.next_pause(base))
@@ -266,9 +269,11 @@
         A store that comes back may have been restored, and may then wait for
         a version that means something else. Its first answer shows that. It
         also shows at once whether a store that was not followed for a while
-        answers.
+        answers, and what a poll that was ended has missed.
         """
-        if self.is_failing or self.age > self._longest_wait:
+        if self._is_poll_ended or self.is_failing:
+            return 0
+        if self.age > self._longest_wait:
             return 0
         return self._longest_wait
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,9 +3,10 @@
 import asyncio
 import typing
 import unittest
+from unittest import mock
 
 from egretstep import errors
-from egretstep.platform import store
+from egretstep.platform import store, store_polls
 from egretstep.settings import node
 from egretstep.storage import tables
 from standins import platform_store
@@ -101,32 +102,51 @@
 
 
 class SilenceTest(unittest.IsolatedAsyncioTestCase):
-    """The store answered calls again, but never the poll sent before."""
+    """The store answers calls, but never the poll that was sent before."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = platform_store.PlatformStore(groups=())
+        self.store.put(TABLE, KEY, b'first')
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.client = store.PlatformStore(
+            address=node.Address(host='127.0.0.1', port=self.store.port),
+        )
 
     async def test_a_poll_ends_when_another_call_is_answered_again(
         self,
     ) -> None:
-        stand_in = platform_store.PlatformStore(groups=())
-        stand_in.put(TABLE, KEY, b'first')
-        await stand_in.start()
-        self.addAsyncCleanup(stand_in.stop)
-        client = store.PlatformStore(
-            address=node.Address(host='127.0.0.1', port=stand_in.port),
-        )
-        known = (await client.read(TABLE)).version
-        stand_in.faults.loses_polls = True
-        polling = asyncio.ensure_future(client.changes(TABLE, known))
-        await asyncio.sleep(0.1)
-        stand_in.faults = platform_store.StoreFaults(is_silent=True)
+        polling = await self._poll_without_answer()
+        self.store.faults = platform_store.StoreFaults(is_silent=True)
         with self.assertRaises(errors.PlatformError):
-            await client.read(TABLE)
-        stand_in.put(TABLE, KEY, b'second')
-        stand_in.faults.is_silent = False
-        await client.read(TABLE)
+            await self.client.read(TABLE)
+        self.store.put(TABLE, KEY, b'second')
+        self.store.faults.is_silent = False
+        await self.client.read(TABLE)
         with self.assertRaises(tables.PollEndedError):
             async with asyncio.timeout(1):
                 await polling
 
+    @mock.patch.object(store_polls, 'MISSED_CHANGE_SECONDS', 0.1)
+    async def test_a_poll_ends_when_another_call_shows_a_later_version(
+        self,
+    ) -> None:
+        """Only the connection of the poll was silent, for up to 20.5 s."""
+        polling = await self._poll_without_answer()
+        self.store.faults.loses_polls = False
+        self.store.put(TABLE, KEY, b'second')
+        await self.client.read('another table')
+        with self.assertRaises(tables.PollEndedError):
+            async with asyncio.timeout(1):
+                await polling
+
+    async def _poll_without_answer(self) -> asyncio.Future[tables.Snapshot]:
+        known = (await self.client.read(TABLE)).version
+        self.store.faults.loses_polls = True
+        polling = asyncio.ensure_future(self.client.changes(TABLE, known))
+        await asyncio.sleep(0.1)
+        return polling
+
 
 class PagesTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_row_that_changes_between_two_pages_is_not_missed(
--- a/tests/storage/test_watching.py
+++ b/tests/storage/test_watching.py
@@ -104,6 +104,42 @@
         running.cancel()
         self.assertEqual(watch.version, store.version)
 
+    async def test_a_poll_that_was_ended_is_repeated_without_a_wait(
+        self,
+    ) -> None:
+        """Otherwise a version that it lacks would end the next poll too."""
+        store = EndingStore()
+        watch = watching.TableWatch(
+            store=store,
+            table='servers',
+            time_source=clock.MonotonicClock(),
+        )
+        running = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.05)
+        running.cancel()
+        longest = tables.LONGEST_WAIT_SECONDS
+        self.assertEqual(store.waits, [longest, 0, longest])
+
+
+class EndingStore(ReturningStore):
+    """A store whose first poll is ended; `waits` holds those of all polls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waits: list[float] = []
+
+    async def changes(
+        self,
+        table: str,
+        version: tables.Version,
+        *,
+        longest_wait: float = tables.LONGEST_WAIT_SECONDS,
+    ) -> tables.Snapshot:
+        self.waits.append(longest_wait)
+        if len(self.waits) == 1:
+            raise tables.PollEndedError('the store has a later version')
+        return await super().changes(table, version, longest_wait=longest_wait)
+
 
 class AcceptTest(unittest.TestCase):
     """Changes arrive from several hosts, in any order."""
