An odd entry or answer is passed over by every reader

Reported: one odd entry among those of the servers (very deeply nested, a number too large, a port out of range) ended the hosts that read the list again and again. Change: one module gives checked access to JSON fields (type, range, length; quotes are bounded); rows of servers, hosts, claims, the configuration, answers of the store, of servers, of other hosts, and the MySQL side's records and host list use it. A row of a host or claim must be under its own key, and its number of no later era than the store's.

--- a/src/egretstep/errors.py
+++ b/src/egretstep/errors.py
@@ -88,6 +88,10 @@
     """Settings are invalid; the message names the path, value and remedy."""
 
 
+class MalformedFieldError(EgretstepError, ValueError):
+    """A field that another program wrote is missing or has no valid value."""
+
+
 class ConflictError(EgretstepError):
     """A version changed since it was read; read it again and retry."""
 
--- a/src/egretstep/membership/claim_rows.py
+++ b/src/egretstep/membership/claim_rows.py
@@ -38,9 +38,7 @@
     async def read(self, task: claims.TaskName) -> StoredClaim:
         """Return the stored claim of a task."""
         row = await self._store.read_row(directory.TABLE, _row_key(task))
-        return StoredClaim(
-            claim=claims.decode(row.content), version=row.version
-        )
+        return StoredClaim(claim=claims.decode_row(row), version=row.version)
 
     async def read_all(self) -> tables.Snapshot:
         """Return the rows of all tasks."""
--- a/src/egretstep/membership/claims.py
+++ b/src/egretstep/membership/claims.py
@@ -6,7 +6,9 @@
 import logbook
 import orjson
 
-from egretstep import identifiers
+from egretstep import errors, identifiers, json_fields
+from egretstep.membership import fencing
+from egretstep.storage import tables
 
 PREFIX = 'task/'
 _logger = logbook.Logger('claims')
@@ -63,9 +65,39 @@
     if not content:
         return None
     try:
-        return Claim(**orjson.loads(content))
-    except (TypeError, ValueError) as error:
-        _logger.warning(
-            'malformed claim {!r} in the store is ignored: {!r}', content, error
-        )
+        return _decode(json_fields.JsonFields.decode(content))
+    except errors.MalformedFieldError as error:
+        _logger.warning('malformed claim in the store is ignored: {}', error)
         return None
+
+
+def decode_row(row: tables.Row) -> Claim | None:
+    """Decode a row; None if it holds no claim that a host can have made."""
+    claim = decode(row.content)
+    if claim is None:
+        return None
+    is_own_key = row.key == PREFIX + claim.task
+    if is_own_key and fencing.is_possible(claim.epoch, row.version.era):
+        return claim
+    _logger.warning(
+        'row {} with epoch {} of task {} in era {} is ignored: the key or the '
+        'epoch is not its own',
+        json_fields.quote(row.key),
+        claim.epoch,
+        claim.task,
+        row.version.era,
+    )
+    return None
+
+
+def _decode(fields: json_fields.JsonFields) -> Claim:
+    return Claim(
+        task=TaskName(fields.name('task')),
+        host=identifiers.HostName(fields.name('host')),
+        boot=fields.integer('boot'),
+        epoch=fields.integer('epoch'),
+        is_released=fields.flag('is_released', default=False),
+        is_settled=fields.flag('is_settled', default=False),
+        detail=fields.text('detail', default=''),
+        revision=fields.integer('revision', default=0),
+    )
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -14,8 +14,8 @@
 import logbook
 import orjson
 
-from egretstep import clock, identifiers
-from egretstep.membership import rendezvous
+from egretstep import clock, identifiers, json_fields
+from egretstep.membership import fencing, rendezvous
 from egretstep.settings import node
 from egretstep.storage import tables
 
@@ -37,6 +37,7 @@
     GONE = 'gone'
 
 
+_STATES = {state.value: state for state in HostState}
 _STATE_ORDER = {state: order for order, state in enumerate(HostState)}
 
 
@@ -77,22 +78,42 @@
 def decode(content: bytes) -> Host | None:
     """Decode the content of a row; None if it is malformed."""
     try:
-        fields = orjson.loads(content)
-        return Host(
-            host=identifiers.HostName(fields['host']),
-            zone=identifiers.ZoneName(fields['zone']),
-            address=node.Address(host=fields['address'], port=fields['port']),
-            boot=fields['boot'],
-            processor=fields['processor'],
-            state=HostState(fields['state']),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        _logger.warning(
-            'malformed host row {!r} in the store is ignored: {!r}',
-            content,
-            error,
-        )
+        return _decode(json_fields.JsonFields.decode(content))
+    except ValueError as error:
+        _logger.warning('malformed host row in the store is ignored: {}', error)
+        return None
+
+
+def _decode(fields: json_fields.JsonFields) -> Host:
+    return Host(
+        host=identifiers.HostName(fields.name('host')),
+        zone=identifiers.ZoneName(fields.name('zone')),
+        address=node.checked_address(
+            fields.text('address'), fields.integer('port')
+        ),
+        boot=fields.integer('boot'),
+        processor=fields.number('processor'),
+        state=fields.choice('state', _STATES),
+    )
+
+
+def decode_row(row: tables.Row) -> Host | None:
+    """Decode a row; None if it is not one that its host can have written."""
+    host = decode(row.content)
+    if host is None:
         return None
+    is_own_key = row.key == PREFIX + host.host
+    if is_own_key and fencing.is_possible(host.boot, row.version.era):
+        return host
+    _logger.warning(
+        'row {} of host {} with boot number {} in era {} is ignored: the key '
+        'or the number is not its own',
+        json_fields.quote(row.key),
+        host.host,
+        host.boot,
+        row.version.era,
+    )
+    return None
 
 
 class Directory:
@@ -275,7 +296,7 @@
         """Decode a row; each version of it is decoded only once."""
         known = self._decoded_rows.get(row.key)
         if known is None or known[0] != row.version:
-            known = (row.version, decode(row.content))
+            known = (row.version, decode_row(row))
             self._decoded_rows[row.key] = known
         return known[1]
 
--- a/src/egretstep/membership/fencing.py
+++ b/src/egretstep/membership/fencing.py
@@ -28,6 +28,15 @@
     return number // NUMBERS_PER_ERA
 
 
+def is_possible(number: int, era: int) -> bool:
+    """Return whether a number can have been given out up to an era.
+
+    >>> is_possible(2_000_000_001, era=1)
+    False
+    """
+    return era_of(number) <= era
+
+
 def is_first_of_era(number: int) -> bool:
     """Return whether a number is the first one of its era."""
     return number % NUMBERS_PER_ERA == 1
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -117,7 +117,7 @@
             lambda remote: remote.execute(work=fields),
             timeout=work.timeout + REPLY_ALLOWANCE_SECONDS,
         )
-        return fleet_messages.decode_answer(reply.result)
+        return _decode(host, fleet_messages.decode_answer, reply.result)
 
     async def release(
         self,
@@ -176,6 +176,7 @@
                 timeout=change_feed.poll_timeout(wait),
                 is_long_poll=True,
             )
+            return _decode(host, fleet_messages.decode_feed_update, reply)
         except _LINK_ERRORS as error:
             _logger.info(
                 'host {} gives no changes of tables, another source is asked: '
@@ -184,7 +185,6 @@
                 error,
             )
             return None
-        return fleet_messages.decode_feed_update(reply)
 
     async def later_configuration(
         self,
@@ -277,11 +277,10 @@
                 host,
                 lambda remote: remote.confirm(claims=fields),
             )
+            newer = _decode(host, fleet_messages.decode_claims, reply.newer)
         except _LINK_ERRORS:
             return None
-        if not reply.confirmed:
-            return None
-        return [fleet_messages.decode_claim(each) for each in reply.newer]
+        return newer if reply.confirmed else None
 
     async def _request_reaches(
         self,
@@ -297,3 +296,21 @@
         except _LINK_ERRORS:
             return None
         return reply.reached
+
+
+def _decode(
+    host: identifiers.HostName,
+    decode: typing.Callable[[typing.Any], _Reply],
+    reply: typing.Any,
+) -> _Reply:
+    """Decode an answer of a host.
+
+    Raises `errors.LinkLostError` if it has a value that this host does not
+    know, as one of another version may send.
+    """
+    try:
+        return decode(reply)
+    except ValueError as error:
+        raise errors.LinkLostError(
+            f'malformed answer of host {host}: {error}; check its version',
+        ) from error
--- a/src/egretstep/membership/host_rows.py
+++ b/src/egretstep/membership/host_rows.py
@@ -41,7 +41,7 @@
         for row in fleet.rows:
             if row.key == key:
                 stored = row
-        former = directory.decode(stored.content) if stored.content else None
+        former = directory.decode_row(stored) if stored.content else None
         boot = fencing.next_number(
             former.boot if former else 0, fleet.version.era
         )
@@ -68,7 +68,7 @@
             )
         except errors.ConflictError:
             stored = await self._read(own)
-            former = directory.decode(stored.content)
+            former = directory.decode_row(stored)
             boot = fencing.next_number(
                 former.boot if former else own.boot - 1, stored.version.era
             )
@@ -86,7 +86,7 @@
     async def write_again(self, host: directory.Host) -> bool:
         """Write a row that the store has lost; return false if it has not."""
         stored = await self._read(host)
-        former = directory.decode(stored.content) if stored.content else None
+        former = directory.decode_row(stored) if stored.content else None
         if former is not None and former.precedence >= host.precedence:
             return False
         await self._put(stored, host)
--- a/src/egretstep/membership/lease_renewal.py
+++ b/src/egretstep/membership/lease_renewal.py
@@ -88,7 +88,7 @@
         self._store_answers = True
         self._keeper.merge_rows({row.key: row for row in stored.rows})
         for row in stored.rows:
-            held = claims.decode(row.content)
+            held = claims.decode_row(row)
             if held is not None and self._is_renewed(held, stored.version.era):
                 self._keeper.extend_lease(held, sent_at)
         return stored
@@ -188,5 +188,5 @@
 
 
 def _epochs_by_task(stored: tables.Snapshot) -> dict[claims.TaskName, int]:
-    decoded = (claims.decode(row.content) for row in stored.rows)
+    decoded = map(claims.decode_row, stored.rows)
     return {claim.task: claim.epoch for claim in decoded if claim is not None}
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -100,7 +100,7 @@
         """Merge the claims of the given rows of the store."""
         for key, row in rows.items():
             if key.startswith(claims.PREFIX):
-                claim = claims.decode(row.content)
+                claim = claims.decode_row(row)
                 if claim is not None:
                     self.merge(claim)
 
--- a/src/egretstep/peers/fleet_messages.py
+++ b/src/egretstep/peers/fleet_messages.py
@@ -161,6 +161,11 @@
     )
 
 
+def decode_claims(fields: typing.Iterable[Struct]) -> list[claims.Claim]:
+    """Decode claims from `Claim` structs."""
+    return [decode_claim(each) for each in fields]
+
+
 def encode_versions(known: change_feed.Versions) -> list[dict[str, typing.Any]]:
     """Encode versions by table as the fields of `TableVersion` structs."""
     return [
--- a/src/egretstep/platform/backend.py
+++ b/src/egretstep/platform/backend.py
@@ -10,7 +10,17 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 INTERNAL_STATEMENT_ID = b'-'
+MAX_QUOTED_BYTES = 80
 _STATUS_FIELD_COUNT = 3
+# An address that can't be one raises `OverflowError` or `UnicodeError`.
+_OPEN_ERRORS = (
+    OSError,
+    TimeoutError,
+    OverflowError,
+    UnicodeError,
+    wire.MalformedError,
+)
+_ROLES = {role.value.encode(): role for role in connection.Role}
 
 
 def _prepared_name(prepared: commands.Prepared) -> bytes:
@@ -119,13 +129,16 @@
             if len(fields) >= _STATUS_FIELD_COUNT
             else None
         )
-        if received is None or not fields[1].isdigit():
+        role = _ROLES.get(fields[0])
+        term = wire.parse_number(fields[1]) if received else None
+        if role is None or received is None or term is None:
             raise connection.ConnectionBrokenError(
-                f'malformed answer to STATUS: {answer.rows[0]!r}'
+                'malformed answer to STATUS: '
+                f'{answer.rows[0][:MAX_QUOTED_BYTES]!r}'
             )
         return connection.ServerStatus(
-            role=connection.Role(fields[0].decode()),
-            term=identifiers.Term(int(fields[1])),
+            role=role,
+            term=identifiers.Term(term),
             received=received,
         )
 
@@ -146,7 +159,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 return await self._open(server, workspace)
-        except (OSError, TimeoutError, wire.MalformedError) as error:
+        except _OPEN_ERRORS as error:
             raise connection.ConnectionBrokenError(
                 f'can not connect to {server.server} at {server.address}: '
                 f'{error!r}',
--- a/src/egretstep/platform/operator_settings.py
+++ b/src/egretstep/platform/operator_settings.py
@@ -2,9 +2,7 @@
 
 import typing
 
-import orjson
-
-from egretstep import clock, errors, identifiers
+from egretstep import clock, errors, identifiers, json_fields
 from egretstep.settings import configuration_follower, deployment
 from egretstep.storage import tables
 
@@ -36,10 +34,11 @@
     Raises `errors.SettingsError` when it is malformed.
     """
     try:
-        return _decode(orjson.loads(content))
-    except (KeyError, TypeError, ValueError) as error:
+        return _decode(json_fields.JsonFields.decode(content))
+    except errors.MalformedFieldError as error:
         raise errors.SettingsError(
-            f'malformed configuration: {error!r}',
+            f'malformed configuration: {error}; the operator must write a '
+            'valid one',
         ) from error
 
 
@@ -50,16 +49,16 @@
 )
 
 
-def _decode(fields: dict[str, typing.Any]) -> deployment.Deployment:
-    routes = (_decode_route(each) for each in fields['routes'])
-    services = (_decode_service(each) for each in fields['services'])
-    workspaces = [_decode_workspace(each) for each in fields.get('tenants', ())]
-    idle_ms = fields.get('limits', {}).get(
-        'tx_idle_ms',
-        DEFAULT_TRANSACTION_IDLE_MS,
+def _decode(fields: json_fields.JsonFields) -> deployment.Deployment:
+    routes = map(_decode_route, fields.objects('routes'))
+    services = map(_decode_service, fields.objects('services'))
+    tenants = fields.objects('tenants', is_optional=True)
+    workspaces = [_decode_workspace(each) for each in tenants]
+    idle_ms = fields.nested('limits').number(
+        'tx_idle_ms', default=DEFAULT_TRANSACTION_IDLE_MS
     )
     return deployment.Deployment(
-        version=identifiers.SettingsVersion(int(fields['version'])),
+        version=identifiers.SettingsVersion(fields.integer('version')),
         routes={route.database: route for route in routes},
         services={service.name: service for service in services},
         workspaces={each.name: each for each in workspaces},
@@ -70,33 +69,35 @@
     )
 
 
-def _decode_route(fields: dict[str, typing.Any]) -> deployment.Route:
-    max_staleness_ms = fields.get('max_staleness_ms')
+def _decode_route(fields: json_fields.JsonFields) -> deployment.Route:
+    max_staleness = None
+    if fields.has('max_staleness_ms'):
+        max_staleness = clock.to_seconds(fields.number('max_staleness_ms'))
     return deployment.Route(
-        database=identifiers.DatabaseName(fields['database']),
-        service=deployment.ServiceName(fields['service']),
-        consistency=_CONSISTENCY[fields['route_type']],
-        timeout=clock.to_seconds(fields['timeout_ms']),
-        target=clock.to_seconds(fields.get('target_latency_ms', 0)),
-        priority=fields.get('priority', 1),
-        max_staleness=None
-        if max_staleness_ms is None
-        else clock.to_seconds(max_staleness_ms),
-        is_open=bool(fields.get('auth_exempt')),
+        database=identifiers.DatabaseName(fields.name('database')),
+        service=deployment.ServiceName(fields.name('service')),
+        consistency=fields.choice('route_type', _CONSISTENCY),
+        timeout=clock.to_seconds(fields.number('timeout_ms')),
+        target=clock.to_seconds(fields.number('target_latency_ms', default=0)),
+        priority=fields.integer('priority', default=1),
+        max_staleness=max_staleness,
+        is_open=fields.flag('auth_exempt', default=False),
     )
 
 
-def _decode_service(fields: dict[str, typing.Any]) -> deployment.Service:
+def _decode_service(fields: json_fields.JsonFields) -> deployment.Service:
     return deployment.Service(
-        name=deployment.ServiceName(fields['name']),
-        connection_limit=fields['max_conns'],
+        name=deployment.ServiceName(fields.name('name')),
+        connection_limit=fields.integer('max_conns'),
     )
 
 
-def _decode_workspace(fields: dict[str, typing.Any]) -> deployment.Workspace:
+def _decode_workspace(
+    fields: json_fields.JsonFields,
+) -> deployment.Workspace:
     return deployment.Workspace(
-        name=identifiers.WorkspaceName(fields['name']),
-        rate=float(fields['rate_per_s']),
-        burst=float(fields['burst']),
-        keys=frozenset(fields.get('api_keys', ())),
+        name=identifiers.WorkspaceName(fields.name('name')),
+        rate=fields.number('rate_per_s'),
+        burst=fields.number('burst'),
+        keys=frozenset(fields.texts('api_keys', is_optional=True)),
     )
--- a/src/egretstep/platform/registrations.py
+++ b/src/egretstep/platform/registrations.py
@@ -3,17 +3,17 @@
 import typing
 
 import logbook
-import orjson
 
-from egretstep import identifiers
+from egretstep import identifiers, json_fields
 from egretstep.backends import connection
 from egretstep.settings import deployment, node
 from egretstep.storage import tables
 
 TABLE = 'servers'
-# Raised for malformed bytes, wrong types and missing fields.
-_DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
-_STATES = ('ready', 'draining')
+MAX_SLOTS = 1_000_000
+_ROLES = {role.value: role for role in connection.Role}
+# Whether a server in a state is draining.
+_STATES = {'ready': False, 'draining': True}
 _logger = logbook.Logger('registrations')
 
 
@@ -32,38 +32,28 @@
 def decode_row(key: str, content: bytes) -> connection.BackendServer | None:
     """Return the server of one row; None if the row is malformed."""
     try:
-        return _decode(key, orjson.loads(content))
-    except _DECODE_ERRORS as error:
+        return _decode(key, json_fields.JsonFields.decode(content))
+    except ValueError as error:
         _logger.warning(
-            'registration of server {} is malformed and ignored: {!r}',
-            key,
+            'registration of server {} is malformed and ignored: {}',
+            json_fields.quote(key),
             error,
         )
         return None
 
 
 def _decode(
-    key: str,
-    fields: dict[str, typing.Any],
+    key: str, fields: json_fields.JsonFields
 ) -> connection.BackendServer:
-    state = fields['state']
-    if state not in _STATES:
-        raise ValueError(f'unknown state {state!r}; valid are {_STATES}')
-    slots = fields['slots']
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
-        raise ValueError(f'slots is {slots!r}, not a positive integer')
-    for name in ('service', 'zone', 'address'):
-        if not isinstance(fields[name], str):
-            raise TypeError(f'{name} is {fields[name]!r}, not a string')
     return connection.BackendServer(
-        server=connection.ServerId(key),
-        service=deployment.ServiceName(fields['service']),
-        address=node.parse_address(fields['address']),
-        zone=identifiers.ZoneName(fields['zone']),
-        slots=slots,
-        role=connection.Role(fields['db_role']),
-        is_draining=state == 'draining',
+        server=connection.ServerId(json_fields.check_name(key, 'key')),
+        service=deployment.ServiceName(fields.name('service')),
+        address=node.parse_address(fields.text('address')),
+        zone=identifiers.ZoneName(fields.name('zone')),
+        slots=fields.integer('slots', least=1, most=MAX_SLOTS),
+        role=fields.choice('db_role', _ROLES),
+        is_draining=fields.choice('state', _STATES),
         # `born` is when the server started, in Unix milliseconds.
-        started_ms=int(fields.get('born') or 0),
-        sequence=int(fields.get('sequence') or 0),
+        started_ms=fields.integer('born', default=0),
+        sequence=fields.integer('sequence', default=0),
     )
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -8,7 +8,7 @@
 import logbook
 import orjson
 
-from egretstep import clock, errors
+from egretstep import clock, errors, json_fields
 from egretstep.observability import metrics
 from egretstep.platform import store_polls
 from egretstep.settings import node
@@ -54,26 +54,25 @@
         # A row of the first page may change before the last one is read, so
         # changes must be followed from the first page's version.
         first_page = page
-        rows = list(page.rows())
-        while page.body['has_more']:
+        rows = list(page.rows)
+        while page.has_more:
             query['from'] = f'{rows[-1].key}\0'
             page = await self._get('rows-get', query)
-            if page.era != first_page.era:
+            if page.version.era != first_page.version.era:
                 raise errors.PlatformError(
                     f'the store was restored while table {table} was read; '
                     'read it again',
                 )
-            rows.extend(page.rows())
+            rows.extend(page.rows)
         return tables.Snapshot(rows=tuple(rows), version=first_page.version)
 
     async def read_row(self, table: str, key: str) -> tables.Row:
         """Return a row; the version of a missing row `is_absent`."""
         query = {'table': table, 'part': '', 'from': key, 'to': f'{key}\0'}
         answer = await self._get('rows-get', query)
-        found = list(answer.rows())
-        if found:
-            return found[0]
-        missing = tables.absent_version(answer.era)
+        if answer.rows:
+            return answer.rows[0]
+        missing = tables.absent_version(answer.version.era)
         return tables.Row(key=key, content=b'', version=missing)
 
     async def changes(
@@ -103,9 +102,7 @@
         else:
             answer = await self._get('rows-feed', query, self._client, timeout)
         self._check_history(table, after)
-        return tables.Snapshot(
-            rows=tuple(answer.rows()), version=answer.version
-        )
+        return tables.Snapshot(rows=answer.rows, version=answer.version)
 
     async def compare_and_swap(
         self,
@@ -247,28 +244,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Answer:
-    """The body of an answer of the store, and the era of the answer."""
-
-    body: dict[str, typing.Any]
-    era: int
-
-    @property
-    def version(self) -> tables.Version:
-        """Return the newest version of the store."""
-        return tables.Version(era=self.era, number=self.body['ver'])
-
-    def rows(self) -> typing.Iterator[tables.Row]:
-        """Decode the rows of the answer."""
-        for fields in self.body['rows']:
-            # On the wire, a deleted row is called a tombstone.
-            is_deleted = bool(fields.get('tombstone'))
-            encoded = '' if is_deleted else fields.get('value') or ''
-            yield tables.Row(
-                key=fields['key'],
-                content=base64.b64decode(encoded),
-                version=tables.Version(era=self.era, number=fields['ver']),
-                is_deleted=is_deleted,
-            )
+    """An answer of the store: rows, and the newest version of the store."""
+
+    rows: tuple[tables.Row, ...]
+    version: tables.Version
+    has_more: bool
 
 
 def _decode_era(text: str) -> int:
@@ -294,8 +274,35 @@
             f'{request.target}; try again later',
         )
     try:
-        return _Answer(body=orjson.loads(response.body), era=era)
-    except orjson.JSONDecodeError as error:
+        return _decode_body(json_fields.JsonFields.decode(response.body), era)
+    except errors.MalformedFieldError as error:
         raise errors.PlatformError(
-            f'malformed answer of the store to {request.target}: {error}',
+            f'malformed answer of the store to {request.target}: {error}; '
+            'try again',
         ) from error
+
+
+def _decode_body(fields: json_fields.JsonFields, era: int) -> _Answer:
+    rows = fields.objects('rows', is_optional=True)
+    decoded = (_decode_row(each, era) for each in rows)
+    return _Answer(
+        rows=tuple(row for row in decoded if row is not None),
+        version=tables.Version(era=era, number=fields.integer('ver')),
+        has_more=fields.flag('has_more', default=False),
+    )
+
+
+def _decode_row(fields: json_fields.JsonFields, era: int) -> tables.Row | None:
+    """Decode a row; None if it is malformed, so that the others hold."""
+    try:
+        # On the wire, a deleted row is called a tombstone.
+        is_deleted = fields.flag('tombstone', default=False)
+        return tables.Row(
+            key=fields.text('key'),
+            content=b'' if is_deleted else fields.encoded('value'),
+            version=tables.Version(era=era, number=fields.integer('ver')),
+            is_deleted=is_deleted,
+        )
+    except errors.MalformedFieldError as error:
+        _logger.warning('malformed row of the store is ignored: {}', error)
+        return None
--- a/src/egretstep/platform/wire.py
+++ b/src/egretstep/platform/wire.py
@@ -12,6 +12,8 @@
 LINE_END = b'\r\n'
 MAX_MESSAGE_BYTES = 1024 * 1024
 NO_VALUE = b'-'
+# Numbers are passed on to other hosts as signed 64-bit integers.
+MAX_NUMBER_DIGITS = 18
 
 # Error codes on the wire.
 _CODES_BY_WORD = {
@@ -120,10 +122,23 @@
 
 def parse_position(field: bytes) -> identifiers.LogPosition | None:
     """Parse `TERM.OFFSET`; return None for an absent or malformed position."""
-    term, dot, offset = field.partition(b'.')
-    if not dot or not term.isdigit() or not offset.isdigit():
+    term_text, _, offset_text = field.partition(b'.')
+    term = parse_number(term_text)
+    offset = parse_number(offset_text)
+    if term is None or offset is None:
         return None
-    return identifiers.LogPosition(term=int(term), offset=int(offset))
+    return identifiers.LogPosition(term=term, offset=offset)
+
+
+def parse_number(field: bytes) -> int | None:
+    """Parse a whole number; return None for anything else.
+
+    >>> parse_number(b'12'), parse_number(b'')
+    (12, None)
+    """
+    if field.isdigit() and len(field) <= MAX_NUMBER_DIGITS:
+        return int(field)
+    return None
 
 
 def format_position(position: identifiers.LogPosition | None) -> bytes:
--- a/src/egretstep/settings/distribution.py
+++ b/src/egretstep/settings/distribution.py
@@ -9,6 +9,7 @@
 import typing
 
 import logbook
+import pydantic
 
 from egretstep import clock, errors, identifiers
 from egretstep.membership import gossip as gossip_module
@@ -87,13 +88,14 @@
     async def refresh_from_store(self) -> None:
         """Adopt and confirm the record in the table service.
 
-        Raises `errors.PlatformError` if the table service does not answer.
+        Raises `errors.PlatformError` if the table service does not answer, or
+        holds a malformed record.
         """
         sent_at = self._clock.now()
         row = await self._service.read(SETTINGS_KEY)
         if row.body is None:
             return
-        record = records.Record.model_validate(row.body)
+        record = _decode_record(row.body)
         self._adopt(records.encode(record))
         self._keeper.confirm(version=record.settings_version, at=sent_at)
 
@@ -180,7 +182,16 @@
         return answer.version >= version
 
     def _adopt(self, data: bytes) -> None:
-        if self._keeper.adopt(data):
+        try:
+            is_later = self._keeper.adopt(data)
+        except ValueError as error:
+            _logger.error(
+                'a malformed settings record is ignored, version {} stays: {}',
+                self._keeper.version,
+                error,
+            )
+            return
+        if is_later:
             _logger.info(
                 'settings version {} is in force', self._keeper.version
             )
@@ -190,3 +201,13 @@
             self._is_store_up = is_up
             state = 'answers again' if is_up else f'is down: {reason}'
             _logger.warning('the table service {}', state)
+
+
+def _decode_record(body: typing.Any) -> records.Record:
+    try:
+        return records.Record.model_validate(body)
+    except pydantic.ValidationError as error:
+        raise errors.PlatformError(
+            f'{SETTINGS_KEY} of the table service is malformed: {error}; '
+            'write valid settings with the command line',
+        ) from error
--- a/src/egretstep/settings/node.py
+++ b/src/egretstep/settings/node.py
@@ -1,9 +1,13 @@
 """Settings of one host, independent of the format they are stored in."""
 
 import dataclasses
+import ipaddress
 
 from egretstep import identifiers
 
+MAX_PORT = 65535
+MAX_QUOTED_CHARACTERS = 80
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Address:
@@ -45,10 +49,19 @@
 
 def parse_address(text: str) -> Address:
     """Parse `IP:PORT`; raises `ValueError` for anything else."""
-    host, separator, port = text.rpartition(':')
-    if not separator or not port.isdigit():
+    host, _, port = text.rpartition(':')
+    try:
+        return checked_address(host, int(port))
+    except ValueError as error:
         raise ValueError(
-            f'{text!r} is not an address; write it as IP:PORT, such as '
-            '10.1.0.5:9464',
-        )
-    return Address(host=host, port=int(port))
+            f'{text[:MAX_QUOTED_CHARACTERS]!r} is not an address ({error}); '
+            'write it as IP:PORT, such as 10.1.0.5:9464',
+        ) from error
+
+
+def checked_address(host: str, port: int) -> Address:
+    """Return an address; raises `ValueError` if nothing can listen there."""
+    ipaddress.ip_address(host)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f'port {port} is not from 1 to {MAX_PORT}')
+    return Address(host=host, port=port)
--- a/src/egretstep/storage/client.py
+++ b/src/egretstep/storage/client.py
@@ -5,14 +5,17 @@
 import typing
 
 import aiohttp
+import logbook
 import orjson
 
-from egretstep import errors
+from egretstep import errors, json_fields
+from egretstep.settings import node
 from egretstep.storage import interfaces
 
 CALL_TIMEOUT_SECONDS = 1.0
 _HTTP_CONFLICT = 409
 _HTTP_OK = 200
+_logger = logbook.Logger('platform')
 
 
 class PlatformClient:
@@ -31,7 +34,13 @@
     async def read(self, key: str) -> interfaces.Row:
         """Return a record, read with strong consistency."""
         message = await self._request_json('GET', f'/table/{key}?consistent=1')
-        return interfaces.Row(**message)
+        try:
+            return interfaces.Row(**message)
+        except TypeError as error:
+            raise errors.PlatformError(
+                f'malformed record {key} of the platform: {error}; '
+                'try again later',
+            ) from error
 
     async def compare_and_swap(
         self, key: str, *, expected: int, body: typing.Any
@@ -59,7 +68,12 @@
     async def list_hosts(self) -> list[interfaces.ListedHost]:
         """Return the platform's list of hosts."""
         listed = await self._request_json('GET', '/hosts')
-        return [interfaces.ListedHost(**host) for host in listed]
+        if not isinstance(listed, list):
+            raise errors.PlatformError(
+                f'the list of hosts is {json_fields.quote(listed)}, not a list'
+            )
+        hosts = map(_decode_host, listed)
+        return [host for host in hosts if host is not None]
 
     async def report_host(self, host: interfaces.ListedHost) -> None:
         """Register this host as running or leaving."""
@@ -80,7 +94,13 @@
         message: typing.Any = None,
     ) -> typing.Any:
         data = await self._request(method, path, message=message)
-        return orjson.loads(data)
+        try:
+            return orjson.loads(data)
+        except orjson.JSONDecodeError as error:
+            raise errors.PlatformError(
+                f'malformed answer of the platform to {path}: {error}; '
+                'try again later',
+            ) from error
 
     async def _request(
         self,
@@ -110,6 +130,25 @@
         return data
 
 
+def _decode_host(entry: typing.Any) -> interfaces.ListedHost | None:
+    """Decode an entry of the list of hosts; None if it is malformed."""
+    try:
+        fields = json_fields.JsonFields(entry)
+        return interfaces.ListedHost(
+            host=fields.name('host'),
+            zone=fields.name('zone'),
+            address=fields.name('address'),
+            agent_port=fields.integer(
+                'agent_port', least=1, most=node.MAX_PORT
+            ),
+            pool_port=fields.integer('pool_port', least=1, most=node.MAX_PORT),
+            leaving=fields.flag('leaving', default=False),
+        )
+    except errors.MalformedFieldError as error:
+        _logger.warning('malformed entry in the list of hosts: {}', error)
+        return None
+
+
 def _check_status(status: int, path: str) -> None:
     if status == _HTTP_CONFLICT:
         raise errors.ConflictError(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -175,6 +175,6 @@
 
     async def _get(self, *request: typing.Any) -> typing.Any:
         answer = await super()._get(*request)
-        if answer.body.get('has_more'):
+        if answer.has_more:
             self._stand_in.put(TABLE, 'host/0', b'second')
         return answer
