The store orders the entries of a server; rows are decoded once a version

An entry with a sequence that no server can reach hid all later ones of the same process, since only the sequence told which is later. It is needed after a restore only: within an era of the store the later row is the later entry. Rows of servers, hosts and claims go through one decoder that keeps results by version, in place of one in the directory only: a malformed row gets one line and not one at each change of its table.

--- a/properties/test_foreign_entries.py
+++ b/properties/test_foreign_entries.py
@@ -17,7 +17,7 @@
 from egretstep.platform import backend, operator_settings, registrations, wire
 from egretstep.platform import store as platform_store
 from egretstep.settings import node
-from egretstep.storage import tables
+from egretstep.storage import row_decoding, tables
 from egretstep.web import client as http
 
 SETTINGS = hypothesis.settings(
@@ -142,9 +142,10 @@
             'odd': _row('odd', content),
             GOOD_KEY: _row(GOOD_KEY, orjson.dumps(SERVER)),
         }
-        servers = registrations.decode(rows)
-        self.assertIn(GOOD_KEY, servers)
-        for server in servers.values():
+        decoder = row_decoding.RowDecoder(decode=registrations.decode_row)
+        servers = decoder.decode(rows)
+        self.assertIn(GOOD_KEY, [server.server for server in servers])
+        for server in servers:
             self._assert_usable(server)
 
     def _assert_usable(self, server: connection.BackendServer) -> None:
@@ -157,13 +158,13 @@
 
     def test_an_odd_key_names_no_server(self) -> None:
         for key in ('', 'a b', 'a\r\nb', 'a' * 1000):
-            content = orjson.dumps(SERVER)
-            self.assertIsNone(registrations.decode_row(key, content))
+            row = _row(key, orjson.dumps(SERVER))
+            self.assertIsNone(registrations.decode_row(row))
 
     def test_opening_at_an_impossible_address_is_a_broken_connection(
         self,
     ) -> None:
-        server = registrations.decode_row(GOOD_KEY, orjson.dumps(SERVER))
+        server = registrations.decode_row(_row(GOOD_KEY, orjson.dumps(SERVER)))
         for host, port in (('10.0.0.1', 99_999), ('a' * 100, 80), ('', -1)):
             moved = dataclasses.replace(
                 typing.cast(connection.BackendServer, server),
--- a/src/egretstep/backends/connection.py
+++ b/src/egretstep/backends/connection.py
@@ -7,6 +7,7 @@
 from egretstep import errors, identifiers
 from egretstep.backends import answers, commands
 from egretstep.settings import deployment, node
+from egretstep.storage import tables
 
 ServerId = typing.NewType('ServerId', str)
 
@@ -25,7 +26,7 @@
     `slots` is the number of statements that it runs concurrently.
     `started_ms` is its start time in milliseconds, 0 if it gave none; a
     restarted server has another one. `sequence` grows with each registration
-    of a running server.
+    of a running server. `version` is that of its row in the store.
     """
 
     server: ServerId
@@ -37,6 +38,22 @@
     is_draining: bool = False
     started_ms: int = 0
     sequence: int = dataclasses.field(default=0, compare=False)
+    version: tables.Version = dataclasses.field(
+        default=tables.NO_VERSION, compare=False
+    )
+
+    def is_older_than(self, known: 'BackendServer') -> bool:
+        """Return whether a registration is older than the known one.
+
+        Within an era of the store, the store orders them. After a restore it
+        may have older ones, which have a lower `sequence`.
+        """
+        if not self.is_same_process(known):
+            return False
+        is_same_era = self.version.era == known.version.era
+        if is_same_era and self.version > known.version:
+            return False
+        return self.sequence < known.sequence
 
     def is_same_process(self, other: 'BackendServer') -> bool:
         """Return whether two registrations are of one process.
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -17,7 +17,7 @@
 from egretstep import clock, identifiers, json_fields
 from egretstep.membership import fencing, rendezvous
 from egretstep.settings import node
-from egretstep.storage import tables
+from egretstep.storage import row_decoding, tables
 
 TABLE = 'fleet'
 PREFIX = 'host/'
@@ -131,7 +131,9 @@
     ) -> None:
         self._clock = time_source
         self._hosts: dict[identifiers.HostName, Host] = {own.host: own}
-        self._decoded_rows: dict[str, tuple[tables.Version, Host | None]] = {}
+        self._rows: row_decoding.RowDecoder[Host] = row_decoding.RowDecoder(
+            decode=decode_row, prefix=PREFIX
+        )
         self._missing_from_store: tuple[Host, ...] = ()
         self._suspected_until: dict[identifiers.HostName, float] = {}
         self._revision = 0
@@ -184,7 +186,7 @@
 
         Rows of hosts are never deleted, so a host without a row is kept.
         """
-        stored = self._decode_rows(rows)
+        stored = {host.host: host for host in self._rows.decode(rows)}
         hosts = dict(self._hosts)
         for host in stored.values():
             known = hosts.get(host.host)
@@ -282,24 +284,6 @@
                 del self._suspected_until[host]
                 self._revision += 1
 
-    def _decode_rows(
-        self, rows: typing.Mapping[str, tables.Row]
-    ) -> dict[identifiers.HostName, Host]:
-        decoded = (
-            self._decode(row)
-            for key, row in rows.items()
-            if key.startswith(PREFIX)
-        )
-        return {host.host: host for host in decoded if host is not None}
-
-    def _decode(self, row: tables.Row) -> Host | None:
-        """Decode a row; each version of it is decoded only once."""
-        known = self._decoded_rows.get(row.key)
-        if known is None or known[0] != row.version:
-            known = (row.version, decode_row(row))
-            self._decoded_rows[row.key] = known
-        return known[1]
-
     def _clear_if_restarted(self, host: Host) -> None:
         known = self._hosts.get(host.host)
         if known is not None and known.boot != host.boot:
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -17,7 +17,7 @@
 
 from egretstep import clock, errors
 from egretstep.membership import claim_writer, claims, directory, fencing
-from egretstep.storage import tables
+from egretstep.storage import row_decoding, tables
 
 LEASE_SECONDS = 1.25
 STORE_ANSWER_SECONDS = 0.3
@@ -53,6 +53,9 @@
         self._confirmers = confirmers
         self._clock = time_source
         self._claims: dict[claims.TaskName, claims.Claim] = {}
+        self._rows = row_decoding.RowDecoder(
+            decode=claims.decode_row, prefix=claims.PREFIX
+        )
         self._expires_at: dict[claims.TaskName, float] = {}
         self._takeover_ends_at: dict[claims.TaskName, float] = {}
         self._verified_eras: dict[claims.TaskName, int] = {}
@@ -98,11 +101,8 @@
 
     def merge_rows(self, rows: typing.Mapping[str, tables.Row]) -> None:
         """Merge the claims of the given rows of the store."""
-        for key, row in rows.items():
-            if key.startswith(claims.PREFIX):
-                claim = claims.decode_row(row)
-                if claim is not None:
-                    self.merge(claim)
+        for claim in self._rows.decode(rows):
+            self.merge(claim)
 
     def merge(self, claim: claims.Claim) -> bool:
         """Merge a claim; return false if a later epoch is already known."""
--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -110,9 +110,9 @@
     ) -> connection.BackendServer:
         """Return the later one of an entry and the known entry."""
         known = self._servers.get(server.server)
-        if known is None or not server.is_same_process(known):
+        if known is None or not server.is_older_than(known):
             return server
-        return known if known.sequence > server.sequence else server
+        return known
 
     def _forget_missing(self) -> None:
         limit = self._clock.now() - MISSING_ENTRY_SECONDS
--- a/src/egretstep/platform/registrations.py
+++ b/src/egretstep/platform/registrations.py
@@ -1,7 +1,5 @@
 """Decodes the rows by which backend servers register in the store."""
 
-import typing
-
 import logbook
 
 from egretstep import identifiers, json_fields
@@ -17,36 +15,24 @@
 _logger = logbook.Logger('registrations')
 
 
-def decode(
-    rows: typing.Mapping[str, tables.Row],
-) -> dict[connection.ServerId, connection.BackendServer]:
-    """Return the servers of the table's rows, without malformed rows."""
-    servers = {}
-    for key, row in rows.items():
-        server = decode_row(key, row.content)
-        if server is not None:
-            servers[server.server] = server
-    return servers
-
-
-def decode_row(key: str, content: bytes) -> connection.BackendServer | None:
+def decode_row(row: tables.Row) -> connection.BackendServer | None:
     """Return the server of one row; None if the row is malformed."""
     try:
-        return _decode(key, json_fields.JsonFields.decode(content))
+        return _decode(row, json_fields.JsonFields.decode(row.content))
     except ValueError as error:
         _logger.warning(
             'registration of server {} is malformed and ignored: {}',
-            json_fields.quote(key),
+            json_fields.quote(row.key),
             error,
         )
         return None
 
 
 def _decode(
-    key: str, fields: json_fields.JsonFields
+    row: tables.Row, fields: json_fields.JsonFields
 ) -> connection.BackendServer:
     return connection.BackendServer(
-        server=connection.ServerId(json_fields.check_name(key, 'key')),
+        server=connection.ServerId(json_fields.check_name(row.key, 'key')),
         service=deployment.ServiceName(fields.name('service')),
         address=node.parse_address(fields.text('address')),
         zone=identifiers.ZoneName(fields.name('zone')),
@@ -56,4 +42,5 @@
         # `born` is when the server started, in Unix milliseconds.
         started_ms=fields.integer('born', default=0),
         sequence=fields.integer('sequence', default=0),
+        version=row.version,
     )
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -43,7 +43,7 @@
 from egretstep.replication import evidence, failover
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment, node
-from egretstep.storage import watching
+from egretstep.storage import row_decoding, watching
 from egretstep.supervision import supervisor
 
 # Share of the drain limit for which a server may remain primary. The rest
@@ -125,6 +125,9 @@
             time_source=self._clock,
         )
         self._servers = registry.ServerRegistry(time_source=self._clock)
+        self._server_rows = row_decoding.RowDecoder(
+            decode=registrations.decode_row
+        )
 
     def _first_era(self) -> int | None:
         """Return the store's era if the fleet starts for the first time."""
@@ -275,7 +278,8 @@
             self._keeper.mark_synced(self._watches.fleet.version.era)
 
     def _apply_server_rows(self, rows: watching.Rows) -> None:
-        self._servers.update(registrations.decode(rows))
+        servers = self._server_rows.decode(rows)
+        self._servers.update({server.server: server for server in servers})
         self._brokers.stop_reuse_of_foreign_primaries(
             self._servers.all(),
             lambda service: self._tasks.owner(service) is not None,
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -60,6 +60,14 @@
         self._register(sequence=8)
         self.assertEqual(len(self._known()), 1)
 
+    def test_an_odd_sequence_does_not_hide_later_entries(self) -> None:
+        """Within an era, the store tells which of two entries is later."""
+        self._register(sequence=2**60, version=platform_fakes.version(1))
+        self._register(
+            sequence=8, version=platform_fakes.version(2), is_draining=True
+        )
+        self.assertTrue(self._known()[0].is_draining)
+
     def test_a_restarted_server_counts_its_entries_anew(self) -> None:
         self._register(sequence=7)
         for started_ms in (5, 3):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -10,6 +10,8 @@
 from egretstep import identifiers
 from egretstep.backends import answers, commands
 from egretstep.platform import operator_settings, registrations, wire
+from egretstep.storage import tables
+from tests import platform_fakes
 
 FUZZ_SEED = 20261204
 FUZZ_CASES = 3000
@@ -94,6 +96,12 @@
                 wire.AnswerReader().add(line)
 
 
+def _row(content: bytes) -> tables.Row:
+    return tables.Row(
+        key='i-1', content=content, version=platform_fakes.version(1)
+    )
+
+
 class StoredRowsTest(unittest.TestCase):
     def test_malformed_registrations_are_ignored(self) -> None:
         valid = {
@@ -105,7 +113,7 @@
             'db_role': 'replica',
         }
         self.assertIsNotNone(
-            registrations.decode_row('i-1', orjson.dumps(valid)),
+            registrations.decode_row(_row(orjson.dumps(valid))),
         )
         malformed: list[dict[str, object]] = [
             {'slots': '3'},
@@ -120,13 +128,13 @@
         for changed in malformed:
             with self.subTest(changed=changed):
                 content = orjson.dumps({**valid, **changed})
-                self.assertIsNone(registrations.decode_row('i-1', content))
+                self.assertIsNone(registrations.decode_row(_row(content)))
 
     def test_random_rows_are_ignored(self) -> None:
         generator = random.Random(FUZZ_SEED)
         for _ in range(FUZZ_CASES // 10):
             content = generator.randbytes(generator.randrange(60))
-            self.assertIsNone(registrations.decode_row('i-1', content))
+            self.assertIsNone(registrations.decode_row(_row(content)))
 
     def test_evacuated_zones(self) -> None:
         self.assertEqual(
