A host logs that its configuration is not confirmed in time

Now a warning says when the configuration is older than the bound for changes, with its version and source, and a line when it is confirmed again; a counter tells how many polls of other hosts were of no use and why.

--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -101,6 +101,11 @@
     'egretstep_settings_age_seconds',
     'Time since the settings in force were confirmed to be the latest.',
 )
+feed_failures = BufferedCounter(
+    'egretstep_feed_failures_total',
+    'Polls of other hosts for changes of tables that were of no use, by reason.',
+    ('reason',),
+)
 
 
 def publish_all() -> None:
--- a/src/egretstep/programs/sweeper.py
+++ b/src/egretstep/programs/sweeper.py
@@ -3,15 +3,14 @@
 import asyncio
 import typing
 
-from egretstep.observability import metrics
 from egretstep.pooling import brokers
-from egretstep.settings import configuration_follower
+from egretstep.settings import age_monitor
 
 SWEEP_INTERVAL_SECONDS = 0.5
 
 
 class Sweeper:
-    """Sweeps the brokers and publishes the age of the configuration.
+    """Sweeps the brokers and checks the age of the configuration.
 
     While this host is isolated from all others, it also closes idle sessions:
     the load balancer connects their callers to another host.
@@ -21,12 +20,12 @@
         self,
         *,
         broker_table: brokers.BrokerTable,
-        configuration: configuration_follower.ConfigurationFollower,
+        settings_age: age_monitor.AgeMonitor,
         is_isolated: typing.Callable[[], bool],
         close_idle_sessions: typing.Callable[[], object],
     ) -> None:
         self._brokers = broker_table
-        self._configuration = configuration
+        self._age_monitor = settings_age
         self._is_isolated = is_isolated
         self._close_idle_sessions = close_idle_sessions
 
@@ -35,10 +34,6 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
             self._brokers.sweep()
-            self._publish_settings()
+            self._age_monitor.check()
             if self._is_isolated():
                 self._close_idle_sessions()
-
-    def _publish_settings(self) -> None:
-        metrics.settings_version.set({}, self._configuration.version)
-        metrics.settings_age.set({}, self._configuration.age)
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -42,7 +42,7 @@
 )
 from egretstep.replication import evidence, failover
 from egretstep.routing import dispatcher
-from egretstep.settings import deployment, node
+from egretstep.settings import age_monitor, deployment, node
 from egretstep.storage import row_decoding, watching
 from egretstep.supervision import supervisor
 
@@ -226,7 +226,10 @@
         )
         self._sweeper = sweeper.Sweeper(
             broker_table=self._brokers,
-            configuration=self._watches.configuration,
+            settings_age=age_monitor.AgeMonitor(
+                configuration=self._watches.configuration,
+                max_delay=self._settings.max_settings_delay_seconds,
+            ),
             is_isolated=lambda: self._queries.is_isolated,
             close_idle_sessions=self._ingress.close_idle,
         )
--- a/src/egretstep/storage/feed_follower.py
+++ b/src/egretstep/storage/feed_follower.py
@@ -6,6 +6,7 @@
 import logbook
 
 from egretstep import clock, identifiers
+from egretstep.observability import metrics
 from egretstep.storage import change_feed, watching
 
 SOURCE_CHECK_SECONDS = 0.2
@@ -104,21 +105,10 @@
 
         With `replaces_store`, the watches stop following the store.
         """
-        update = await self._request_changes(host) if host else None
+        update = await self._request_recent_changes(host) if host else None
         if host is None or update is None:
             await self._avoid(host)
             return
-        if not self._is_recent(update):
-            _logger.info(
-                'changes of tables from {} are refused: they are {:.1f} s old '
-                '(allowed: {:.1f} s) and of era {}; another source is asked',
-                host,
-                update.age,
-                self._max_age,
-                update.era,
-            )
-            await self._avoid(host)
-            return
         self._set_source_host(host if replaces_store else None)
         self._no_source_pause = NO_SOURCE_PAUSE_SECONDS
         confirmed_at = self._clock.now() - update.age
@@ -129,6 +119,27 @@
             if changed is not None and watch.accepts_changes:
                 watch.accept(changed, confirmed_at=confirmed_at, source=host)
 
+    async def _request_recent_changes(
+        self, host: identifiers.HostName
+    ) -> change_feed.FeedUpdate | None:
+        """Return a host's changes, None if it gives none that are of use."""
+        update = await self._request_changes(host)
+        if update is None:
+            metrics.feed_failures.inc('no_answer')
+            return None
+        if self._is_recent(update):
+            return update
+        metrics.feed_failures.inc('outdated')
+        _logger.info(
+            'changes of tables from {} are refused: they are {:.1f} s old '
+            '(allowed: {:.1f} s) and of era {}; another source is asked',
+            host,
+            update.age,
+            self._max_age,
+            update.era,
+        )
+        return None
+
     def _is_recent(self, update: change_feed.FeedUpdate) -> bool:
         """Return whether an update is recent and of no earlier era."""
         known_era = change_feed.latest_era(self._watches.values())
