The time limit of a call over a link counts the time to connect

A call of 0.4 s to a host that is cut off took up to 0.9 s, and the sums of waits that tests compare with the bounds left the connecting out. Test: the_time_to_connect_counts_for_a_call (TimeoutError before, LinkError now).

--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -85,15 +85,16 @@
 
         Heartbeats are sent until the answer arrives, less often for a long
         poll; a peer that does not answer one is disconnected. Raises `errors.LinkError` if the call was not sent, and
-        `errors.LinkLostError` if no answer arrived within `timeout` seconds
-        or the connection failed.
+        `errors.LinkLostError` if no answer arrived within `timeout` seconds,
+        the time to connect included, or the connection failed.
         """
-        remote = self._remote or await self._connect()
+        deadline = asyncio.get_running_loop().time() + timeout
+        remote = self._remote or await self._connect_until(deadline)
         self._pending_calls += 1
         self._pending_long_polls += is_long_poll
         self._start_heartbeats()
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout_at(deadline):
                 return await call(remote)
         except TimeoutError as error:
             raise errors.LinkLostError(
@@ -131,6 +132,16 @@
     def _peer_name(self) -> str:
         return f'{self._address}:{self._port}'
 
+    async def _connect_until(self, deadline: float) -> Remote:
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self._connect()
+        except TimeoutError as error:
+            raise errors.LinkError(
+                f'cannot connect to {self._peer_name()} in the time of the '
+                'call; check that the host is up',
+            ) from error
+
     async def _connect(self) -> Remote:
         async with self._connect_lock:
             if self._remote:
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -1,6 +1,7 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 import capnp
 
@@ -94,6 +95,20 @@
 
         self._run(check)
 
+    def test_the_time_to_connect_counts_for_a_call(self) -> None:
+        """A call of 0.4 s to a host that is cut off took 0.9 s."""
+
+        async def check() -> None:
+            link = self._link()
+            with mock.patch.object(link, '_open', lambda: asyncio.sleep(0.5)):
+                call = link.call(lambda pool: pool.heartbeat(), timeout=0.1)
+                with self.assertRaises(errors.LinkError):
+                    await asyncio.wait_for(
+                        call, links.CONNECT_TIMEOUT_SECONDS / 2
+                    )
+
+        self._run(check)
+
     def test_a_link_with_only_long_polls_notices_a_silent_peer(self) -> None:
         """Such a link stayed open for ever, and was used for each poll."""
 
