A link without heartbeats is closed when a call over it times out

The agents' links (gossip, witnesses, pushed settings) and those between pools have no heartbeats. A direct probe closed its link on a failure; the other calls did not, so that a silent link to a host that is no probe target, such as a witness, was asked again and again. Change: without heartbeats, a call that times out closes the link. Evidence: a_link_without_heartbeats_is_closed_by_a_timeout (open before). test_link_closes_when_the_peer_disconnects let a call time out to open its link and then requires it to be open; its link has heartbeats now, the first of which is due after the check, so that it checks the same as before.

--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -33,8 +33,9 @@
 class Link:
     """A connection to one peer, opened on use.
 
-    `heartbeat` is the call that checks the peer; without it, no heartbeats are
-    sent. `heartbeat_timeout` is in seconds.
+    `heartbeat` is the call that checks the peer. Without it, no heartbeats are
+    sent, and the link is closed when a call times out. `heartbeat_timeout` is
+    in seconds.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
             async with asyncio.timeout_at(deadline):
                 return await call(remote)
         except TimeoutError as error:
+            self._close_without_heartbeats(remote)
             raise errors.LinkLostError(
                 f'no answer from {self._peer_name()} within {timeout:.3f} s; '
                 'check that the host is up',
@@ -233,6 +235,11 @@
             return False
         return True
 
+    def _close_without_heartbeats(self, remote: Remote) -> None:
+        """Close after a timeout if nothing else would notice a silent peer."""
+        if self._heartbeat is None and self._remote is remote:
+            self.close()
+
     def _close_if_disconnected(
         self,
         error: capnp.KjException,
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -136,6 +136,18 @@
 
         self._run(check)
 
+    def test_a_link_without_heartbeats_is_closed_by_a_timeout(self) -> None:
+        """Agents asked witnesses over a silent link again and again."""
+
+        async def check() -> None:
+            self.pool.is_silent = True
+            link = self._link()
+            with self.assertRaises(errors.LinkLostError):
+                await link.call(lambda pool: pool.heartbeat(), timeout=0.1)
+            self.assertFalse(link.is_open)
+
+        self._run(check)
+
     def test_a_long_poll_is_sent_few_heartbeats(self) -> None:
         async def check() -> None:
             link = links.Link(
@@ -181,6 +193,7 @@
                 address=ADDRESS,
                 port=port,
                 interface=schema.Pool,
+                heartbeat=lambda pool: pool.heartbeat(),
             )
             with self.assertRaises(errors.LinkLostError):
                 await link.call(lambda pool: pool.heartbeat(), timeout=0.05)
