A host whose link was lost is probed at once

Callers' view: after a link to the owner of a service went silent, its calls failed for 0.65 s, and then all requests through that host were refused for one more second: a host that did not answer was avoided for 1 s before it was probed, though a new link to it works at once. Change: the first probe is sent at once; if the link over which it went is lost, over a new one. A host that is really down stays avoided as before. Evidence: two tests in tests.membership.test_fleet_links fail on the code before (host not usable after 0.05 s).

--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -18,6 +18,8 @@
 REPLY_ALLOWANCE_SECONDS = 0.2
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
 MAX_PROBE_PAUSE_SECONDS = 8.0
+# A probe calls a host at most twice.
+MAX_PROBE_SECONDS = 2 * CONTROL_TIMEOUT_SECONDS
 # How long to wait for further replies once a majority has answered.
 STRAGGLER_WAIT_SECONDS = 0.05
 _Reply = typing.TypeVar('_Reply')
@@ -67,7 +69,8 @@
         """Avoid a host and probe it in the background until it answers.
 
         Without the probes a caller's statement would fail each time that the
-        suspicion ends, for as long as the row of a lost host stays.
+        suspicion ends, for as long as the row of a lost host stays. The first
+        probe is sent at once: often only the link was lost.
         """
         self._hosts.suspect(host, reason, seconds=directory.SUSPECT_SECONDS)
         probe_task = self._probe_tasks.get(host)
@@ -77,26 +80,45 @@
             )
 
     async def _probe(self, host: identifiers.HostName, reason: str) -> None:
-        pause = directory.SUSPECT_SECONDS
-        max_call = CONTROL_TIMEOUT_SECONDS + links.CONNECT_TIMEOUT_SECONDS
+        pause = 0.0
         while host in self._hosts.hosts:
-            self._hosts.suspect(host, reason, seconds=pause + max_call)
+            self._hosts.suspect(host, reason, seconds=pause + MAX_PROBE_SECONDS)
             await asyncio.sleep(pause)
             if not self._hosts.is_suspected(host) or await self._is_alive(host):
                 self._hosts.clear_suspicion(host)
+                _logger.info('host {} answers and is used again', host)
                 return
-            pause = min(pause * 2, MAX_PROBE_PAUSE_SECONDS)
+            pause = min(
+                max(pause * 2, directory.SUSPECT_SECONDS),
+                MAX_PROBE_PAUSE_SECONDS,
+            )
 
     async def _is_alive(self, host: identifiers.HostName) -> bool:
+        """Return whether a host answers, over a new link if the old one fails.
+
+        A link may be silent while its host runs.
+        """
         try:
-            await self._link(host).call(
-                lambda remote: remote.heartbeat(),
-                timeout=CONTROL_TIMEOUT_SECONDS,
-            )
+            await self._send_heartbeat(host)
+        except errors.LinkLostError:
+            return await self._answers_again(host)
+        except errors.LinkError:
+            return False
+        return True
+
+    async def _answers_again(self, host: identifiers.HostName) -> bool:
+        try:
+            await self._send_heartbeat(host)
         except _LINK_ERRORS:
             return False
         return True
 
+    async def _send_heartbeat(self, host: identifiers.HostName) -> None:
+        await self._link(host).call(
+            lambda remote: remote.heartbeat(),
+            timeout=CONTROL_TIMEOUT_SECONDS,
+        )
+
     def _link(self, host: identifiers.HostName) -> links.Link:
         known = self._hosts.hosts.get(host)
         if known is None:
--- a/tests/membership/test_fleet_links.py
+++ b/tests/membership/test_fleet_links.py
@@ -131,6 +131,28 @@
             await asyncio.sleep(0.2)
             self.assertTrue(self.hosts.is_usable(HOSTS[1]))
 
+    async def test_a_host_whose_link_was_lost_is_used_at_once(self) -> None:
+        """Its callers were refused for a second after each silent link."""
+        with self.assertRaises(errors.LinkLostError):
+            await self._lose_link()
+        await asyncio.sleep(0.05)
+        self.assertTrue(self.hosts.is_usable(HOSTS[1]))
+
+    async def test_a_silent_link_is_replaced_before_the_host_is_avoided(
+        self,
+    ) -> None:
+        """The first heartbeat goes over the silent link as well."""
+        with self.assertRaises(errors.LinkLostError):
+            await self._lose_link(lost_calls=2)
+        await asyncio.sleep(0.05)
+        self.assertTrue(self.hosts.is_usable(HOSTS[1]))
+
+    async def _lose_link(self, lost_calls: int = 1) -> None:
+        lost = [errors.LinkLostError('silent')] * lost_calls
+        self.link = unittest.mock.AsyncMock()
+        self.link.call.side_effect = [*lost, None]
+        await self.links.call(HOSTS[1], lambda remote: remote)
+
     async def test_the_pause_between_probes_grows(self) -> None:
         with unittest.mock.patch.object(directory, 'SUSPECT_SECONDS', 0.02):
             await self._call_repeatedly(1)
