--- a/src/egretstep/membership/claims.py
+++ b/src/egretstep/membership/claims.py
@@ -76,18 +76,10 @@
     claim = decode(row.content)
     if claim is None:
         return None
-    is_own_key = row.key == PREFIX + claim.task
-    if is_own_key and fencing.is_possible(claim.epoch, row.version.era):
-        return claim
-    _logger.warning(
-        'row {} with epoch {} of task {} in era {} is ignored: the key or the '
-        'epoch is not its own',
-        json_fields.quote(row.key),
-        claim.epoch,
-        claim.task,
-        row.version.era,
+    is_own = fencing.is_own_row(
+        row, key=PREFIX + claim.task, number=claim.epoch
     )
-    return None
+    return claim if is_own else None
 
 
 def _decode(fields: json_fields.JsonFields) -> Claim:
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -102,18 +102,8 @@
     host = decode(row.content)
     if host is None:
         return None
-    is_own_key = row.key == PREFIX + host.host
-    if is_own_key and fencing.is_possible(host.boot, row.version.era):
-        return host
-    _logger.warning(
-        'row {} of host {} with boot number {} in era {} is ignored: the key '
-        'or the number is not its own',
-        json_fields.quote(row.key),
-        host.host,
-        host.boot,
-        row.version.era,
-    )
-    return None
+    is_own = fencing.is_own_row(row, key=PREFIX + host.host, number=host.boot)
+    return host if is_own else None
 
 
 class Directory:
--- a/src/egretstep/membership/fencing.py
+++ b/src/egretstep/membership/fencing.py
@@ -5,7 +5,13 @@
 with the store's era, so that it is greater than all numbers of former eras.
 """
 
+import logbook
+
+from egretstep import json_fields
+from egretstep.storage import tables
+
 NUMBERS_PER_ERA = 10**9
+_logger = logbook.Logger('fencing')
 
 
 def next_number(latest: int, era: int) -> int:
@@ -37,6 +43,25 @@
     return era_of(number) <= era
 
 
+def is_own_row(row: tables.Row, *, key: str, number: int) -> bool:
+    """Return whether a row is under its own key and has a possible number.
+
+    `key` and `number` are what the content of the row calls for. Another
+    writer's row must not replace that of a host or task.
+    """
+    if row.key == key and is_possible(number, row.version.era):
+        return True
+    _logger.warning(
+        'row {} is ignored: its content is for the key {} and has number {}; '
+        'the era of the store is {}',
+        json_fields.quote(row.key),
+        json_fields.quote(key),
+        number,
+        row.version.era,
+    )
+    return False
+
+
 def is_first_of_era(number: int) -> bool:
     """Return whether a number is the first one of its era."""
     return number % NUMBERS_PER_ERA == 1
