Listening sockets let the kernel notice callers that vanished

When a link goes silent the caller opens another; its end never reaches the other side, which kept the accepted connection, and what belongs to it, for ever. Test: a_caller_that_vanishes_is_noticed_by_the_kernel (the options of an accepted connection).

--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -13,7 +13,7 @@
 import capnp
 import logbook
 
-from egretstep import clock, errors
+from egretstep import clock, errors, sockets
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 HEARTBEAT_INTERVAL_SECONDS = 0.25
@@ -334,6 +334,7 @@
             self._port,
         )
         async with server:
+            sockets.detect_dead_callers(server)
             await server.serve_forever()
 
     async def _accept(self, stream: typing.Any) -> None:
--- a/src/egretstep/sockets.py
+++ b/src/egretstep/sockets.py
@@ -1,6 +1,8 @@
 """TCP options of the connections of a host."""
 
+import asyncio
 import socket
+import typing
 
 USER_TIMEOUT_MS = 1500
 KEEPALIVE_IDLE_SECONDS = 2
@@ -8,7 +10,23 @@
 KEEPALIVE_PROBES = 2
 
 
-def detect_dead_peer(stream: socket.socket) -> None:
+class SocketOptions(typing.Protocol):
+    """A socket whose options can be set."""
+
+    def setsockopt(self, level: int, option: int, number: int, /) -> None:
+        """Set an option to a number."""
+
+
+def detect_dead_callers(server: asyncio.Server) -> None:
+    """Make the kernel close accepted connections whose caller is dead.
+
+    They inherit the options of the socket that listens.
+    """
+    for listening in server.sockets:
+        detect_dead_peer(listening)
+
+
+def detect_dead_peer(stream: SocketOptions) -> None:
     """Make the kernel close a connection whose peer stops responding.
 
     Also disables the delay of small packets by Nagle's algorithm.
--- a/src/egretstep/web/endpoint.py
+++ b/src/egretstep/web/endpoint.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from egretstep import sockets
 from egretstep.settings import node
 from egretstep.web import messages
 
@@ -41,6 +42,7 @@
             self._address.port,
         )
         async with server:
+            sockets.detect_dead_callers(server)
             await server.serve_forever()
 
     async def _serve(
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -5,7 +5,7 @@
 
 import capnp
 
-from egretstep import clock, errors
+from egretstep import clock, errors, sockets
 from egretstep.peers import links, schema
 
 ADDRESS = '127.0.0.1'
@@ -204,6 +204,34 @@
 
         self._run(check)
 
+    def test_a_caller_that_vanishes_is_noticed_by_the_kernel(self) -> None:
+        """Its end never arrives, so that each one left a socket open."""
+        options: list[int] = []
+
+        async def read_options(
+            _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            accepted = writer.get_extra_info('socket')
+            options.append(
+                accepted.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            )
+            options.append(
+                accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+            )
+            writer.close()
+
+        async def check() -> None:
+            server = await asyncio.start_server(read_options, ADDRESS, 0)
+            sockets.detect_dead_callers(server)
+            port = server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection(ADDRESS, port)
+            await reader.read()
+            writer.close()
+            server.close()
+
+        self._run(check)
+        self.assertEqual(options, [1, sockets.KEEPALIVE_IDLE_SECONDS])
+
     def test_listener_reports_the_end_of_a_link(self) -> None:
         async def check() -> None:
             link = self._link()
