--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -324,8 +324,29 @@
     Mutant(
         name='the suspicion of a host expires before it is probed',
         path='src/egretstep/membership/fleet_links.py',
-        old='seconds=pause + max_call)',
+        old='seconds=pause + MAX_PROBE_SECONDS)',
         new='seconds=0)',
         tests='tests.membership.test_fleet_links',
     ),
+    Mutant(
+        name='a link with only long polls sends no heartbeats',
+        path='src/egretstep/peers/links.py',
+        old='if self._heartbeat is None or self._heartbeat_task:',
+        new='if self._heartbeat_task or self._has_only_long_polls():',
+        tests='tests.peers.test_links',
+    ),
+    Mutant(
+        name='a silent relay is asked again before the store',
+        path='src/egretstep/membership/relays.py',
+        old='AVOIDANCE_POLLS = RELAYS_PER_ZONE + 1',
+        new='AVOIDANCE_POLLS = 0.9',
+        tests='tests.storage.test_silent_links',
+    ),
+    Mutant(
+        name='a change that another call shows does not end a poll',
+        path='src/egretstep/platform/store.py',
+        old='self._polls.record_version(answer.version)',
+        new='answer = answer',
+        tests='tests.platform.test_store',
+    ),
 )
