The pause between attempts to find recent changes does not grow with the fleet

Change: a constant pause of 0.3 s, the former first one; fleets of up to 60 hosts had it already. A host that has no recent changes replies at once.

--- a/src/egretstep/programs/store_watches.py
+++ b/src/egretstep/programs/store_watches.py
@@ -101,7 +101,6 @@
             ),
             wait=self._feed_wait_seconds,
             store_answers=lambda: renewal.store_answers,
-            fleet_size=lambda: len(hosts.hosts),
             start_delay=(
                 FEED_START_DELAY_SECONDS if self._is_first_start else 0
             ),
--- a/src/egretstep/storage/feed_follower.py
+++ b/src/egretstep/storage/feed_follower.py
@@ -10,10 +10,9 @@
 from egretstep.storage import change_feed, watching
 
 SOURCE_CHECK_SECONDS = 0.2
+# Without a usable source, each host asks another one after this pause. A host
+# that has none either replies at once.
 NO_SOURCE_PAUSE_SECONDS = 0.3
-# Without a usable source for long, all hosts together send one request in this
-# time. The pause of each doubles up to that.
-NO_SOURCE_PAUSE_PER_HOST_SECONDS = 0.005
 _logger = logbook.Logger('change-feed')
 
 PollHost = typing.Callable[
@@ -53,7 +52,6 @@
         poll_host: PollHost,
         wait: float,
         store_answers: typing.Callable[[], bool],
-        fleet_size: typing.Callable[[], int],
         start_delay: float,
         time_source: clock.Clock,
     ) -> None:
@@ -64,10 +62,8 @@
         self._poll_host = poll_host
         self._max_age = change_feed.MAX_AGE_WAITS * wait
         self._store_answers = store_answers
-        self._fleet_size = fleet_size
         self._clock = time_source
         self._host: identifiers.HostName | None = None
-        self._no_source_pause = NO_SOURCE_PAUSE_SECONDS
         for watch in watches:
             watch.follows_store.clear()
 
@@ -110,7 +106,6 @@
             await self._avoid(host)
             return
         self._set_source_host(host if replaces_store else None)
-        self._no_source_pause = NO_SOURCE_PAUSE_SECONDS
         confirmed_at = self._clock.now() - update.age
         for table, watch in self._watches.items():
             changed = update.tables.get(table)
@@ -167,11 +162,7 @@
             self._set_source_host(None)
         if has_relay:
             return
-        await asyncio.sleep(self._no_source_pause)
-        longest = NO_SOURCE_PAUSE_PER_HOST_SECONDS * self._fleet_size()
-        self._no_source_pause = max(
-            NO_SOURCE_PAUSE_SECONDS, min(longest, 2 * self._no_source_pause)
-        )
+        await asyncio.sleep(NO_SOURCE_PAUSE_SECONDS)
 
     def _set_source_host(self, host: identifiers.HostName | None) -> None:
         """Follow a host, or the store if it is None."""
--- a/tests/storage/feed_fakes.py
+++ b/tests/storage/feed_fakes.py
@@ -120,7 +120,6 @@
             poll_host=self._poll_host,
             wait=WAIT_SECONDS,
             store_answers=lambda: self.store_answers,
-            fleet_size=lambda: 3,
             start_delay=0,
             time_source=self.clock,
         )
--- a/tests/storage/test_silent_store.py
+++ b/tests/storage/test_silent_store.py
@@ -37,6 +37,13 @@
             silenced = [f'a-{number}' for number in range(10)]
             await self._assert_in_force(fleet, silenced=silenced)
 
+    async def test_most_hosts_of_a_large_fleet_get_no_answer(self) -> None:
+        """The pauses between their attempts grew with the fleet."""
+        random.seed(1)
+        fleet = fleet_fakes.Fleet({'a': 200, 'b': 200})
+        silenced = random.sample([*fleet.hosts], 340)
+        await self._assert_in_force(fleet, silenced=silenced)
+
     async def _assert_in_force(
         self, fleet: fleet_fakes.Fleet, *, silenced: typing.Sequence[str]
     ) -> None:
