--- a/tests/storage/test_silent_store.py
+++ b/tests/storage/test_silent_store.py
@@ -41,7 +41,7 @@
         """The pauses between their attempts grew with the fleet."""
         random.seed(1)
         fleet = fleet_fakes.Fleet({'a': 200, 'b': 200})
-        silenced = random.sample([*fleet.hosts], 340)
+        silenced = random.sample(list(fleet.hosts), 340)
         await self._assert_in_force(fleet, silenced=silenced)
 
     async def _assert_in_force(
