--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -9,7 +9,7 @@
 from egretstep.backends import answers
 from egretstep.membership import claims as claims_module
 from egretstep.membership import directory
-from egretstep.peers import fleet_messages, fleet_schema, links
+from egretstep.peers import fleet_messages, fleet_schema, link_table, links
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
 from egretstep.storage import change_feed
@@ -37,7 +37,7 @@
         time_source: clock.Clock,
     ) -> None:
         self._hosts = hosts
-        self._link_table = links.LinkTable(
+        self._link_table = link_table.LinkTable(
             interface=fleet_schema.Host,
             time_source=time_source,
             heartbeat=lambda host: host.heartbeat(),
--- a/src/egretstep/membership/gossip.py
+++ b/src/egretstep/membership/gossip.py
@@ -18,7 +18,7 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.membership import members, ranking
-from egretstep.peers import links, schema
+from egretstep.peers import link_table, links, schema
 from egretstep.settings import freshness
 
 PROBE_INTERVAL_SECONDS = 0.2
@@ -76,7 +76,7 @@
         self._on_vouch = on_vouch
         self._random = random.Random(random_seed)
         self._seeds = tuple(seeds)
-        self._links = links.LinkTable(
+        self._links = link_table.LinkTable(
             interface=schema.Agent,
             time_source=time_source,
         )
--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -13,7 +13,7 @@
 import capnp
 import logbook
 
-from egretstep import clock, errors, sockets
+from egretstep import clock, errors
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 HEARTBEAT_INTERVAL_SECONDS = 0.25
@@ -22,7 +22,6 @@
 LONG_POLL_HEARTBEAT_INTERVAL_SECONDS = 0.5
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 RECONNECT_DELAY_SECONDS = 0.1
-IDLE_TIMEOUT_SECONDS = 60.0
 _DISCONNECTED_ERROR_TYPE = 'DISCONNECTED'
 _logger = logbook.Logger('links')
 
@@ -247,103 +246,3 @@
     ) -> None:
         if error.type == _DISCONNECTED_ERROR_TYPE and self._remote is remote:
             self.close()
-
-
-class LinkTable:
-    """Links by address, opened on use and closed when idle.
-
-    Hosts are replaced often, so that links to addresses that are no longer
-    used must be closed.
-    """
-
-    def __init__(
-        self,
-        *,
-        interface: typing.Any,
-        time_source: clock.Clock,
-        heartbeat: Call | None = None,
-        heartbeat_timeout: float = HEARTBEAT_TIMEOUT_SECONDS,
-    ) -> None:
-        self._interface = interface
-        self._clock = time_source
-        self._heartbeat_timeout = heartbeat_timeout
-        self._heartbeat = heartbeat
-        self._links: dict[tuple[str, int], Link] = {}
-        self._last_used_at: dict[tuple[str, int], float] = {}
-        self._last_idle_check_at = time_source.now()
-
-    def __len__(self) -> int:
-        """Return the number of links, connected or not."""
-        return len(self._links)
-
-    def get(self, address: str, port: int) -> Link:
-        """Return the link to an address; now and then, close idle links."""
-        key = (address, port)
-        link = self._links.get(key)
-        if link is None:
-            link = Link(
-                address=address,
-                port=port,
-                interface=self._interface,
-                heartbeat=self._heartbeat,
-                time_source=self._clock,
-                heartbeat_timeout=self._heartbeat_timeout,
-            )
-            self._links[key] = link
-        now = self._clock.now()
-        self._last_used_at[key] = now
-        if now - self._last_idle_check_at > IDLE_TIMEOUT_SECONDS:
-            self._close_idle_links(now)
-        return link
-
-    def _close_idle_links(self, now: float) -> None:
-        self._last_idle_check_at = now
-        for key, used_at in tuple(self._last_used_at.items()):
-            if (
-                now - used_at > IDLE_TIMEOUT_SECONDS
-                and self._links[key].is_idle
-            ):
-                self._last_used_at.pop(key)
-                self._links.pop(key).close()
-
-
-class Listener:
-    """Accepts links from other programs.
-
-    `make_server` is called once per link and returns the implementation of
-    the interface, which can hold the state of the link. Its `link_closed`
-    method is awaited when the link ends.
-    """
-
-    def __init__(
-        self,
-        *,
-        address: str,
-        port: int,
-        make_server: typing.Callable[[], typing.Any],
-    ) -> None:
-        self._address = address
-        self._port = port
-        self._make_server = make_server
-
-    async def run(self) -> None:
-        """Accept links until cancelled."""
-        server = await capnp.AsyncIoStream.create_server(
-            self._accept,
-            self._address,
-            self._port,
-        )
-        async with server:
-            sockets.detect_dead_callers(server)
-            await server.serve_forever()
-
-    async def _accept(self, stream: typing.Any) -> None:
-        implementation = self._make_server()
-        try:
-            with contextlib.suppress(capnp.KjException, ConnectionError):
-                await capnp.TwoPartyServer(
-                    stream,
-                    bootstrap=implementation,
-                ).on_disconnect()
-        finally:
-            await implementation.link_closed()
--- a/src/egretstep/pooling/host.py
+++ b/src/egretstep/pooling/host.py
@@ -10,7 +10,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.limits import admission
 from egretstep.membership import members, view
-from egretstep.peers import links, messages, schema
+from egretstep.peers import link_table, links, messages, schema
 from egretstep.pooling import outcomes, owned, pins, workspace_admissions
 from egretstep.supervision import supervisor
 
@@ -44,7 +44,7 @@
         self._owned: dict[identifiers.DatabaseName, owned.OwnedDatabase] = {}
         self._releasing: dict[identifiers.DatabaseName, asyncio.Task[None]] = {}
         self._supervisor = supervisor.Supervisor(name='databases')
-        self._links = links.LinkTable(
+        self._links = link_table.LinkTable(
             interface=schema.Pool,
             time_source=time_source,
         )
--- a/src/egretstep/pooling/workspace_admissions.py
+++ b/src/egretstep/pooling/workspace_admissions.py
@@ -9,7 +9,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.limits import admission
 from egretstep.membership import view
-from egretstep.peers import links
+from egretstep.peers import link_table, links
 from egretstep.pooling import owned
 
 TOKEN_TIMEOUT_SECONDS = 0.3
@@ -32,7 +32,7 @@
             owned.OwnedDatabase,
         ],
         current_view: typing.Callable[[], view.FleetView],
-        pool_links: links.LinkTable,
+        pool_links: link_table.LinkTable,
         time_source: clock.Clock,
     ) -> None:
         self._host = host
--- a/src/egretstep/programs/agent.py
+++ b/src/egretstep/programs/agent.py
@@ -12,7 +12,7 @@
 from egretstep.membership import gossip, members
 from egretstep.observability import metrics_endpoint
 from egretstep.operators import endpoint
-from egretstep.peers import links, schema
+from egretstep.peers import links, listening, schema
 from egretstep.programs import agent_link, host_view, runner
 from egretstep.settings import changes, distribution, freshness
 from egretstep.settings import schema as settings_schema
@@ -81,7 +81,7 @@
         The agent then runs until the other programs of the host have ended,
         for at most `LEAVE_TIMEOUT_SECONDS`.
         """
-        listener = links.Listener(
+        listener = listening.Listener(
             address=self._settings.address,
             port=self._settings.agent_port,
             make_server=lambda: agent_link.AgentServer(
--- a/src/egretstep/programs/pool.py
+++ b/src/egretstep/programs/pool.py
@@ -10,7 +10,7 @@
 from egretstep import clock, identifiers
 from egretstep.membership import view
 from egretstep.observability import metrics_endpoint, traces
-from egretstep.peers import links, messages, schema
+from egretstep.peers import listening, messages, schema
 from egretstep.pooling import host, owned, pins
 from egretstep.programs import runner
 from egretstep.settings import schema as settings_schema
@@ -140,7 +140,7 @@
         port=settings.pool_metrics_port,
     )
     link_ids = itertools.count(1)
-    listener = links.Listener(
+    listener = listening.Listener(
         address=settings.address,
         port=settings.pool_port,
         make_server=lambda: PoolServer(
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -20,7 +20,7 @@
     registry,
 )
 from egretstep.observability import metrics_page
-from egretstep.peers import links
+from egretstep.peers import listening
 from egretstep.platform import (
     backend,
     ingress,
@@ -242,7 +242,7 @@
         )
 
     def _children(self) -> list[supervisor.Child]:
-        listener = links.Listener(
+        listener = listening.Listener(
             address=self._settings.peers.host,
             port=self._settings.peers.port,
             make_server=self._make_host_endpoint,
--- a/src/egretstep/routing/relay.py
+++ b/src/egretstep/routing/relay.py
@@ -13,7 +13,7 @@
 from egretstep import clock, errors, identifiers
 from egretstep.membership import members, view
 from egretstep.observability import metrics
-from egretstep.peers import links, messages, schema
+from egretstep.peers import link_table, links, messages, schema
 from egretstep.pooling import outcomes
 from egretstep.routing import budget
 
@@ -74,7 +74,7 @@
         self._view = current_view
         self._clock = time_source
         self._random = random.Random(seed)
-        self._links = links.LinkTable(
+        self._links = link_table.LinkTable(
             interface=schema.Pool,
             time_source=time_source,
             heartbeat=lambda pool: pool.heartbeat(),
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -6,7 +6,7 @@
 import capnp
 
 from egretstep import clock, errors, sockets
-from egretstep.peers import links, schema
+from egretstep.peers import link_table, links, listening, schema
 
 ADDRESS = '127.0.0.1'
 
@@ -48,7 +48,7 @@
 
     def _run(self, check: object) -> None:
         async def main() -> None:
-            listener = links.Listener(
+            listener = listening.Listener(
                 address=ADDRESS,
                 port=self.port,
                 make_server=lambda: self.pool,
@@ -166,15 +166,15 @@
 
     def test_table_closes_idle_links(self) -> None:
         source = clock.ManualClock()
-        table = links.LinkTable(interface=schema.Pool, time_source=source)
+        table = link_table.LinkTable(interface=schema.Pool, time_source=source)
 
         async def check() -> None:
             first = table.get(ADDRESS, self.port)
             await first.call(lambda pool: pool.heartbeat(), timeout=1)
             self.assertIs(table.get(ADDRESS, self.port), first)
-            source.advance(links.IDLE_TIMEOUT_SECONDS + 1)
+            source.advance(link_table.IDLE_TIMEOUT_SECONDS + 1)
             table.get(ADDRESS, 1)
-            source.advance(links.IDLE_TIMEOUT_SECONDS + 1)
+            source.advance(link_table.IDLE_TIMEOUT_SECONDS + 1)
             table.get(ADDRESS, 2)
             self.assertFalse(first.is_open)
             self.assertEqual(len(table), 1)
