--- a/src/egretstep/peers/links.py
+++ b/src/egretstep/peers/links.py
@@ -84,9 +84,10 @@
         """Make one call and return its answer.
 
         Heartbeats are sent until the answer arrives, less often for a long
-        poll; a peer that does not answer one is disconnected. Raises `errors.LinkError` if the call was not sent, and
-        `errors.LinkLostError` if no answer arrived within `timeout` seconds,
-        the time to connect included, or the connection failed.
+        poll; a peer that does not answer one is disconnected. Raises
+        `errors.LinkError` if the call was not sent, and `errors.LinkLostError`
+        if no answer arrived within `timeout` seconds, the time to connect
+        included, or the connection failed.
         """
         deadline = asyncio.get_running_loop().time() + timeout
         remote = self._remote or await self._connect_until(deadline)
--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -32,8 +32,8 @@
 
     Long polls for the changes of a table have a connection for each table,
     so that other requests don't wait for them. A poll ends when another call
-    shows that its answer may never come. Versions are numbers on the wire; their era is that
-    of the answer, or of the latest answer.
+    shows that its answer may never come. Versions are numbers on the wire;
+    their era is that of the answer, or of the latest answer.
     """
 
     def __init__(self, *, address: node.Address) -> None:
