--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -17,7 +17,7 @@
 import tempfile
 import typing
 
-from tests import mutations
+from tests import mutant_types, mutations
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 COPIED_FOLDERS = ('src', 'standins', 'soak', 'tests', 'features', 'examples')
@@ -49,7 +49,7 @@
     return unnoticed_count
 
 
-def _state(mutant: mutations.Mutant) -> State:
+def _state(mutant: mutant_types.Mutant) -> State:
     if not _passes_unchanged(tuple(_command(mutant))):
         return State.FAILS_UNCHANGED
     return State.NOTICED if _is_noticed(mutant) else State.UNNOTICED
@@ -70,20 +70,20 @@
         yield copy
 
 
-def _is_noticed(mutant: mutations.Mutant) -> bool:
+def _is_noticed(mutant: mutant_types.Mutant) -> bool:
     with _copy_of_project() as copy:
         path = copy / mutant.path
         text = path.read_text()
         if mutant.old not in text:
             raise ValueError(
                 f'mutant {mutant.name!r}: {mutant.path} does not contain '
-                f'{mutant.old!r}; update tests/mutations.py',
+                f'{mutant.old!r}; update it in tests/',
             )
         path.write_text(text.replace(mutant.old, mutant.new))
         return _fails(mutant, copy)
 
 
-def _fails(mutant: mutations.Mutant, copy: pathlib.Path) -> bool:
+def _fails(mutant: mutant_types.Mutant, copy: pathlib.Path) -> bool:
     completed = _run(_command(mutant), copy)
     # A run that fails before any assertion, as on an import error, does not
     # show that the tests notice the change.
@@ -110,7 +110,7 @@
     )
 
 
-def _command(mutant: mutations.Mutant) -> list[str]:
+def _command(mutant: mutant_types.Mutant) -> list[str]:
     if mutant.tests:
         options = ['-W', 'ignore', '-m', 'nose2', '-s', '.', '-t', '.']
         return [sys.executable, *options, mutant.tests]
