Connecting to a silent database server ends in time

Cause: the MySQL library connects with asyncio.wait_for, which on Python 3.11 drops a cancellation that arrives in the iteration in which the socket connects. On a busy machine the time limit of 0.5 s and the abort, 0.5 s after the server's last answer, come in one iteration and are both dropped; nothing bounds the wait for the server's greeting then. Change: the library connects in a task that is waited for with asyncio.wait, which drops nothing; a connection that comes late is closed. Ruled out: aborts of statements that have connected (no wait_for there), the queue for slots, the client's own waiting (a count of the load only).

--- a/src/egretstep/backends/mysql.py
+++ b/src/egretstep/backends/mysql.py
@@ -83,16 +83,7 @@
         within `CONNECT_TIMEOUT_SECONDS`.
         """
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                client_connection = await asyncmy.connect(
-                    host=endpoint.address,
-                    port=endpoint.port,
-                    user=endpoint.user,
-                    password=endpoint.password,
-                    autocommit=None,
-                    conv={},
-                    use_unicode=False,
-                )
+            client_connection = await _connect(endpoint)
         except _CONNECTION_ERRORS as error:
             raise errors.DatabaseServerError(
                 f'cannot connect to {server} at {endpoint.address}:'
@@ -184,6 +175,42 @@
         )
 
 
+async def _connect(endpoint: Endpoint) -> asyncmy.Connection:
+    """Connect within `CONNECT_TIMEOUT_SECONDS`; raises `TimeoutError`.
+
+    The client library can miss a cancellation that arrives as the socket
+    connects, and then waits for the server. So it connects in a task of its
+    own, which is not waited for once it is cancelled.
+    """
+    connecting = asyncio.ensure_future(
+        asyncmy.connect(
+            host=endpoint.address,
+            port=endpoint.port,
+            user=endpoint.user,
+            password=endpoint.password,
+            autocommit=None,
+            conv={},
+            use_unicode=False,
+        )
+    )
+    try:
+        await asyncio.wait({connecting}, timeout=CONNECT_TIMEOUT_SECONDS)
+        if connecting.done():
+            return connecting.result()
+    finally:
+        if not connecting.done():
+            connecting.add_done_callback(_close_late_connection)
+            connecting.cancel()
+    raise TimeoutError(f'not connected in {CONNECT_TIMEOUT_SECONDS} s')
+
+
+def _close_late_connection(
+    connecting: 'asyncio.Future[asyncmy.Connection]',
+) -> None:
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
 def _read_columns(client_result: typing.Any) -> tuple[messages.Column, ...]:
     if client_result.description is None:
         return ()
