--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -13,10 +13,11 @@
 class Answer:
     """The answer to one statement.
 
-    `code` is `OK`, an error code, or `CLOSED` if the connection ended before
+    `request` is its id. `code` is `OK`, an error code, or `CLOSED` if the connection ended before
     READY. `times` are those of the request and of the answer.
     """
 
+    request: str
     code: str
     rows: tuple[str, ...]
     proof: str
@@ -75,9 +76,10 @@
         )
         try:
             self._writer.write(f'QUERY {statement_id} {text}\r\n'.encode())
-            answer = await self._read_answer(sent)
+            answer = await self._read_answer(statement_id, sent)
         except OSError:
-            answer = Answer('CLOSED', (), '', '', '', (sent, self._events.now()))
+            times = (sent, self._events.now())
+            answer = Answer(statement_id, 'CLOSED', (), '', '', '', times)
         self._events.add(
             'answer',
             caller=self._name,
@@ -92,7 +94,7 @@
         """Close the connection."""
         self._writer.close()
 
-    async def _read_answer(self, sent: float) -> Answer:
+    async def _read_answer(self, request: str, sent: float) -> Answer:
         rows: list[str] = []
         code, proof = 'OK', ''
         while True:
@@ -108,7 +110,13 @@
             elif word == 'READY':
                 state, _, position = rest.partition(' ')
                 return Answer(
-                    code, tuple(rows), proof, state, position, (sent, now)
+                    request,
+                    code,
+                    tuple(rows),
+                    proof,
+                    state,
+                    position,
+                    (sent, now),
                 )
             else:
-                return Answer('CLOSED', (), '', '', '', (sent, now))
+                return Answer(request, 'CLOSED', (), '', '', '', (sent, now))
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -170,6 +170,16 @@
             writer.close()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """A promotion that took effect: its time, and the new term and log."""
+
+    at: float
+    server: Server
+    term: int
+    log: tuple[Entry, ...]
+
+
 class Group:
     """The servers of one service; the first one is the first primary.
 
@@ -209,8 +219,7 @@
         }
         self.leader = next(iter(self.servers.values()))
         self.leader.is_primary = True
-        # The log of each server at the moment at which it took over.
-        self.takeovers: list[tuple[float, Server, tuple[Entry, ...]]] = []
+        self.takeovers: list[Takeover] = []
         self.commits: list[tuple[float, Server, Entry]] = []
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -296,7 +305,9 @@
             term=server.term,
             received=server.received,
         )
-        self.takeovers.append((now, server, tuple(server.log)))
+        self.takeovers.append(
+            Takeover(now, server, server.term, tuple(server.log))
+        )
         for other in self.servers.values():
             if other not in {server, former} and not other.is_down:
                 other.follow(server)
@@ -354,7 +365,11 @@
             self._send('ERROR WRONGNODE')
             return
         self._tenant = fields[2]
-        await server.use_slot(HANDSHAKE_SECONDS)
+        try:
+            await server.use_slot(HANDSHAKE_SECONDS)
+        except RefusedError as error:
+            self._send(f'ERROR {error}')
+            return
         self._send(self._ready())
         while True:
             line = (await self._reader.readuntil(b'\r\n')).decode()
