--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -221,6 +221,8 @@
         self.leader.is_primary = True
         self.takeovers: list[Takeover] = []
         self.commits: list[tuple[float, Server, Entry]] = []
+        # When each request got to a server that ran it.
+        self.arrivals: dict[str, float] = {}
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
     async def start(self) -> None:
@@ -415,6 +417,7 @@
                 raise RefusedError('READONLY')
             self._state = 'T'
             return ['COMPLETE -']
+        server.group.arrivals.setdefault(statement_id, server.group.events.now())
         await server.use_slot(server.group.work(' '.join(words)))
         return await self._execute(statement_id, words)
 
