--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -295,8 +295,16 @@
             'entry': 'vip',
             'heartbeat_ms': 1200,
             'contracts': [
-                'base', 'drain', 'config', 'cost', 'recover', 'sql', 'tenants',
-                'quota', 'places', 'platform',
+                'base',
+                'drain',
+                'config',
+                'cost',
+                'recover',
+                'sql',
+                'tenants',
+                'quota',
+                'places',
+                'platform',
             ],
             'fault_tolerance': {'machines': 2, 'zones': 1, 'regions': 0},
             'bounds': BOUNDS,
@@ -333,7 +341,10 @@
                 (f'{base}.{11 + index}', port)
                 for index in range(host_count)
                 for port in (
-                    FRONT_PORT, READY_PORT, METRICS_PORT, *INTERNAL_PORTS
+                    FRONT_PORT,
+                    READY_PORT,
+                    METRICS_PORT,
+                    *INTERNAL_PORTS,
                 )
             ),
             *((f'{base}.{101 + number}', SERVER_PORT) for number in range(3)),
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -58,11 +58,14 @@
         body = await reader.readexactly(int(headers.get('content-length', 0)))
         path, _, query_text = target.partition('?')
         query = dict(urllib.parse.parse_qsl(query_text, keep_blank_values=True))
-        status, content = await self._handler(method, path, query, headers, body)
+        status, content = await self._handler(
+            method, path, query, headers, body
+        )
         encoded = json.dumps(content).encode()
         writer.write(
             f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
-            f'Content-Length: {len(encoded)}\r\n\r\n'.encode() + encoded
+            f'Content-Length: {len(encoded)}\r\n\r\n'.encode()
+            + encoded
         )
         await writer.drain()
         return True
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -165,7 +165,9 @@
 class Promotions:
     """Accepts promotions; the fence is recorded and not checked."""
 
-    def __init__(self, events: record.Record, groups: dict[str, typing.Any]) -> None:
+    def __init__(
+        self, events: record.Record, groups: dict[str, typing.Any]
+    ) -> None:
         self._events = events
         self._groups = groups
         self._server = http.Server(self._handle)
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -417,7 +417,9 @@
                 raise RefusedError('READONLY')
             self._state = 'T'
             return ['COMPLETE -']
-        server.group.arrivals.setdefault(statement_id, server.group.events.now())
+        server.group.arrivals.setdefault(
+            statement_id, server.group.events.now()
+        )
         await server.use_slot(server.group.work(' '.join(words)))
         return await self._execute(statement_id, words)
 
@@ -447,9 +449,7 @@
             'COMPLETE -',
         ]
 
-    async def _execute(
-        self, statement_id: str, words: list[str]
-    ) -> list[str]:
+    async def _execute(self, statement_id: str, words: list[str]) -> list[str]:
         server = self._server
         verb = words[0]
         if verb == 'EXECUTE':
@@ -482,7 +482,10 @@
                 await server.group.commit(server, written, statement_id)
             self._writes.clear()
             self._state = 'I'
-        return [*rows, f'COMPLETE {server.term}.mac.{server.name}.{next(_macs)}']
+        return [
+            *rows,
+            f'COMPLETE {server.term}.mac.{server.name}.{next(_macs)}',
+        ]
 
     def _read(self, item: str) -> str:
         for entry in reversed(self._server.applied()):
