--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -29,6 +29,7 @@
         self._missing_since: dict[connection.ServerId, float] = {}
         self._revision = 0
         self._zones_out: frozenset[identifiers.ZoneName] = frozenset()
+        self._no_work_since: dict[connection.ServerId, float] = {}
 
     @property
     def revision(self) -> int:
@@ -56,10 +57,12 @@
                 self._revision += 1
             self._removed.pop(name, None)
         self._servers = {**self._servers, **current}
+        self._record_leaving()
 
     def update_zones_out(self, zones: frozenset[identifiers.ZoneName]) -> None:
         """Replace the availability zones that take no new work."""
         self._zones_out = zones
+        self._record_leaving()
 
     def all(self) -> list[connection.BackendServer]:
         """Return the registered servers of all services."""
@@ -85,6 +88,14 @@
         """Return whether a server should be given new work."""
         return not server.is_draining and server.zone not in self._zones_out
 
+    def no_work_since(self, server: connection.BackendServer) -> float | None:
+        """Return the monotonic time since which a server takes no new work.
+
+        It is the time at which this host learned of it; None if the server
+        takes work.
+        """
+        return self._no_work_since.get(server.server)
+
     def primary_zone(
         self,
         service: deployment.ServiceName,
@@ -98,6 +109,14 @@
                 return server.zone
         return None
 
+    def _record_leaving(self) -> None:
+        now = self._clock.now()
+        self._no_work_since = {
+            server.server: self._no_work_since.get(server.server, now)
+            for server in self._servers.values()
+            if not self.takes_work(server)
+        }
+
     def _is_present(self, server: connection.BackendServer) -> bool:
         """Return whether an entry is not that of a server that has left."""
         removed = self._removed.get(server.server)
--- a/src/egretstep/platform/operator_settings.py
+++ b/src/egretstep/platform/operator_settings.py
@@ -89,6 +89,7 @@
     return deployment.Service(
         name=deployment.ServiceName(fields.name('name')),
         connection_limit=fields.integer('max_conns'),
+        sync_replicas=fields.integer('sync_replicas', default=0),
     )
 
 
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -183,6 +183,7 @@
             servers=self._servers,
             opener=self._opener,
             promotions=self._promotions,
+            current_deployment=self._current_deployment,
             drain_seconds=self._settings.drain_seconds * DRAIN_SHARE,
             time_source=self._clock,
         )
--- a/src/egretstep/replication/failover.py
+++ b/src/egretstep/replication/failover.py
@@ -7,19 +7,16 @@
 import logbook
 
 from egretstep import clock, errors, identifiers
-from egretstep.backends import answers, connection
+from egretstep.backends import connection
 from egretstep.membership import registry
+from egretstep.replication import candidates, server_probe
 from egretstep.settings import deployment
 
-STATUS_TIMEOUT_SECONDS = 0.4
-LIVENESS_ATTEMPTS = 2
-LIVENESS_RETRY_SECONDS = 0.1
 MAX_CATCH_UP_SECONDS = 0.5
 DEFAULT_DRAIN_SECONDS = 2.5
 POLL_INTERVAL_SECONDS = 0.05
 MAX_PROMOTION_SECONDS = 3.0
 INITIAL_EXPECTED_SECONDS = 0.5
-CONTROL_WORKSPACE = identifiers.WorkspaceName('egretstep')
 _logger = logbook.Logger('succession')
 
 RecordPrimary = typing.Callable[[connection.ServerId], typing.Awaitable[None]]
@@ -42,20 +39,27 @@
         """
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Candidate:
-    """A server and the status that it reported."""
-
-    server: connection.BackendServer
-    status: connection.ServerStatus
+class ChangePostponedError(errors.EgretstepError):
+    """No server has caught up, and the former primary can go on meanwhile."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Liveness:
-    """Whether a server answers, and its status if it reported one."""
+class Change:
+    """A change of the primary of a service.
+
+    `former` is the primary to replace; it is not a candidate. `epoch` is that
+    of the owner's lease. `recorded` is the primary that the last owner
+    recorded, or empty. `acknowledged` covers every acknowledged commit, and
+    is None if no such position is known. `may_postpone` tells whether the
+    former primary can go on until another server has caught up.
+    """
 
-    is_alive: bool
-    status: connection.ServerStatus | None = None
+    service: deployment.ServiceName
+    former: connection.BackendServer | None
+    recorded: connection.ServerId
+    epoch: int
+    acknowledged: identifiers.LogPosition | None
+    may_postpone: bool = False
 
 
 class FailoverCoordinator:
@@ -72,17 +76,18 @@
         servers: registry.ServerRegistry,
         opener: connection.Opener,
         promotions: Promotions,
+        current_deployment: typing.Callable[[], deployment.Deployment],
         drain_seconds: float = DEFAULT_DRAIN_SECONDS,
         time_source: clock.Clock,
     ) -> None:
         self._servers = servers
-        self._opener = opener
         self._promotions = promotions
+        self._current_deployment = current_deployment
         self._clock = time_source
         self._drain_seconds = drain_seconds
-        self._draining_since: dict[connection.ServerId, float] = {}
         self._started_at = time_source.now()
         self._expected_seconds = INITIAL_EXPECTED_SECONDS
+        self.probe = server_probe.ServerProbe(opener=opener)
 
     def start_timer(self) -> None:
         """Record that a replacement of the primary begins now."""
@@ -106,43 +111,26 @@
     def planned_replacement_reason(
         self, server: connection.BackendServer
     ) -> str | None:
-        """Return why a primary needs a planned replacement, or None.
-
-        The first call for a server that must take no new work starts the
-        time that `is_drain_overdue` measures.
-        """
+        """Return why a primary needs a planned replacement, or None."""
         current = self._servers.find(server.server)
         if current is None:
             return 'it is no longer registered'
         if self._servers.takes_work(current):
-            self._draining_since.pop(server.server, None)
             return None
-        self._draining_since.setdefault(server.server, self._clock.now())
         return 'it is to get no new work'
 
     def is_drain_overdue(self, server: connection.BackendServer) -> bool:
-        """Return whether a server has been draining for too long."""
-        since = self._draining_since.get(server.server)
-        if since is None or self._servers.takes_work(server):
+        """Return whether a server has taken no new work for too long."""
+        since = self._servers.no_work_since(server)
+        if since is None:
             return False
         return self._clock.now() - since > self._drain_seconds
 
-    async def check_liveness(
-        self, server: connection.BackendServer
-    ) -> Liveness:
-        """Check whether a server is alive; retries before it is called dead."""
-        for _ in range(LIVENESS_ATTEMPTS):
-            liveness = await self._check_once(server)
-            if liveness.is_alive:
-                return liveness
-            await asyncio.sleep(LIVENESS_RETRY_SECONDS)
-        return liveness
-
     async def find_primary(
         self,
         service: deployment.ServiceName,
         recorded: connection.ServerId,
-    ) -> Candidate | None:
+    ) -> candidates.Candidate | None:
         """Return the server that reports to be primary of the latest term.
 
         `recorded` is the primary that the last owner recorded, or empty. If
@@ -150,7 +138,9 @@
         because that one may still lead an old term. Returns None when the
         primary is not known for sure.
         """
-        found = await self._query_candidates(service)
+        found = await self.probe.find_candidates(
+            self._servers.of_service(service)
+        )
         primaries = [
             candidate
             for candidate in found
@@ -168,97 +158,157 @@
         seen = {candidate.server.server for candidate in found}
         return latest if recorded in seen else None
 
+    async def has_successor(self, change: Change) -> bool:
+        """Return whether a server that takes work has caught up.
+
+        True at once if the change may not be postponed.
+        """
+        if not change.may_postpone or change.acknowledged is None:
+            return True
+        asked = [
+            asyncio.ensure_future(self.probe.status(server))
+            for server in self._others(change)
+            if self._servers.takes_work(server)
+        ]
+        try:
+            for each in asyncio.as_completed(asked):
+                status = await each
+                if status and status.received >= change.acknowledged:
+                    return True
+        finally:
+            for query in asked:
+                query.cancel()
+        return False
+
     async def replace(
         self,
-        service: deployment.ServiceName,
-        former: connection.BackendServer | None,
+        change: Change,
         *,
-        epoch: int,
-        known: identifiers.LogPosition | None,
         record: RecordPrimary,
         is_owner: typing.Callable[[], bool],
-    ) -> Candidate | None:
-        """Promote the server that has received the most of the log.
-
-        `former` is the primary to replace; it is not a candidate. `known` is
-        a position that the next primary should reach first, given while the
-        former one still runs. `record` stores the choice before the
-        promotion is requested. `is_owner` is checked right before the
-        request, because the lease may end during the queries. Returns None
-        when no server was promoted. Raises `errors.PlatformError` if the
-        platform refuses the request.
+    ) -> candidates.Candidate | None:
+        """Promote a server that has every acknowledged commit.
+
+        `record` stores the choice before the promotion is requested.
+        `is_owner` is checked right before the request, because the lease may
+        end during the queries. Returns None when no server was promoted.
+        Raises `ChangePostponedError` if the change may be postponed and no
+        server has caught up, and `errors.PlatformError` if the platform
+        refuses the request.
         """
-        found = await self._query_candidates(service, former)
-        chosen = self._choose_candidate(found)
+        evidence = await self._collect_evidence(change)
+        chosen = candidates.choose(
+            evidence, takes_work=self._servers.takes_work
+        )
         if chosen is None:
-            _logger.warning(
-                'service {}: no server can be promoted: none reports its status',
-                service,
-            )
+            self._log_no_choice(change, evidence)
             return None
-        if known is not None:
-            chosen = await self._wait_for_catch_up(chosen, known)
         _logger.info(
-            'service {}: promoting {} at position {} (epoch {})',
-            service,
+            'service {}: promoting {} at position {} (epoch {}, acknowledged: '
+            '{}, servers without an answer: {})',
+            change.service,
             chosen.server.server,
             chosen.status.received,
-            epoch,
+            change.epoch,
+            change.acknowledged,
+            evidence.unknown_count,
         )
         await record(chosen.server.server)
         if not is_owner():
             _logger.warning(
                 'service {}: {} is not promoted: the lease has ended',
-                service,
+                change.service,
                 chosen.server.server,
             )
             return None
         await self._promotions.promote(
-            service=service,
+            service=change.service,
             server=chosen.server.server,
-            epoch=epoch,
+            epoch=change.epoch,
         )
-        latest = max(candidate.status.term for candidate in found)
+        latest = max(candidate.status.term for candidate in evidence.found)
         return await self._await_primary(chosen, latest)
 
-    def _choose_candidate(self, found: list[Candidate]) -> Candidate | None:
-        eligible = [
-            candidate
-            for candidate in found
-            if self._servers.takes_work(candidate.server)
-        ]
-        return max(
-            eligible or found,
-            key=lambda candidate: candidate.status.received,
-            default=None,
-        )
+    async def _collect_evidence(self, change: Change) -> candidates.Evidence:
+        """Query the servers until one that takes work has caught up.
 
-    async def _wait_for_catch_up(
-        self,
-        chosen: Candidate,
-        known: identifiers.LogPosition,
-    ) -> Candidate:
+        If none has within `MAX_CATCH_UP_SECONDS`, the latest answers count.
+        """
         deadline = self._clock.now() + MAX_CATCH_UP_SECONDS
-        while chosen.status.received < known:
+        while True:
+            evidence = await self._query_once(change)
+            has_successor = any(
+                self._servers.takes_work(each.server)
+                for each in evidence.complete
+            )
+            if has_successor or not self._may_improve(change, evidence):
+                return evidence
             if self._clock.now() > deadline:
-                _logger.warning(
-                    'server {} is at {} and has not caught up to {}',
-                    chosen.server.server,
-                    chosen.status.received,
-                    known,
-                )
                 break
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-            status = await self._query_status(chosen.server)
-            if status is not None:
-                chosen = Candidate(server=chosen.server, status=status)
-        return chosen
+        if change.may_postpone:
+            raise ChangePostponedError(
+                f'no server of {change.service} that takes work has caught up '
+                f'to {change.acknowledged}',
+            )
+        return evidence
+
+    def _may_improve(
+        self, change: Change, evidence: candidates.Evidence
+    ) -> bool:
+        """Return whether the same question may soon find a better server.
+
+        A replica catches up only while the former primary runs. A server
+        that gave no answer may have been slow.
+        """
+        if change.may_postpone:
+            return True
+        unanswered = len(self._others(change)) - len(evidence.found)
+        return not evidence.complete and unanswered > 0
+
+    async def _query_once(self, change: Change) -> candidates.Evidence:
+        others = self._others(change)
+        found = await self.probe.find_candidates(others)
+        members = {server.server for server in others}
+        if change.former is not None:
+            members.add(change.former.server)
+        if change.recorded:
+            members.add(change.recorded)
+        current = self._current_deployment().services.get(change.service)
+        return candidates.Evidence(
+            found=found,
+            unknown_count=len(members) - len(found),
+            acknowledged=change.acknowledged,
+            sync_replicas=current.sync_replicas if current else 0,
+        )
+
+    def _others(self, change: Change) -> list[connection.BackendServer]:
+        """Return the servers of the service, except the former primary."""
+        former = change.former.server if change.former else None
+        return [
+            server
+            for server in self._servers.of_service(change.service)
+            if server.server != former
+        ]
+
+    def _log_no_choice(
+        self, change: Change, evidence: candidates.Evidence
+    ) -> None:
+        _logger.warning(
+            'service {}: no server can be promoted (required: {}, synchronous '
+            'replicas: {}, servers without an answer: {}, found: {})',
+            change.service,
+            evidence.required,
+            evidence.sync_replicas,
+            evidence.unknown_count,
+            {each.server.server: each.status for each in evidence.found},
+        )
 
     async def _await_primary(
         self,
-        chosen: Candidate,
+        chosen: candidates.Candidate,
         latest: identifiers.Term,
-    ) -> Candidate | None:
+    ) -> candidates.Candidate | None:
         """Wait until the chosen server is primary of a later term.
 
         A server that was primary before may still report its old term.
@@ -266,72 +316,15 @@
         deadline = self._clock.now() + MAX_PROMOTION_SECONDS
         while self._clock.now() < deadline:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-            status = await self._query_status(chosen.server)
+            status = await self.probe.status(chosen.server)
             if status is None or status.role is not connection.Role.PRIMARY:
                 continue
             if status.term > latest:
                 self._expected_seconds = self._clock.now() - self._started_at
-                return Candidate(server=chosen.server, status=status)
+                return candidates.Candidate(server=chosen.server, status=status)
         _logger.warning(
             'server {} did not become primary within {} s',
             chosen.server.server,
             MAX_PROMOTION_SECONDS,
         )
         return None
-
-    async def _query_candidates(
-        self,
-        service: deployment.ServiceName,
-        former: connection.BackendServer | None = None,
-    ) -> list[Candidate]:
-        """Return all servers that report a status, except the former primary."""
-        servers = [
-            server
-            for server in self._servers.of_service(service)
-            if former is None or server.server != former.server
-        ]
-        statuses = await asyncio.gather(
-            *(self._query_status(server) for server in servers)
-        )
-        return [
-            Candidate(server=server, status=status)
-            for server, status in zip(servers, statuses, strict=True)
-            if status is not None
-        ]
-
-    async def _query_status(
-        self,
-        server: connection.BackendServer,
-    ) -> connection.ServerStatus | None:
-        return (await self._check_once(server)).status
-
-    async def _check_once(self, server: connection.BackendServer) -> Liveness:
-        try:
-            async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
-                status = await self._fetch_status(server)
-        except connection.RefusedConnectionError as error:
-            _logger.info(
-                'server {} refuses to report its status: {}',
-                server.server,
-                error,
-            )
-            is_alive = error.code is not answers.Code.WRONG_SERVER
-            return Liveness(is_alive=is_alive)
-        except (errors.EgretstepError, TimeoutError) as error:
-            _logger.info(
-                'server {} does not report its status: {!r}',
-                server.server,
-                error,
-            )
-            return Liveness(is_alive=False)
-        return Liveness(is_alive=True, status=status)
-
-    async def _fetch_status(
-        self,
-        server: connection.BackendServer,
-    ) -> connection.ServerStatus:
-        control_connection = await self._opener.open(server, CONTROL_WORKSPACE)
-        try:
-            return await control_connection.status()
-        finally:
-            control_connection.close()
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -17,7 +17,7 @@
 from egretstep.pooling import broker as broker_module
 from egretstep.pooling import brokers, failure_answers, gate
 from egretstep.pooling import work as work_module
-from egretstep.replication import failover
+from egretstep.replication import candidates, failover
 from egretstep.settings import deployment
 
 CHECK_INTERVAL_SECONDS = 0.1
@@ -25,6 +25,7 @@
 MAX_DRAIN_SECONDS = 1.5
 MAX_SILENCE_SECONDS = 0.4
 MAX_DISCOVERY_SECONDS = 0.5
+POSTPONEMENT_SECONDS = 0.5
 _logger = logbook.Logger('primary')
 
 
@@ -58,6 +59,7 @@
         self._is_redirecting = False
         self._primary: connection.BackendServer | None = None
         self._acknowledged: identifiers.LogPosition | None = None
+        self._postponed_until = 0.0
 
     @property
     def epoch(self) -> int:
@@ -227,7 +229,7 @@
         if current is not None:
             self._primary = current
         reason = self._failover.planned_replacement_reason(self._primary)
-        if reason is not None:
+        if reason is not None and self._clock.now() >= self._postponed_until:
             await self._replace(reason, is_planned=True)
             return
         broker = self._brokers.get(self._primary)
@@ -238,7 +240,7 @@
     async def _diagnose_failures(self, broker: broker_module.Broker) -> None:
         """Replace the primary if it is down or demoted, not if it is slow."""
         primary = typing.cast(connection.BackendServer, self._primary)
-        liveness = await self._failover.check_liveness(primary)
+        liveness = await self._failover.probe.check_liveness(primary)
         if not liveness.is_alive:
             await self._replace('it does not answer', is_planned=False)
             return
@@ -272,10 +274,13 @@
         if server != self._recorded_primary():
             await self._keeper.record(self._claim, server)
 
-    def _start_serving(self, candidate: failover.Candidate) -> None:
+    def _start_serving(self, candidate: candidates.Candidate) -> None:
         self._primary = candidate.server
         self._may_read_while_draining = False
         self._acknowledged = candidate.status.received
+        if self._failover.is_drain_overdue(candidate.server):
+            # It was promoted for its log only, which others now receive.
+            return
         self._is_replacing = False
         self._gate.open()
         _logger.info(
@@ -289,22 +294,28 @@
     async def _replace(self, reason: str, *, is_planned: bool) -> None:
         former = self._primary
         started = self._clock.now()
+        change = self._describe_change(former, is_planned=is_planned)
         _logger.info(
             'service {}: replacing primary {}: {}',
             self._service,
             former.server if former else 'nobody',
             reason,
         )
+        if not await self._failover.has_successor(change):
+            self._postpone('no server that takes work has caught up')
+            return
         self._failover.start_timer()
         self._is_replacing = True
-        self._may_read_while_draining = self._can_read_while_draining(
-            former, is_planned=is_planned
-        )
+        self._may_read_while_draining = change.may_postpone
         max_drain_seconds = MAX_DRAIN_SECONDS if is_planned else 0
         await self._gate.close(longest_wait=max_drain_seconds)
         if former is not None:
             self._brokers.get(former).release_all()
-        candidate = await self._promote_successor(former, is_planned=is_planned)
+        try:
+            candidate = await self._promote_successor(former, is_planned)
+        except failover.ChangePostponedError as error:
+            self._postpone(str(error))
+            return
         self._may_read_while_draining = False
         if former is not None:
             self._brokers.get(former).close()
@@ -315,30 +326,48 @@
         elapsed = self._clock.now() - started
         _logger.info('service {}: replaced in {:.2f} s', self._service, elapsed)
 
-    def _can_read_while_draining(
+    def _postpone(self, reason: str) -> None:
+        """Let the primary go on until the change is tried again."""
+        self._postponed_until = self._clock.now() + POSTPONEMENT_SECONDS
+        self._may_read_while_draining = False
+        self._is_replacing = False
+        self._gate.open()
+        _logger.info(
+            'service {}: the change of primary is postponed by {} s: {}',
+            self._service,
+            POSTPONEMENT_SECONDS,
+            reason,
+        )
+
+    def _describe_change(
         self,
         former: connection.BackendServer | None,
         *,
         is_planned: bool,
-    ) -> bool:
-        if former is None or not is_planned:
-            return False
-        if self._failover.registered(former) is None:
-            return False
-        return not self._failover.is_drain_overdue(former)
+    ) -> failover.Change:
+        can_go_on = (
+            former is not None
+            and is_planned
+            and self._failover.registered(former) is not None
+            and not self._failover.is_drain_overdue(former)
+        )
+        return failover.Change(
+            service=self._service,
+            former=former,
+            recorded=self._recorded_primary(),
+            epoch=self.epoch,
+            acknowledged=self._acknowledged,
+            may_postpone=can_go_on,
+        )
 
     async def _promote_successor(
         self,
         former: connection.BackendServer | None,
-        *,
         is_planned: bool,
-    ) -> failover.Candidate | None:
+    ) -> candidates.Candidate | None:
         try:
             return await self._failover.replace(
-                self._service,
-                former,
-                epoch=self.epoch,
-                known=self._acknowledged if is_planned else None,
+                self._describe_change(former, is_planned=is_planned),
                 record=self._record_primary,
                 is_owner=lambda: self.holds_lease,
             )
--- a/src/egretstep/settings/deployment.py
+++ b/src/egretstep/settings/deployment.py
@@ -47,10 +47,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """A group of backend servers with one primary."""
+    """A group of backend servers with one primary.
+
+    A commit is acknowledged once `sync_replicas` replicas have received it.
+    """
 
     name: ServiceName
     connection_limit: int
+    sync_replicas: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -36,8 +36,8 @@
     """The store, the services and the host processes of one deployment.
 
     `first_port` is the first of `_PORTS_PER_HOST` ports of each host. `rate`
-    is the rate limit of each workspace in requests per second. The routes of
-    `added_databases` come with the next version of the configuration.
+    is the rate limit of each workspace in requests per second, and `sync_replicas`
+    is that of each service. The routes of `added_databases` come with the next version of the configuration.
     """
 
     def __init__(
@@ -47,9 +47,13 @@
         first_port: int = 23000,
         services: typing.Sequence[str] = ('ledger',),
         rate: float = 500,
+        sync_replicas: int = 0,
     ) -> None:
         self.groups = [
-            platform_sessions.make_group(service, ZONES) for service in services
+            platform_sessions.make_group(
+                service, ZONES, sync_replicas=sync_replicas
+            )
+            for service in services
         ]
         self.store = platform_store.PlatformStore(groups=self.groups)
         self.version = 1
@@ -241,7 +245,11 @@
             'version': self.version,
             'routes': routes,
             'services': [
-                {'name': group.service, 'max_conns': 22, 'sync_replicas': 0}
+                {
+                    'name': group.service,
+                    'max_conns': 22,
+                    'sync_replicas': group.sync_replicas,
+                }
                 for group in self.groups
             ],
             'limits': {'tx_idle_ms': 3000},
--- a/standins/platform_servers.py
+++ b/standins/platform_servers.py
@@ -11,6 +11,7 @@
 import typing
 
 PROMOTION_DELAY_SECONDS = 0.2
+RECEIVE_POLL_SECONDS = 0.005
 
 # Term and index of a log entry; (1, 0) is the position before the first entry.
 Position = tuple[int, int]
@@ -44,6 +45,20 @@
     position: Position
     writes: tuple[tuple[str, str], ...]
     committed_at: float
+    statement_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Takeover:
+    """A promotion that took effect, and the log with which the server leads.
+
+    `at` is the time of the event loop in seconds.
+    """
+
+    server: str
+    term: int
+    log: tuple[Entry, ...]
+    at: float
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -53,11 +68,12 @@
     `lag` is the replica lag and `work` the time that a statement takes, both
     in seconds. `is_silent` delays all answers until it is off. `is_down` is
     set by `Server.stop`. The next `lost_answers` statements with an id are
-    executed but not answered.
+    executed but not answered. A replica that `is_deaf` receives no commits.
     """
 
     is_silent: bool = False
     is_down: bool = False
+    is_deaf: bool = False
     lag: float = 0.02
     work: float = 0.002
     lost_answers: int = 0
@@ -163,7 +179,10 @@
     """A service: one primary and its replicas.
 
     The first server is the first primary. `on_change` is called after each
-    promotion.
+    promotion, which takes `promotion_delay` seconds. A former primary goes on
+    for `former_primary_seconds` after that. A commit waits until
+    `sync_replicas` replicas have received it. `commits` holds the commits of
+    all servers, each with the server's name.
     """
 
     def __init__(
@@ -173,7 +192,13 @@
         zones: typing.Sequence[str],
         serve: SessionHandler,
         slots: int = 3,
+        sync_replicas: int = 0,
     ) -> None:
+        self.sync_replicas = sync_replicas
+        self.promotion_delay = PROMOTION_DELAY_SECONDS
+        self.former_primary_seconds = 0.0
+        self.takeovers: list[Takeover] = []
+        self.commits: list[tuple[str, Entry]] = []
         self.serve = serve
         self.service = service
         self.slots = slots
@@ -210,6 +235,7 @@
         self,
         primary: Server,
         writes: typing.Sequence[tuple[str, str]],
+        statement_id: str = '',
     ) -> Position:
         """Append a transaction to the logs and return its position.
 
@@ -218,14 +244,37 @@
         """
         position = (primary.term, primary.last_position[1] + 1)
         now = asyncio.get_running_loop().time()
-        entry = Entry(position=position, writes=tuple(writes), committed_at=now)
+        entry = Entry(
+            position=position,
+            writes=tuple(writes),
+            committed_at=now,
+            statement_id=statement_id,
+        )
+        self.commits.append((primary.name, entry))
         primary.log.append(entry)
         for server in self.servers.values():
-            if not server.is_primary and not server.faults.is_down:
+            if self._receives(server, primary):
                 # The log of a replica is a part of the primary's from its start.
                 server.log.extend(primary.log[len(server.log) :])
         return position
 
+    async def wait_received(self, primary: Server, position: Position) -> None:
+        """Wait until enough replicas have received a commit of a primary."""
+        while self.sync_replicas:
+            receivers = [
+                server
+                for server in self.servers.values()
+                if server is not primary and server.last_position >= position
+            ]
+            if len(receivers) >= self.sync_replicas:
+                return
+            await asyncio.sleep(RECEIVE_POLL_SECONDS)
+
+    def _receives(self, server: Server, primary: Server) -> bool:
+        if server.faults.is_down or server.faults.is_deaf:
+            return False
+        return not server.is_primary and server.term == primary.term
+
     async def promote(self, name: str) -> bool:
         """Make a server primary of the next term after a delay.
 
@@ -241,10 +290,29 @@
         return True
 
     async def _complete_promotion(self, candidate: Server) -> None:
-        await asyncio.sleep(PROMOTION_DELAY_SECONDS)
-        term = max(server.term for server in self.servers.values()) + 1
+        await asyncio.sleep(self.promotion_delay)
+        if candidate is self.primary:
+            return
+        former = self.primary
+        candidate.term = max(each.term for each in self.servers.values()) + 1
+        candidate.is_primary = True
+        self.takeovers.append(
+            Takeover(
+                server=candidate.name,
+                term=candidate.term,
+                log=tuple(candidate.log),
+                at=asyncio.get_running_loop().time(),
+            ),
+        )
         for server in self.servers.values():
-            server.is_primary = server is candidate
-            server.term = term
-            server.log = list(candidate.log)
+            if server is not former:
+                self._follow(server, candidate)
+        await asyncio.sleep(self.former_primary_seconds)
+        if self.primary is candidate:
+            self._follow(former, candidate)
         self.on_change()
+
+    def _follow(self, server: Server, primary: Server) -> None:
+        server.is_primary = server is primary
+        server.term = primary.term
+        server.log = list(primary.log)
--- a/standins/platform_sessions.py
+++ b/standins/platform_sessions.py
@@ -13,10 +13,12 @@
 
 
 def make_group(
-    service: str, zones: typing.Sequence[str]
+    service: str, zones: typing.Sequence[str], *, sync_replicas: int = 0
 ) -> platform_servers.Group:
     """Return a service with one server per zone; the first is primary."""
-    return platform_servers.Group(service=service, zones=zones, serve=serve)
+    return platform_servers.Group(
+        service=service, zones=zones, serve=serve, sync_replicas=sync_replicas
+    )
 
 
 async def serve(
@@ -54,6 +56,7 @@
         self._prepared_statements: dict[str, str] = {}
         self._transaction_state = 'I'
         self._pending_writes: list[tuple[str, str]] = []
+        self._committed_position: platform_servers.Position = (1, 0)
 
     async def run(self) -> None:
         """Answer statements in order until the client closes the session."""
@@ -175,7 +178,10 @@
             words = words[1:]
         if verb in {'WRITE', 'COMMIT'} and not self._server.is_primary:
             raise _StatementError('READONLY')
-        rows = self._apply(verb, words)
+        rows = self._apply(verb, words, statement_id)
+        await self._server.group.wait_received(
+            self._server, self._committed_position
+        )
         self._server.group.executed_statements.append(
             platform_servers.ExecutedStatement(
                 server=self._server.name,
@@ -192,14 +198,18 @@
             f'COMPLETE mac.{self._server.name}.{next(_execution_numbers)}',
         ]
 
-    def _apply(self, verb: str, words: list[str]) -> list[str]:
+    def _apply(
+        self, verb: str, words: list[str], statement_id: str
+    ) -> list[str]:
         if verb == 'READ':
             return [f'ROW {self._read(words[1])}']
         if verb == 'WRITE':
             self._pending_writes.append((words[1], words[2]))
         if verb == 'COMMIT' or self._transaction_state == 'I':
             if self._pending_writes:
-                self._server.group.commit(self._server, self._pending_writes)
+                self._committed_position = self._server.group.commit(
+                    self._server, self._pending_writes, statement_id
+                )
             self._pending_writes = []
             self._transaction_state = 'I'
         return []
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -40,6 +40,16 @@
         self.registry.update_zones_out(frozenset((other,)))
         self.assertTrue(self.registry.takes_work(self.server))
 
+    def test_the_time_without_new_work_begins_once(self) -> None:
+        """The server must not get a new limit when it becomes primary."""
+        self.assertIsNone(self.registry.no_work_since(self.server))
+        self.registry.update_zones_out(frozenset((self.server.zone,)))
+        self.clock.advance(3)
+        self._register(sequence=7)
+        self.assertEqual(self.registry.no_work_since(self.server), 100)
+        self.registry.update_zones_out(frozenset())
+        self.assertIsNone(self.registry.no_work_since(self.server))
+
     def test_an_older_entry_does_not_end_draining(self) -> None:
         """A restored store shows the server as ready again."""
         draining = dataclasses.replace(
--- a/tests/replication/registered_servers.py
+++ b/tests/replication/registered_servers.py
@@ -1,5 +1,6 @@
 """Fake of the registry of backend servers, for tests of the owner."""
 
+from egretstep import clock
 from egretstep.backends import connection
 from egretstep.settings import deployment
 from tests import platform_fakes
@@ -10,7 +11,21 @@
 
     def __init__(self, *servers: platform_fakes.FakeServer) -> None:
         self._servers = servers
-        self.draining = ''
+        self._clock = clock.MonotonicClock()
+        self._draining_since: dict[str, float] = {}
+
+    @property
+    def draining(self) -> str:
+        """Return the name of the server that leaves, empty without one."""
+        return next(iter(self._draining_since), '')
+
+    @draining.setter
+    def draining(self, name: str) -> None:
+        self._draining_since = {name: self._clock.now()}
+
+    def no_work_since(self, server: connection.BackendServer) -> float | None:
+        """Return since when a server leaves, None if it does not."""
+        return self._draining_since.get(server.server)
 
     def of_service(
         self,
--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -1,10 +1,12 @@
 """Tests which server is primary, and when its replacement ends."""
 
 import asyncio
+import dataclasses
+import typing
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, connection
-from egretstep.replication import failover
+from egretstep.replication import candidates, failover
 from egretstep.settings import deployment
 from tests import platform_fakes, virtual_time
 from tests.replication import registered_servers
@@ -40,25 +42,32 @@
         self.third = platform_fakes.FakeServer(name='third')
         opener = platform_fakes.FakeOpener(self.first, self.second, self.third)
         self.promotions = _Promotions(opener.servers)
+        self.deployment = deployment.EMPTY
         self.recorded: list[str] = []
         self.is_owner = True
+        self.servers = registered_servers.RegisteredServers(
+            self.first, self.second, self.third
+        )
         self.failover = failover.FailoverCoordinator(
-            servers=registered_servers.RegisteredServers(
-                self.first, self.second, self.third
-            ),
+            servers=self.servers,
             opener=opener,
             promotions=self.promotions,
+            current_deployment=lambda: self.deployment,
             time_source=clock.MonotonicClock(),
         )
 
     async def test_a_server_that_refuses_is_alive(self) -> None:
         self.first.refuses_with = answers.Code.TOO_MANY_CONNECTIONS
-        liveness = await self.failover.check_liveness(self.first.backend())
+        liveness = await self.failover.probe.check_liveness(
+            self.first.backend()
+        )
         self.assertTrue(liveness.is_alive)
 
     async def test_a_server_that_is_down_is_not_alive(self) -> None:
         self.first.is_down = True
-        liveness = await self.failover.check_liveness(self.first.backend())
+        liveness = await self.failover.probe.check_liveness(
+            self.first.backend()
+        )
         self.assertFalse(liveness.is_alive)
 
     async def test_the_most_advanced_server_is_promoted_and_recorded(
@@ -70,6 +79,81 @@
         self.assertEqual(self.recorded, ['third'])
         self.assertEqual(found and found.server.server, 'third')
 
+    async def test_a_draining_server_that_has_all_commits_is_promoted(
+        self,
+    ) -> None:
+        """The other one, which takes work, lacks acknowledged commits."""
+        self.servers.draining = 'second'
+        self.second.position = identifiers.LogPosition(1, 9)
+        await self._replace(acknowledged=identifiers.LogPosition(1, 9))
+        self.assertEqual(self.promotions.requests, [('second', 4)])
+
+    async def test_a_server_that_takes_work_is_preferred_if_complete(
+        self,
+    ) -> None:
+        self.servers.draining = 'second'
+        self.second.position = identifiers.LogPosition(1, 9)
+        self.third.position = identifiers.LogPosition(1, 8)
+        await self._replace(acknowledged=identifiers.LogPosition(1, 8))
+        self.assertEqual(self.promotions.requests, [('third', 4)])
+
+    async def test_none_is_promoted_without_proof_of_every_commit(
+        self,
+    ) -> None:
+        """A synchronous replica that gives no answer may have more."""
+        self._require_sync_replica()
+        self.second.is_down = True
+        self.assertIsNone(await self._replace())
+        self.assertEqual(self.promotions.requests, [])
+
+    async def test_none_is_promoted_that_lacks_acknowledged_commits(
+        self,
+    ) -> None:
+        self._require_sync_replica()
+        replaced = await self._replace(
+            acknowledged=identifiers.LogPosition(1, 6)
+        )
+        self.assertIsNone(replaced)
+        self.assertEqual(self.promotions.requests, [])
+
+    async def test_the_answers_of_all_replicas_are_a_proof(self) -> None:
+        self._require_sync_replica()
+        self.third.position = identifiers.LogPosition(1, 9)
+        await self._replace()
+        self.assertEqual(self.promotions.requests, [('third', 4)])
+
+    async def test_a_recorded_primary_that_has_left_counts_as_unknown(
+        self,
+    ) -> None:
+        self._require_sync_replica()
+        self.second.is_down = True
+        replaced = await self._replace(
+            former=None, recorded=connection.ServerId('gone')
+        )
+        self.assertIsNone(replaced)
+
+    async def test_a_server_that_answers_late_is_asked_again(self) -> None:
+        """Without synchronous replicas too, its commits are kept."""
+        self.third.position = identifiers.LogPosition(1, 9)
+        self.third.is_down = True
+        asyncio.get_running_loop().call_later(0.2, self._bring_back, self.third)
+        await self._replace(acknowledged=identifiers.LogPosition(1, 9))
+        self.assertEqual(self.promotions.requests, [('third', 4)])
+
+    async def test_a_change_waits_for_a_server_that_has_caught_up(
+        self,
+    ) -> None:
+        change = {
+            'acknowledged': identifiers.LogPosition(1, 9),
+            'may_postpone': True,
+        }
+        with self.assertRaises(failover.ChangePostponedError):
+            await self._replace(**change)
+        self.assertEqual(self.promotions.requests, [])
+        self.third.position = identifiers.LogPosition(1, 9)
+        await self._replace(**change)
+        self.assertEqual(self.promotions.requests, [('third', 4)])
+
     async def test_no_promotion_is_requested_without_the_lease(self) -> None:
         """The host is cut off during its queries and another takes over."""
         self.is_owner = False
@@ -117,21 +201,38 @@
         self.second.is_down = True
         self.assertIsNone(await self._find('second'))
 
-    async def _replace(self) -> failover.Candidate | None:
-        return await self.failover.replace(
-            platform_fakes.SERVICE,
-            self.first.backend(),
+    async def _replace(
+        self, **changed: typing.Any
+    ) -> candidates.Candidate | None:
+        change = failover.Change(
+            service=platform_fakes.SERVICE,
+            former=self.first.backend(),
+            recorded=connection.ServerId('first'),
             epoch=4,
-            known=None,
+            acknowledged=None,
+        )
+        return await self.failover.replace(
+            dataclasses.replace(change, **changed),
             record=self._record,
             is_owner=lambda: self.is_owner,
         )
 
-    async def _find(self, recorded: str) -> failover.Candidate | None:
+    async def _find(self, recorded: str) -> candidates.Candidate | None:
         return await self.failover.find_primary(
             platform_fakes.SERVICE,
             connection.ServerId(recorded),
         )
 
+    def _require_sync_replica(self) -> None:
+        service = deployment.Service(
+            name=platform_fakes.SERVICE, connection_limit=9, sync_replicas=1
+        )
+        self.deployment = dataclasses.replace(
+            deployment.EMPTY, services={service.name: service}
+        )
+
+    def _bring_back(self, server: platform_fakes.FakeServer) -> None:
+        server.is_down = False
+
     async def _record(self, server: connection.ServerId) -> None:
         self.recorded.append(server)
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -201,6 +201,7 @@
                 servers=registered_servers.RegisteredServers(self.server),
                 opener=self.opener,
                 promotions=mock.AsyncMock(),
+                current_deployment=lambda: deployment.EMPTY,
                 time_source=self.clock,
             ),
             time_source=self.clock,
--- a/tests/replication/test_planned_change.py
+++ b/tests/replication/test_planned_change.py
@@ -114,6 +114,7 @@
                 servers=self.servers,
                 opener=opener,
                 promotions=self.promotions,
+                current_deployment=lambda: deployment.EMPTY,
                 drain_seconds=DRAIN_SECONDS,
                 time_source=self.clock,
             ),
