--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import typing
 
@@ -16,6 +15,8 @@
 from egretstep.pooling import (
     failure_answers,
     fair_queue,
+    interruptions,
+    server_activity,
     statement_state,
     workspace_connections,
 )
@@ -33,9 +34,8 @@
 class Broker:
     """Runs statements at one server.
 
-    `failures` counts the errors since the server's latest answer. `answered_at`
-    is the monotonic time of that answer or of a later refused connection, as a
-    server that refuses is alive; `used_at` is that of the latest statement.
+    `activity` tells whether the server answers; `used_at` is the monotonic
+    time of the latest statement.
     """
 
     def __init__(
@@ -51,8 +51,7 @@
             slots=server.slots, time_source=time_source
         )
         self._pins: dict[statement_state.PinKey, statement_state.Pin] = {}
-        self._running_since: dict[int, float] = {}
-        self._latest_run_id = 0
+        self._interruptions = interruptions.Interruptions()
         self.server = server
         self.connections = workspace_connections.WorkspaceConnections(
             server=server,
@@ -60,8 +59,7 @@
             limit=connection_limit,
             time_source=time_source,
         )
-        self.answered_at = time_source.now()
-        self.failures = 0
+        self.activity = server_activity.ServerActivity(time_source=time_source)
         self.used_at = time_source.now()
 
     @property
@@ -77,15 +75,7 @@
     @property
     def is_idle(self) -> bool:
         """Tell whether nothing runs and no transaction is open."""
-        return not self._running_since and not self._pins
-
-    @property
-    def silent_seconds(self) -> float:
-        """Return the seconds without an answer; 0 if no statement runs."""
-        if not self._running_since:
-            return 0
-        oldest = min(self._running_since.values())
-        return self._clock.now() - max(oldest, self.answered_at)
+        return not self.activity.is_running and not self._pins
 
     async def execute(
         self,
@@ -97,28 +87,29 @@
 
         The statement runs, or opens its transaction, on a log reaching `floor`.
         """
-        started = self._clock.now()
-        self.used_at = started
-        deadline = started + work.timeout
-        key = (link, work.pin_id)
-        if work.is_pinned:
-            return await self._run_pinned(work, key, deadline)
+        attempt = statement_state.Attempt()
+        self.used_at = self._clock.now()
         try:
-            async with self._queue.slot(
-                workspace=work.workspace, weight=1, deadline=deadline
-            ):
-                queued_seconds = self._clock.now() - started
-                answer = await self._run_unpinned(work, key, deadline, floor)
-                return dataclasses.replace(
-                    answer, queued_ms=clock.to_milliseconds(queued_seconds)
-                )
-        except errors.RefusedError as error:
-            return answers.refusal(
-                answers.Code.OVERLOADED,
-                error.refusal.message,
-                retry_after_ms=error.refusal.retry_after_ms,
+            async with self._interruptions.guarded(work):
+                return await self._execute(work, link, floor, attempt)
+        except TimeoutError:
+            return failure_answers.interrupted(
+                work,
+                has_written=attempt.has_written,
+                was_sent=attempt.was_sent,
             )
 
+    def interrupt(
+        self, is_concerned: typing.Callable[[work_module.Work], bool]
+    ) -> int:
+        """End the statements for which a function is true; return how many.
+
+        Also rolls back all open transactions.
+        """
+        ended_count = self._interruptions.interrupt(is_concerned)
+        self.release_all()
+        return ended_count
+
     def release_pin(self, key: statement_state.PinKey) -> None:
         """Roll back the transaction of a caller that has disconnected."""
         pin = self._pins.pop(key, None)
@@ -152,14 +143,44 @@
         self.release_all()
         self.connections.close_idle()
 
+    async def _execute(
+        self,
+        work: work_module.Work,
+        link: work_module.LinkId,
+        floor: identifiers.LogPosition | None,
+        attempt: statement_state.Attempt,
+    ) -> answers.Answer:
+        started = self._clock.now()
+        deadline = started + work.timeout
+        key = (link, work.pin_id)
+        if work.is_pinned:
+            return await self._run_pinned(work, key, deadline, attempt)
+        try:
+            async with self._queue.slot(
+                workspace=work.workspace, weight=1, deadline=deadline
+            ):
+                queued_seconds = self._clock.now() - started
+                answer = await self._run_unpinned(
+                    work, key, deadline, floor, attempt
+                )
+                return dataclasses.replace(
+                    answer, queued_ms=clock.to_milliseconds(queued_seconds)
+                )
+        except errors.RefusedError as error:
+            return answers.refusal(
+                answers.Code.OVERLOADED,
+                error.refusal.message,
+                retry_after_ms=error.refusal.retry_after_ms,
+            )
+
     async def _run_unpinned(
         self,
         work: work_module.Work,
         key: statement_state.PinKey,
         deadline: float,
         floor: identifiers.LogPosition | None,
+        attempt: statement_state.Attempt,
     ) -> answers.Answer:
-        attempt = statement_state.Attempt()
         try:
             async with asyncio.timeout(deadline - self._clock.now()):
                 answer = await self._attempt(work, floor, attempt)
@@ -185,7 +206,7 @@
         attempt: statement_state.Attempt,
     ) -> answers.Answer:
         """Run a statement and record its progress in `attempt`."""
-        conn = await self._acquire_with_session(work)
+        conn = await self.connections.acquire_with_session(work)
         attempt.session_connection = conn
         if work.opens is not work_module.Opens.NOTHING:
             begin_answer = await conn.begin(work.opens, floor)
@@ -200,42 +221,17 @@
     ) -> answers.Answer:
         """Return the answer for an exception; record the server failure."""
         if isinstance(exc, connection.RefusedConnectionError):
-            self.answered_at = self._clock.now()
+            self.activity.record_refusal()
             return answers.refusal(
                 exc.code, str(exc), retry_after_ms=CONNECTION_REFUSED_RETRY_MS
             )
-        self.failures += 1
+        self.activity.record_failure()
         if isinstance(exc, TimeoutError):
             return failure_answers.timed_out(work, was_sent=was_sent)
         return failure_answers.connection_broken(
             work, str(exc), was_sent=was_sent
         )
 
-    async def _acquire_with_session(
-        self, work: work_module.Work
-    ) -> statement_state.SessionConnection:
-        """Return a connection with session state; skip broken idle ones."""
-        conn = await self.connections.acquire(work.workspace)
-        while not await self._apply_session(conn, work):
-            conn = await self.connections.acquire(work.workspace)
-        return conn
-
-    async def _apply_session(
-        self, conn: statement_state.SessionConnection, work: work_module.Work
-    ) -> bool:
-        """Set the session state; return False to try another connection."""
-        is_new = conn.used_at == 0
-        try:
-            await conn.apply_session(work.values, work.command.prepared)
-        except BaseException as error:
-            self.connections.discard(conn)
-            is_unsent = isinstance(error, workspace_connections.UnsentError)
-            # If a new connection fails, another new one would fail as well.
-            if is_new or not is_unsent:
-                raise
-            return False
-        return True
-
     async def _run(
         self,
         work: work_module.Work,
@@ -243,23 +239,12 @@
         floor: identifiers.LogPosition | None,
     ) -> answers.Answer:
         started = self._clock.now()
-        with self._tracked():
+        with self.activity.running():
             answer = await conn.raw.run(work.statement_id, work.command, floor)
-        self.answered_at = self._clock.now()
-        self.failures = 0
-        ran = clock.to_milliseconds(self.answered_at - started)
+        self.activity.record_alive()
+        ran = clock.to_milliseconds(self._clock.now() - started)
         return dataclasses.replace(answer, ran_ms=ran)
 
-    @contextlib.contextmanager
-    def _tracked(self) -> typing.Generator[None, None, None]:
-        self._latest_run_id += 1
-        run_id = self._latest_run_id
-        self._running_since[run_id] = self._clock.now()
-        try:
-            yield
-        finally:
-            del self._running_since[run_id]
-
     def _pin_or_release(
         self,
         conn: statement_state.SessionConnection,
@@ -284,6 +269,7 @@
         work: work_module.Work,
         key: statement_state.PinKey,
         deadline: float,
+        attempt: statement_state.Attempt,
     ) -> answers.Answer:
         pin = self._pins.get(key)
         if pin is None or pin.is_busy:
@@ -292,14 +278,13 @@
                 'the transaction was rolled back; start it again',
             )
         pin.is_busy = True
-        attempt = statement_state.Attempt(
-            session_connection=pin.session_connection
-        )
+        attempt.session_connection = pin.session_connection
+        attempt.has_written = pin.has_written
         try:
             async with asyncio.timeout(deadline - self._clock.now()):
                 answer = await self._attempt_pinned(work, pin, attempt)
         except _SERVER_ERRORS as error:
-            self.failures += 1
+            self.activity.record_failure()
             self.release_pin(key)
             return failure_answers.transaction_lost(
                 work,
--- a/src/egretstep/pooling/failure_answers.py
+++ b/src/egretstep/pooling/failure_answers.py
@@ -75,6 +75,24 @@
     )
 
 
+def interrupted(
+    work: work_module.Work,
+    *,
+    has_written: bool,
+    was_sent: bool,
+) -> answers.Answer:
+    """Return the answer for a statement that was ended at a former primary.
+
+    `has_written` tells whether its open transaction has written before.
+    """
+    reason = 'the primary is being replaced'
+    if work.is_pinned:
+        return transaction_lost(
+            work, has_written=has_written, was_sent=was_sent, reason=reason
+        )
+    return connection_broken(work, reason, was_sent=was_sent)
+
+
 def outcome_unknown(reason: str) -> answers.Answer:
     """Return the answer for a statement that may have run."""
     return answers.Answer(
--- a/src/egretstep/pooling/statement_state.py
+++ b/src/egretstep/pooling/statement_state.py
@@ -26,7 +26,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Attempt:
-    """The progress of one statement, for the answer after an error."""
+    """The progress of one statement, for the answer after an error.
+
+    `has_written` tells whether its transaction has written before.
+    """
 
     session_connection: SessionConnection | None = None
+    has_written: bool = False
     was_sent: bool = False
--- a/src/egretstep/pooling/workspace_connections.py
+++ b/src/egretstep/pooling/workspace_connections.py
@@ -156,6 +156,19 @@
                     return opened
             await self._wait_for_release()
 
+    async def acquire_with_session(
+        self, work: work_module.Work
+    ) -> SessionConnection:
+        """Return a connection that has the session state of a statement.
+
+        Idle connections that are broken are skipped. Raises what `acquire`
+        does, and `UnsentError`.
+        """
+        conn = await self.acquire(work.workspace)
+        while not await self._apply_session(conn, work):
+            conn = await self.acquire(work.workspace)
+        return conn
+
     def release(self, session_connection: SessionConnection) -> None:
         """Return a connection to the pool, or close it if it is unusable."""
         if session_connection.raw.is_usable and not self._is_reuse_stopped:
@@ -193,6 +206,22 @@
             self._idle.remove(session_connection)
             self._close(session_connection)
 
+    async def _apply_session(
+        self, conn: SessionConnection, work: work_module.Work
+    ) -> bool:
+        """Set the session state; return False to try another connection."""
+        is_new = conn.used_at == 0
+        try:
+            await conn.apply_session(work.values, work.command.prepared)
+        except BaseException as error:
+            self.discard(conn)
+            is_unsent = isinstance(error, UnsentError)
+            # If a new connection fails, another new one would fail as well.
+            if is_new or not is_unsent:
+                raise
+            return False
+        return True
+
     def _take_idle(
         self,
         workspace: identifiers.WorkspaceName,
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -1,5 +1,6 @@
 """In-memory fakes of the store, servers and hosts, for tests in one process."""
 
+import asyncio
 import dataclasses
 import itertools
 import typing
@@ -126,6 +127,7 @@
         if self._server.breaks_connection_on == command.text:
             self.is_usable = False
             raise connection.ConnectionBrokenError('reset by the server')
+        await asyncio.sleep(self._server.work_seconds)
         state = self._server.states.get(
             command.text,
             answers.TransactionState.OUTSIDE,
@@ -161,7 +163,12 @@
         return answers.Answer()
 
     async def status(self) -> connection.ServerStatus:
-        """Return the server's role, term and position."""
+        """Return the server's role, term and position.
+
+        Raises `ConnectionBrokenError` if the server reports no status.
+        """
+        if not self._server.reports_status:
+            raise connection.ConnectionBrokenError('no status')
         return connection.ServerStatus(
             role=self._server.role,
             term=identifiers.Term(self._server.term),
@@ -181,8 +188,10 @@
     `refuses_with` is the code with which it refuses connections, if any.
     `dead_connections`, which count towards `connection_limit`, are lost
     connections that the server has not closed yet. A statement whose text is
-    `breaks_connection_on` breaks its connection, and `states` holds, by the
-    text of a statement, the transaction state after it. `received` lists the
+    `breaks_connection_on` breaks its connection, any other one takes
+    `work_seconds`, and `states` holds, by the
+    text of a statement, the transaction state after it. `reports_status`
+    tells whether it answers STATUS. `received` lists the
     ID, text and floor of each statement, `connections` all connections that
     were opened.
     """
@@ -195,7 +204,9 @@
     connection_limit: int | None = None
     dead_connections: int = 0
     is_down: bool = False
+    reports_status: bool = True
     breaks_connection_on: bytes = b''
+    work_seconds: float = 0
     states: dict[bytes, answers.TransactionState] = dataclasses.field(
         default_factory=dict,
     )
--- a/tests/pooling/test_broker.py
+++ b/tests/pooling/test_broker.py
@@ -134,7 +134,7 @@
         self.server.dead_connections = CONNECTION_LIMIT - 2
         await self._read_all()
         self.assertEqual(self.broker.connections.open_count, 2)
-        self.assertEqual(self.broker.failures, 0)
+        self.assertEqual(self.broker.activity.failures, 0)
         self.server.dead_connections = 0
         for _ in range(3):
             self.clock.advance(connection_budget.PROBE_INTERVAL_SECONDS)
@@ -167,7 +167,7 @@
         self.clock.advance(workspace_connections.FULL_SERVER_WAIT_SECONDS + 0.1)
         answer = await waiting
         self.assertIs(answer.code, answers.Code.TOO_MANY_CONNECTIONS)
-        self.assertEqual(self.broker.failures, 0)
+        self.assertEqual(self.broker.activity.failures, 0)
 
     async def _read_all(self) -> None:
         """Read for more workspaces than connections may stay idle."""
--- a/tests/replication/test_planned_change.py
+++ b/tests/replication/test_planned_change.py
@@ -1,186 +1,68 @@
 """Load pattern: a planned replacement of a primary under constant load."""
 
 import asyncio
-import contextlib
 import dataclasses
 import time
-import typing
 
-from egretstep import clock, errors
-from egretstep.backends import answers, commands, connection
-from egretstep.membership import claims, directory, lease_renewal, leases
-from egretstep.pooling import brokers
+from egretstep.backends import answers
+from egretstep.membership import leases
 from egretstep.pooling import work as work_module
-from egretstep.replication import failover, primary
-from egretstep.routing import dispatcher
-from egretstep.settings import deployment
-from tests import platform_fakes, virtual_time
-from tests.replication import registered_servers
+from tests.replication import owner_case
 
-TASK = dispatcher.ownership_task(platform_fakes.SERVICE)
-LINK = work_module.LinkId(1)
-PROMOTION_DELAY_SECONDS = 0.4
-DRAIN_SECONDS = 0.6
-QUICK_SECONDS = 0.1
-WRITE = work_module.Work(
-    statement_id=b'id-1',
-    command=commands.Command(action=commands.Action.WRITE, text=b'WRITE a 1'),
-    workspace=platform_fakes.DEPOT,
-    service=platform_fakes.SERVICE,
-    timeout=1.5,
-)
-READ = dataclasses.replace(
-    WRITE,
-    command=commands.Command(action=commands.Action.READ, text=b'READ a'),
-)
-
-
-class _UnresponsiveTables(platform_fakes.FakeTables):
-    """A store that does not answer writes while `is_unresponsive` is set."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.is_unresponsive = False
-
-    async def compare_and_swap(self, *place: str, **row: typing.Any) -> int:
-        if self.is_unresponsive:
-            await asyncio.sleep(1)
-            raise errors.PlatformError('no answer')
-        return await super().compare_and_swap(*place, **row)
-
-
-class _Promotions:
-    """Promotes a server after a delay, unless `is_unreachable` is set."""
-
-    def __init__(self, promoted: platform_fakes.FakeServer) -> None:
-        self._promoted = promoted
-        self.is_unreachable = False
-
-    async def promote(self, **_order: typing.Any) -> None:
-        if self.is_unreachable:
-            raise errors.PlatformError('the platform is unreachable')
-        asyncio.get_running_loop().call_later(
-            PROMOTION_DELAY_SECONDS,
-            self._complete,
-        )
-
-    def _complete(self) -> None:
-        self._promoted.role = connection.Role.PRIMARY
-        self._promoted.term = 2
-
-
-class PlannedChangeTest(virtual_time.VirtualTimeTestCase):
-    async def asyncSetUp(self) -> None:
-        await super().asyncSetUp()
-        self.first = platform_fakes.FakeServer(
-            name='first',
-            role=connection.Role.PRIMARY,
-        )
-        self.second = platform_fakes.FakeServer(name='second')
-        self.servers = registered_servers.RegisteredServers(
-            self.first, self.second
-        )
-        self.promotions = _Promotions(self.second)
-        self.store = _UnresponsiveTables()
-        self.clock = clock.MonotonicClock()
-        self.keeper = leases.LeaseKeeper(
-            store=self.store,
-            hosts=directory.Directory(
-                own=platform_fakes.host('own'),
-                time_source=self.clock,
-            ),
-            confirmers=platform_fakes.NoOtherHosts(),
-            time_source=self.clock,
-            first_era=self.store.era,
-        )
-        self.renewal = lease_renewal.LeaseRenewal(
-            keeper=self.keeper,
-            store=self.store,
-            confirmers=platform_fakes.NoOtherHosts(),
-            time_source=self.clock,
-        )
-        opener = platform_fakes.FakeOpener(self.first, self.second)
-        claim = await self.keeper.claim(TASK)
-        self.owner = primary.PrimaryOwner(
-            service=platform_fakes.SERVICE,
-            claim=typing.cast(claims.Claim, claim),
-            keeper=self.keeper,
-            broker_table=brokers.BrokerTable(
-                opener=opener,
-                current_deployment=lambda: deployment.EMPTY,
-                time_source=self.clock,
-            ),
-            failover_coordinator=failover.FailoverCoordinator(
-                servers=self.servers,
-                opener=opener,
-                promotions=self.promotions,
-                current_deployment=lambda: deployment.EMPTY,
-                drain_seconds=DRAIN_SECONDS,
-                time_source=self.clock,
-            ),
-            time_source=self.clock,
-        )
-        self.running = [
-            asyncio.ensure_future(self.owner.run()),
-            asyncio.ensure_future(self.renewal.run()),
-        ]
-        self.assertTrue((await self.owner.execute(WRITE, LINK)).is_ok)
-
-    async def asyncTearDown(self) -> None:
-        for task in self.running:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
-
-    async def _drain_primary(self) -> None:
-        self.servers.draining = 'first'
-        await asyncio.sleep(primary.CHECK_INTERVAL_SECONDS * 1.5)
 
+class PlannedChangeTest(owner_case.OwnerCase):
     async def test_reads_continue_at_the_draining_primary(self) -> None:
-        await self._drain_primary()
+        await self.drain_primary()
         started = time.monotonic()
-        answer = await self.owner.execute(READ, LINK)
+        answer = await self.owner.execute(owner_case.READ, owner_case.LINK)
         self.assertTrue(answer.is_ok)
-        self.assertLess(time.monotonic() - started, QUICK_SECONDS)
+        self.assertLess(time.monotonic() - started, owner_case.QUICK_SECONDS)
         self.assertIn(
-            READ.command.text, [entry[1] for entry in self.first.received]
+            owner_case.READ.command.text,
+            [entry[1] for entry in self.first.received],
         )
 
     async def test_writes_wait_for_the_next_primary(self) -> None:
-        await self._drain_primary()
-        answer = await self.owner.execute(WRITE, LINK)
+        await self.drain_primary()
+        answer = await self.owner.execute(owner_case.WRITE, owner_case.LINK)
         self.assertTrue(answer.is_ok)
         self.assertEqual(len(self.first.received), 1)
         self.assertEqual(len(self.second.received), 1)
-        await self.owner.execute(READ, LINK)
+        await self.owner.execute(owner_case.READ, owner_case.LINK)
         self.assertEqual(len(self.second.received), 2)
 
     async def test_reads_that_open_a_transaction_wait(self) -> None:
-        await self._drain_primary()
+        await self.drain_primary()
         opening = dataclasses.replace(
-            READ,
+            owner_case.READ,
             opens=work_module.Opens.TRANSACTION,
         )
-        await self.owner.execute(opening, LINK)
+        await self.owner.execute(opening, owner_case.LINK)
         self.assertEqual(len(self.first.received), 1)
 
     async def test_an_unresponsive_store_delays_no_replacement(self) -> None:
         self.store.is_unresponsive = True
-        await self._drain_primary()
+        await self.drain_primary()
         started = time.monotonic()
-        self.assertTrue((await self.owner.execute(WRITE, LINK)).is_ok)
-        longest = PROMOTION_DELAY_SECONDS + leases.STORE_ANSWER_SECONDS
-        self.assertLess(time.monotonic() - started, longest + QUICK_SECONDS)
+        self.assertTrue(
+            (await self.owner.execute(owner_case.WRITE, owner_case.LINK)).is_ok
+        )
+        longest = (
+            owner_case.PROMOTION_DELAY_SECONDS + leases.STORE_ANSWER_SECONDS
+        )
+        self.assertLess(
+            time.monotonic() - started, longest + owner_case.QUICK_SECONDS
+        )
 
     async def test_a_draining_server_gets_no_work_after_its_time(self) -> None:
         """The platform is unreachable, so no other server is promoted."""
         self.promotions.is_unreachable = True
-        await self._drain_primary()
-        await asyncio.sleep(DRAIN_SECONDS)
+        await self.drain_primary()
+        await asyncio.sleep(owner_case.DRAIN_SECONDS)
         received_count = len(self.first.received)
         for _ in range(5):
-            work = dataclasses.replace(READ, timeout=0.1)
-            answer = await self.owner.execute(work, LINK)
+            work = dataclasses.replace(owner_case.READ, timeout=0.1)
+            answer = await self.owner.execute(work, owner_case.LINK)
             self.assertIs(answer.code, answers.Code.OVERLOADED)
             await asyncio.sleep(0.1)
         self.assertEqual(len(self.first.received), received_count)
