A primary that answers statements is not taken for dead

What callers saw: a primary that was slow, with its slots full, was replaced: no writes for the time of a promotion, and transactions rolled back.

Cause: a status that was late or answered with BUSY counted as silence, while the same server answered the broker's statements.

Change: BUSY is a sign of life. Without a status, an answer that the broker got since the owner began to ask keeps the primary.

test_a_slow_primary_that_answers_is_not_replaced failed on the commit before.

--- a/src/egretstep/backends/connection.py
+++ b/src/egretstep/backends/connection.py
@@ -81,7 +81,10 @@
 
 
 class RefusedConnectionError(errors.EgretstepError):
-    """The server refused the connection, for the reason `code`."""
+    """The server refused the connection, or its control, for a reason.
+
+    `code` is the reason. The server that answered is alive.
+    """
 
     def __init__(self, *, code: answers.Code, message: str) -> None:
         super().__init__(message)
@@ -120,7 +123,10 @@
         """Prepare a statement for later EXECUTE statements."""
 
     async def status(self) -> ServerStatus:
-        """Ask for role, term and log position."""
+        """Ask for role, term and log position.
+
+        Raises `RefusedConnectionError` if the server is too busy.
+        """
 
     def close(self) -> None:
         """Close the connection; the server rolls back an open transaction."""
--- a/src/egretstep/platform/backend.py
+++ b/src/egretstep/platform/backend.py
@@ -118,6 +118,11 @@
                 return answer
 
     def _parse_status(self, answer: answers.Answer) -> connection.ServerStatus:
+        if answer.code is answers.Code.OVERLOADED:
+            raise connection.RefusedConnectionError(
+                code=answer.code,
+                message=f'it is too busy to report it: {answer.message}',
+            )
         if not answer.is_ok or not answer.rows:
             raise connection.ConnectionBrokenError(
                 f'no row in the answer to STATUS: '
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -133,7 +133,16 @@
 
     async def _diagnose_failures(self, broker: broker_module.Broker) -> None:
         """Replace the primary if it is down or demoted, not if it is slow."""
+        started = self._clock.now()
         liveness = await self._failover.probe.check_liveness(broker.server)
+        if not liveness.is_alive and broker.activity.alive_at > started:
+            _logger.info(
+                'service {}: primary {} reports no status, but answers '
+                'statements: it is slow',
+                self._service,
+                broker.server.server,
+            )
+            return
         if not liveness.is_alive:
             await self._replace('it does not answer', is_planned=False)
             return
--- a/tests/replication/test_former_primary.py
+++ b/tests/replication/test_former_primary.py
@@ -90,6 +90,19 @@
         self.assertEqual(codes.count(answers.Code.UNKNOWN_OUTCOME), SLOTS)
         self.assertEqual(len(self.first.received), 1 + SLOTS)
 
+    async def test_a_slow_primary_that_answers_is_not_replaced(self) -> None:
+        """Its slots are full, so that it reports no status in time."""
+        self._hang_primary()
+        self.first.work_seconds = 0.3
+        deadline = time.monotonic() + 3
+        codes = set()
+        while time.monotonic() < deadline:
+            found = await asyncio.gather(self._write(0.2), self._write())
+            codes.update(each.code for each in found)
+            await asyncio.sleep(0.02)
+        self.assertEqual(codes, {answers.Code.OK, answers.Code.UNKNOWN_OUTCOME})
+        self.assertEqual(self.second.role, connection.Role.REPLICA)
+
     def _hang_primary(self) -> None:
         """Slow the primary down, and let it report no status."""
         self.first.work_seconds = SLOW_SECONDS
