A refusal of another server at the primary's address is no sign of life

What callers saw: each write refused with wrong-server until the registration of the primary lapsed.

Cause: the broker counted every refused connection as a sign of life, also that of a server which has taken over the address.

Change: it counts as a failure, so that the owner examines the primary and promotes another server.

test_a_primary_whose_address_another_server_has_is_replaced failed on the commit before.

--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -221,7 +221,11 @@
     ) -> answers.Answer:
         """Return the answer for an exception; record the server failure."""
         if isinstance(exc, connection.RefusedConnectionError):
-            self.activity.record_refusal()
+            if exc.code is answers.Code.WRONG_SERVER:
+                # Another server has this address; the right one is silent.
+                self.activity.record_failure()
+            else:
+                self.activity.record_refusal()
             return answers.refusal(
                 exc.code, str(exc), retry_after_ms=CONNECTION_REFUSED_RETRY_MS
             )
--- a/tests/replication/test_former_primary.py
+++ b/tests/replication/test_former_primary.py
@@ -103,6 +103,18 @@
         self.assertEqual(codes, {answers.Code.OK, answers.Code.UNKNOWN_OUTCOME})
         self.assertEqual(self.second.role, connection.Role.REPLICA)
 
+    async def test_a_primary_whose_address_another_server_has_is_replaced(
+        self,
+    ) -> None:
+        """The refusals of that server are no signs of life of the primary."""
+        for each in self.first.connections:
+            each.close()
+        self.first.refuses_with = answers.Code.WRONG_SERVER
+        self.assertIs((await self._write()).code, answers.Code.WRONG_SERVER)
+        await asyncio.sleep(1)
+        self.assertIs(self.second.role, connection.Role.PRIMARY)
+        self.assertTrue((await self._write()).is_ok)
+
     def _hang_primary(self) -> None:
         """Slow the primary down, and let it report no status."""
         self.first.work_seconds = SLOW_SECONDS
