The next holder of a task certainly knows what the last one recorded

Cause: a record counted as made when the store had not answered and nobody had confirmed it; a takeover took the revision in the store for the latest; and a write of an earlier revision that the store carried out late replaced a later one.

Change: record() tells whether the store or a majority of the hosts has it. Hosts report later revisions of an epoch, and who takes a task over asks them, unless it was released. The store's row is not replaced by an earlier revision.

test_a_detail_that_only_a_majority_has_reaches_the_next_one, test_a_detail_that_no_majority_has_is_not_recorded and test_a_late_write_does_not_undo_a_later_detail are new.

--- a/src/egretstep/membership/claim_rows.py
+++ b/src/egretstep/membership/claim_rows.py
@@ -45,12 +45,12 @@
         return await self._store.read(directory.TABLE, claims.PREFIX)
 
     async def replace(self, following: claims.Claim) -> bool:
-        """Replace a claim; return false if a later epoch is stored.
+        """Replace a claim; return false if a later one is stored.
 
         An earlier epoch may be stored after a restore of the store.
         """
         stored = await self.read(following.task)
-        if stored.claim and stored.claim.epoch > following.epoch:
+        if stored.is_later_than(following):
             return False
         await self.swap(stored.version, following)
         return True
--- a/src/egretstep/membership/claim_writer.py
+++ b/src/egretstep/membership/claim_writer.py
@@ -163,7 +163,7 @@
         return False
 
     async def replace(self, revised: claims.Claim) -> bool:
-        """Write a revised claim; return false if a later epoch is stored."""
+        """Write a revised claim; return false if a later one is stored."""
         return await self._rows.replace(revised)
 
     async def notify_majority(self, new_claim: claims.Claim) -> bool:
@@ -188,13 +188,14 @@
     ) -> claims.Claim | None:
         """Return the later one of the stored and the known claim of a task.
 
-        If that is of a former era, the other hosts are asked for a later one
-        that the store has lost.
+        The other hosts are asked for a later one that the store has lost, if
+        that is of a former era, or never had: a holder that the store did not
+        answer has left its detail at a majority of the hosts.
         """
         if stored.claim is not None:
             self._known.merge(stored.claim)
         latest = self._known.known.get(task)
-        if latest is not None and fencing.era_of(latest.epoch) != stored.era:
+        if latest is not None and _may_have_later(latest, stored.era):
             self._merge(await self._confirmers.confirm([latest]))
         return self._known.known.get(task)
 
@@ -204,3 +205,8 @@
         for newer in replies:
             for claim in newer:
                 self._known.merge(claim)
+
+
+def _may_have_later(latest: claims.Claim, era: int) -> bool:
+    # A claim that was released was stored as a whole by its former holder.
+    return fencing.era_of(latest.epoch) != era or not latest.is_released
--- a/src/egretstep/membership/lease_renewal.py
+++ b/src/egretstep/membership/lease_renewal.py
@@ -110,8 +110,10 @@
                 self._keeper.merge(claim)
         if len(replies) < self._confirmers.majority():
             return []
-        replaced = {claim.task for newer in replies for claim in newer}
-        confirmed = [each for each in own_claims if each.task not in replaced]
+        known = self._keeper.known
+        confirmed = [
+            each for each in own_claims if known[each.task].epoch == each.epoch
+        ]
         for claim in confirmed:
             self._keeper.extend_lease(claim, sent_at)
         return confirmed
--- a/src/egretstep/membership/leases.py
+++ b/src/egretstep/membership/leases.py
@@ -169,8 +169,12 @@
         self, sent: typing.Sequence[claims.Claim]
     ) -> list[claims.Claim]:
         """Merge claims; return the known claim of each that is out of date."""
+        for claim in sent:
+            self.merge(claim)
         return [
-            self._claims[claim.task] for claim in sent if not self.merge(claim)
+            self._claims[claim.task]
+            for claim in sent
+            if self._claims[claim.task].precedence > claim.precedence
         ]
 
     def _apply_new_epoch(
@@ -300,10 +304,11 @@
         await self._revise(new_claim, is_settled=True)
 
     async def record(self, claim: claims.Claim, detail: str) -> bool:
-        """Save a detail for the next holder; return whether it is stored.
+        """Save a detail for the next holder; return whether it will know it.
 
-        The other hosts are notified too. If the store takes longer than
-        `STORE_ANSWER_SECONDS`, the write goes on after this returns false.
+        That is so if the store has it or, in case the store takes longer than
+        `STORE_ANSWER_SECONDS`, a majority of the hosts. The write goes on
+        after that.
         """
         return await self._revise(claim, detail=detail)
 
@@ -317,10 +322,13 @@
             **changed,
         )
         self.merge(revised)
-        asyncio.ensure_future(self._confirmers.confirm([revised]))
+        notifying = asyncio.ensure_future(self._writer.notify_majority(revised))
         storing = asyncio.ensure_future(self._store_claim(revised))
         await asyncio.wait({storing}, timeout=STORE_ANSWER_SECONDS)
-        return storing.done() and storing.result()
+        if storing.done() and storing.result():
+            return True
+        is_known = await notifying
+        return is_known and self._claims[claim.task].epoch == claim.epoch
 
     async def _store_claim(self, revised: claims.Claim) -> bool:
         try:
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -1,10 +1,11 @@
 """Checks that `leases` follows the rule of `specifications/leases.py`."""
 
 import asyncio
+import dataclasses
 import typing
 from unittest import mock
 
-from egretstep.membership import leases
+from egretstep.membership import claim_rows, leases
 from tests import platform_fakes
 from tests.membership import lease_case
 
@@ -172,6 +173,38 @@
             self.keepers['y'].is_held(lease_case.TASK, new_claim.epoch)
         )
 
+    async def test_a_detail_that_only_a_majority_has_reaches_the_next_one(
+        self,
+    ) -> None:
+        """The store did not answer when it was recorded."""
+        claim = await self.claim('x')
+        self.confirmers['x'].keepers = [self.keepers['z']]
+        self.store.is_down = True
+        is_known = await self.keepers['x'].record(claim, 'server-2')
+        self.assertTrue(is_known)
+        await asyncio.gather(*lease_case.pending_tasks())
+        self.assertEqual(self.keepers['y'].known[lease_case.TASK].detail, '')
+        self.store.is_down = False
+        new_claim = await self.claim('y')
+        self.assertEqual(new_claim.detail, 'server-2')
+
+    async def test_a_detail_that_no_majority_has_is_not_recorded(self) -> None:
+        """Its holder must not act as if the next one knew it."""
+        claim = await self.claim('x')
+        self.confirmers['x'].keepers = []
+        self.store.is_down = True
+        self.assertFalse(await self.keepers['x'].record(claim, 'server-2'))
+
+    async def test_a_late_write_does_not_undo_a_later_detail(self) -> None:
+        claim = await self.claim('x')
+        rows = claim_rows.ClaimRows(store=self.store)
+        later = dataclasses.replace(claim, detail='later', revision=9)
+        self.assertTrue(await rows.replace(later))
+        earlier = dataclasses.replace(claim, detail='earlier', revision=8)
+        self.assertFalse(await rows.replace(earlier))
+        stored = await rows.read(lease_case.TASK)
+        self.assertEqual(stored.claim, later)
+
     async def test_what_a_holder_records_reaches_its_successor(self) -> None:
         claim = await self.claim('x')
         await self.keepers['x'].record(claim, 'server-2')
