A request that is given up is reset, so that it does not arrive later

Cause: the connection of a call that timed out was closed, and the kernel went on sending what was in its buffer.

Change: it is reset, so that unsent bytes die; the same for a statement that is ended at a server. An error tells whether the request was sent at all.

--- a/src/egretstep/errors.py
+++ b/src/egretstep/errors.py
@@ -100,6 +100,10 @@
     """A service of the platform refused a request or did not answer."""
 
 
+class PlatformUnreachableError(PlatformError):
+    """A request was not sent, as no connection could be opened in time."""
+
+
 class LinkError(EgretstepError):
     """A link between two programs is down, and the request was not sent."""
 
--- a/src/egretstep/platform/backend.py
+++ b/src/egretstep/platform/backend.py
@@ -103,8 +103,10 @@
             self.close()
             raise connection.ConnectionBrokenError(str(error)) from error
         except asyncio.CancelledError:
-            # A late answer must not be taken for that of the next statement.
-            self.close()
+            # A late answer must not be taken for that of the next statement,
+            # and a statement that is held up must not run later.
+            self._is_closed = True
+            sockets.reset(self._writer)
             raise
 
     async def _read_answer(self) -> answers.Answer:
--- a/src/egretstep/web/client.py
+++ b/src/egretstep/web/client.py
@@ -49,13 +49,15 @@
 
         Raises `errors.PlatformError` if no complete response arrives within
         `timeout` seconds, the wait for earlier requests included; the request
-        may have taken effect.
+        may have taken effect, unless the error is a
+        `errors.PlatformUnreachableError`.
         """
+        progress = _Progress()
         try:
             async with asyncio.timeout(timeout), self._lock:
-                return await self._call(request)
+                return await self._call(request, progress)
         except (OSError, TimeoutError, h11.ProtocolError) as error:
-            raise errors.PlatformError(
+            raise progress.error_type(
                 f'no answer from {self._address} to {request.method} '
                 f'{request.target} (time limit: {timeout} s): {error!r}',
             ) from error
@@ -66,13 +68,14 @@
             self._streams.writer.close()
             self._streams = None
 
-    async def _call(self, request: Request) -> Response:
+    async def _call(self, request: Request, progress: '_Progress') -> Response:
         streams = self._streams or await self._connect()
         self._streams = None
+        progress.was_sent = True
         try:
             response = await streams.exchange(request, str(self._address))
         except BaseException:
-            streams.writer.close()
+            sockets.reset(streams.writer)
             raise
         if streams.is_reusable():
             self._streams = streams
@@ -94,6 +97,20 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """Whether a request may have reached the server."""
+
+    was_sent: bool = False
+
+    @property
+    def error_type(self) -> type[errors.PlatformError]:
+        """Return the type of error with which the request ends."""
+        if self.was_sent:
+            return errors.PlatformError
+        return errors.PlatformUnreachableError
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Streams:
     """An open connection with the state of the HTTP protocol."""
