--- a/src/egretstep/platform/promotions.py
+++ b/src/egretstep/platform/promotions.py
@@ -4,12 +4,15 @@
 
 from egretstep import errors, identifiers
 from egretstep.backends import connection
+from egretstep.replication import failover
 from egretstep.settings import deployment, node
 from egretstep.web import client as http
 
 REQUEST_TIMEOUT_SECONDS = 1.0
 MAX_QUOTED_BODY_BYTES = 200
 _OK = 200
+# The platform says by these that it has done nothing.
+_REFUSED = frozenset((400, 403, 404, 409, 429, 503))
 
 
 class PlatformPromotions:
@@ -21,7 +24,7 @@
         address: node.Address,
         host: identifiers.HostName,
     ) -> None:
-        self._client = http.HttpClient(address=address)
+        self._address = address
         self._host = host
 
     async def promote(
@@ -34,9 +37,10 @@
         """Make a server the primary of a service.
 
         The platform takes `epoch`, that of the caller's lease, as the
-        fencing token. Raises `errors.PlatformError` when the request was
-        refused or got no answer; without an answer the promotion may have
-        taken place.
+        fencing token. Raises `failover.PromotionRefusedError` if the request
+        was refused or not sent, and `errors.PlatformError` if its outcome is
+        not known. Each call has a connection of its own: on one that went
+        silent unnoticed, a request would be sent and its outcome unknown.
         """
         request = http.Request(
             method='POST',
@@ -47,12 +51,25 @@
                 ('Egretstep-Fencing-Token', str(epoch)),
             ),
         )
-        response = await self._client.call(
-            request, timeout=REQUEST_TIMEOUT_SECONDS
-        )
-        if response.status != _OK:
-            raise errors.PlatformError(
-                f'the platform answered {response.status} to the promotion of '
-                f'{server} for {service} in epoch {epoch}: '
-                f'{response.body[:MAX_QUOTED_BODY_BYTES]!r}',
+        client = http.HttpClient(address=self._address)
+        try:
+            response = await client.call(
+                request, timeout=REQUEST_TIMEOUT_SECONDS
             )
+        except errors.PlatformUnreachableError as error:
+            raise failover.PromotionRefusedError(str(error)) from error
+        finally:
+            client.close()
+        if response.status == _OK:
+            return
+        is_refused = response.status in _REFUSED
+        error_type = (
+            failover.PromotionRefusedError
+            if is_refused
+            else errors.PlatformError
+        )
+        raise error_type(
+            f'the platform answered {response.status} to the promotion of '
+            f'{server} for {service} in epoch {epoch}: '
+            f'{response.body[:MAX_QUOTED_BODY_BYTES]!r}',
+        )
--- a/src/egretstep/replication/failover.py
+++ b/src/egretstep/replication/failover.py
@@ -1,7 +1,7 @@
 """Selection and promotion of the next primary of a service."""
 
 import asyncio
-import dataclasses
+import enum
 import typing
 
 import logbook
@@ -9,17 +9,28 @@
 from egretstep import clock, errors, identifiers
 from egretstep.backends import connection
 from egretstep.membership import registry
-from egretstep.replication import candidates, server_probe
+from egretstep.replication import (
+    candidates,
+    primary_record,
+    server_probe,
+    successor_choice,
+)
 from egretstep.settings import deployment
 
-MAX_CATCH_UP_SECONDS = 0.5
 DEFAULT_DRAIN_SECONDS = 2.5
 POLL_INTERVAL_SECONDS = 0.05
 MAX_PROMOTION_SECONDS = 3.0
 INITIAL_EXPECTED_SECONDS = 0.5
 _logger = logbook.Logger('succession')
 
-RecordPrimary = typing.Callable[[connection.ServerId], typing.Awaitable[None]]
+# Returns whether the next owner will certainly know the record.
+SaveRecord = typing.Callable[
+    [primary_record.PrimaryRecord], typing.Awaitable[bool]
+]
+
+
+class PromotionRefusedError(errors.PlatformError):
+    """A promotion was refused, or its request was not sent: it has no effect."""
 
 
 class Promotions(typing.Protocol):
@@ -34,32 +45,18 @@
     ) -> None:
         """Request that a server becomes the primary of a service.
 
-        `epoch` is that of the owner's lease. Raises `errors.PlatformError`
-        if the platform does not accept the request.
+        `epoch` is that of the owner's lease. Raises `PromotionRefusedError`
+        if the request certainly has no effect, and `errors.PlatformError`
+        if that is not known.
         """
 
 
-class ChangePostponedError(errors.EgretstepError):
-    """No server has caught up, and the former primary can go on meanwhile."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Change:
-    """A change of the primary of a service.
-
-    `former` is the primary to replace; it is not a candidate. `epoch` is that
-    of the owner's lease. `recorded` is the primary that the last owner
-    recorded, or empty. `acknowledged` covers every acknowledged commit, and
-    is None if no such position is known. `may_postpone` tells whether the
-    former primary can go on until another server has caught up.
-    """
+class _Outcome(enum.Enum):
+    """What is known of an ordered promotion."""
 
-    service: deployment.ServiceName
-    former: connection.BackendServer | None
-    recorded: connection.ServerId
-    epoch: int
-    acknowledged: identifiers.LogPosition | None
-    may_postpone: bool = False
+    ORDERED = 'ordered'
+    NOT_ORDERED = 'not ordered'
+    UNKNOWN = 'unknown'
 
 
 class FailoverCoordinator:
@@ -82,12 +79,18 @@
     ) -> None:
         self._servers = servers
         self._promotions = promotions
-        self._current_deployment = current_deployment
         self._clock = time_source
         self._drain_seconds = drain_seconds
         self._started_at = time_source.now()
         self._expected_seconds = INITIAL_EXPECTED_SECONDS
+        self._checked_registrations: dict[connection.ServerId, int] = {}
         self.probe = server_probe.ServerProbe(opener=opener)
+        self.choice = successor_choice.SuccessorChoice(
+            servers=servers,
+            probe=self.probe,
+            current_deployment=current_deployment,
+            time_source=time_source,
+        )
 
     def start_timer(self) -> None:
         """Record that a replacement of the primary begins now."""
@@ -129,202 +132,176 @@
     async def find_primary(
         self,
         service: deployment.ServiceName,
-        recorded: connection.ServerId,
+        record: primary_record.PrimaryRecord,
     ) -> candidates.Candidate | None:
-        """Return the server that reports to be primary of the latest term.
+        """Return the server that leads the latest term.
 
-        `recorded` is the primary that the last owner recorded, or empty. If
-        the recorded server does not answer, no other server is returned,
-        because that one may still lead an old term. Returns None when the
-        primary is not known for sure.
+        If the recorded server does not answer, no other server is returned,
+        because that one may still lead an old term. While a promotion is
+        pending, its outcome is waited for, and no other server is returned.
+        Returns None when the primary is not known for sure.
         """
+        if record.is_pending:
+            return await self._await_ordered(service, record)
         found = await self.probe.find_candidates(
             self._servers.of_service(service)
         )
-        primaries = [
-            candidate
-            for candidate in found
-            if candidate.status.role is connection.Role.PRIMARY
-        ]
         latest = max(
-            primaries,
-            key=lambda candidate: candidate.status.term,
+            (each for each in found if _is_accepted(record, each)),
+            key=lambda each: each.status.term,
             default=None,
         )
-        if latest is None or not recorded:
-            return latest
-        if latest.server.server == recorded:
+        seen = {each.server.server for each in found}
+        if not record.server or record.server in seen:
             return latest
-        seen = {candidate.server.server for candidate in found}
-        return latest if recorded in seen else None
+        return None
 
-    async def has_successor(self, change: Change) -> bool:
-        """Return whether a server that takes work has caught up.
+    async def is_superseded(
+        self, primary: connection.BackendServer, term: identifiers.Term
+    ) -> bool:
+        """Return whether a server no longer leads, or another leads later.
 
-        True at once if the change may not be postponed.
+        Servers are asked whose registration suggests it, once for each
+        registration.
         """
-        if not change.may_postpone or change.acknowledged is None:
-            return True
-        asked = [
-            asyncio.ensure_future(self.probe.status(server))
-            for server in self._others(change)
-            if self._servers.takes_work(server)
-        ]
-        try:
-            for each in asyncio.as_completed(asked):
-                status = await each
-                if status and status.received >= change.acknowledged:
-                    return True
-        finally:
-            for query in asked:
-                query.cancel()
+        for server in self._servers.of_service(primary.service):
+            is_own = server.server == primary.server
+            if (server.role is connection.Role.REPLICA) is not is_own:
+                continue
+            checked = self._checked_registrations.get(server.server)
+            if checked == server.sequence:
+                continue
+            self._checked_registrations[server.server] = server.sequence
+            status = await self.probe.status(server)
+            if status is not None and _supersedes(status, term, is_own=is_own):
+                return True
         return False
 
     async def replace(
         self,
-        change: Change,
+        change: successor_choice.Change,
         *,
-        record: RecordPrimary,
+        save: SaveRecord,
         is_owner: typing.Callable[[], bool],
     ) -> candidates.Candidate | None:
         """Promote a server that has every acknowledged commit.
 
-        `record` stores the choice before the promotion is requested.
-        `is_owner` is checked right before the request, because the lease may
-        end during the queries. Returns None when no server was promoted.
+        `save` records the order before it goes out. `is_owner` is checked
+        right before that, because the lease may end during the queries.
+        Returns None when no server was promoted, or none is known to be.
         Raises `ChangePostponedError` if the change may be postponed and no
-        server has caught up, and `errors.PlatformError` if the platform
-        refuses the request.
+        server has caught up.
         """
-        evidence = await self._collect_evidence(change)
-        chosen = candidates.choose(
-            evidence, takes_work=self._servers.takes_work
-        )
-        if chosen is None:
-            self._log_no_choice(change, evidence)
+        choice = await self.choice.choose(change)
+        if choice is None:
             return None
-        _logger.info(
-            'service {}: promoting {} at position {} (epoch {}, acknowledged: '
-            '{}, servers without an answer: {})',
-            change.service,
-            chosen.server.server,
-            chosen.status.received,
-            change.epoch,
-            change.acknowledged,
-            evidence.unknown_count,
+        record = primary_record.PrimaryRecord(
+            server=choice.candidate.server.server,
+            term=choice.latest_term,
+            is_pending=True,
         )
-        await record(chosen.server.server)
-        if not is_owner():
+        outcome = _Outcome.NOT_ORDERED
+        if not await save(record):
+            _logger.warning(
+                'service {}: {} is not promoted: neither the store nor a '
+                'majority of the hosts has the record of it',
+                change.service,
+                record.server,
+            )
+        elif not is_owner():
             _logger.warning(
                 'service {}: {} is not promoted: the lease has ended',
                 change.service,
-                chosen.server.server,
+                record.server,
             )
+        else:
+            outcome = await self._order(change, record)
+        if outcome is _Outcome.NOT_ORDERED:
+            await save(change.record)
             return None
-        await self._promotions.promote(
-            service=change.service,
-            server=chosen.server.server,
-            epoch=change.epoch,
-        )
-        latest = max(candidate.status.term for candidate in evidence.found)
-        return await self._await_primary(chosen, latest)
-
-    async def _collect_evidence(self, change: Change) -> candidates.Evidence:
-        """Query the servers until one that takes work has caught up.
+        if outcome is _Outcome.UNKNOWN:
+            return None
+        return await self._await_leader(choice.candidate.server, record)
 
-        If none has within `MAX_CATCH_UP_SECONDS`, the latest answers count.
-        """
-        deadline = self._clock.now() + MAX_CATCH_UP_SECONDS
-        while True:
-            evidence = await self._query_once(change)
-            has_successor = any(
-                self._servers.takes_work(each.server)
-                for each in evidence.complete
+    async def _order(
+        self,
+        change: successor_choice.Change,
+        record: primary_record.PrimaryRecord,
+    ) -> _Outcome:
+        try:
+            await self._promotions.promote(
+                service=change.service,
+                server=record.server,
+                epoch=change.epoch,
             )
-            if has_successor or not self._may_improve(change, evidence):
-                return evidence
-            if self._clock.now() > deadline:
-                break
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        if change.may_postpone:
-            raise ChangePostponedError(
-                f'no server of {change.service} that takes work has caught up '
-                f'to {change.acknowledged}',
+        except PromotionRefusedError as error:
+            _logger.warning(
+                'service {}: the promotion of {} was refused: {}',
+                change.service,
+                record.server,
+                error,
             )
-        return evidence
-
-    def _may_improve(
-        self, change: Change, evidence: candidates.Evidence
-    ) -> bool:
-        """Return whether the same question may soon find a better server.
-
-        A replica catches up only while the former primary runs. A server
-        that gave no answer may have been slow.
-        """
-        if change.may_postpone:
-            return True
-        unanswered = len(self._others(change)) - len(evidence.found)
-        return not evidence.complete and unanswered > 0
-
-    async def _query_once(self, change: Change) -> candidates.Evidence:
-        others = self._others(change)
-        found = await self.probe.find_candidates(others)
-        members = {server.server for server in others}
-        if change.former is not None:
-            members.add(change.former.server)
-        if change.recorded:
-            members.add(change.recorded)
-        current = self._current_deployment().services.get(change.service)
-        return candidates.Evidence(
-            found=found,
-            unknown_count=len(members) - len(found),
-            acknowledged=change.acknowledged,
-            sync_replicas=current.sync_replicas if current else 0,
-        )
+            return _Outcome.NOT_ORDERED
+        except errors.PlatformError as error:
+            _logger.warning(
+                'service {}: the promotion of {} may take effect: {}',
+                change.service,
+                record.server,
+                error,
+            )
+            return _Outcome.UNKNOWN
+        return _Outcome.ORDERED
 
-    def _others(self, change: Change) -> list[connection.BackendServer]:
-        """Return the servers of the service, except the former primary."""
-        former = change.former.server if change.former else None
-        return [
-            server
-            for server in self._servers.of_service(change.service)
-            if server.server != former
-        ]
-
-    def _log_no_choice(
-        self, change: Change, evidence: candidates.Evidence
-    ) -> None:
-        _logger.warning(
-            'service {}: no server can be promoted (required: {}, synchronous '
-            'replicas: {}, servers without an answer: {}, found: {})',
-            change.service,
-            evidence.required,
-            evidence.sync_replicas,
-            evidence.unknown_count,
-            {each.server.server: each.status for each in evidence.found},
-        )
+    async def _await_ordered(
+        self,
+        service: deployment.ServiceName,
+        record: primary_record.PrimaryRecord,
+    ) -> candidates.Candidate | None:
+        """Wait for the outcome of a promotion that was ordered before."""
+        for server in self._servers.of_service(service):
+            if server.server == record.server:
+                _logger.info(
+                    'service {}: waiting for the promotion of {}',
+                    service,
+                    record.server,
+                )
+                return await self._await_leader(server, record)
+        return None
 
-    async def _await_primary(
+    async def _await_leader(
         self,
-        chosen: candidates.Candidate,
-        latest: identifiers.Term,
+        server: connection.BackendServer,
+        record: primary_record.PrimaryRecord,
     ) -> candidates.Candidate | None:
-        """Wait until the chosen server is primary of a later term.
+        """Wait until a server that was ordered to lead does so.
 
-        A server that was primary before may still report its old term.
+        It may still report an old term in which it was primary before.
         """
         deadline = self._clock.now() + MAX_PROMOTION_SECONDS
         while self._clock.now() < deadline:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-            status = await self.probe.status(chosen.server)
-            if status is None or status.role is not connection.Role.PRIMARY:
-                continue
-            if status.term > latest:
+            status = await self.probe.status(server)
+            if status is not None and record.accepts(server.server, status):
                 self._expected_seconds = self._clock.now() - self._started_at
-                return candidates.Candidate(server=chosen.server, status=status)
+                return candidates.Candidate(server=server, status=status)
         _logger.warning(
             'server {} did not become primary within {} s',
-            chosen.server.server,
+            server.server,
             MAX_PROMOTION_SECONDS,
         )
         return None
+
+
+def _is_accepted(
+    record: primary_record.PrimaryRecord, candidate: candidates.Candidate
+) -> bool:
+    return record.accepts(candidate.server.server, candidate.status)
+
+
+def _supersedes(
+    status: connection.ServerStatus, term: identifiers.Term, *, is_own: bool
+) -> bool:
+    is_primary = status.role is connection.Role.PRIMARY
+    if is_own:
+        return not is_primary
+    return is_primary and status.term > term
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -9,18 +9,25 @@
 
 import logbook
 
-from egretstep import clock, errors, identifiers
+from egretstep import clock, identifiers
 from egretstep.backends import answers, connection
 from egretstep.membership import claims, leases
 from egretstep.pooling import broker as broker_module
 from egretstep.pooling import brokers
 from egretstep.pooling import work as work_module
-from egretstep.replication import candidates, failover, primary_statements
+from egretstep.replication import (
+    candidates,
+    failover,
+    primary_record,
+    primary_statements,
+    successor_choice,
+)
 from egretstep.settings import deployment
 
 CHECK_INTERVAL_SECONDS = 0.1
 MAX_DRAIN_SECONDS = 1.5
 MAX_SILENCE_SECONDS = 0.4
+STOP_POLL_INTERVAL_SECONDS = 0.02
 POSTPONEMENT_SECONDS = 0.5
 _logger = logbook.Logger('primary')
 
@@ -51,6 +58,8 @@
             time_source=time_source,
         )
         self._is_redirecting = False
+        self._is_replacing = False
+        self._is_stopping = False
         self._postponed_until = 0.0
 
     @property
@@ -90,7 +99,7 @@
     async def run(self) -> None:
         """Find the primary and check it at an interval until cancelled."""
         while True:
-            if self.holds_lease:
+            if self.holds_lease and not self._is_stopping:
                 await self._check_primary()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
@@ -106,8 +115,17 @@
         return await self._statements.execute(work, link)
 
     async def stop(self, *, longest_wait: float) -> None:
-        """Wait for running work, then roll back; nothing runs afterwards."""
-        await self._statements.drain(longest_wait=longest_wait, may_read=False)
+        """Wait for running work, then roll back; nothing runs afterwards.
+
+        A promotion that was ordered is waited for too. If its outcome is not
+        known in time, the next owner finds it in the claim.
+        """
+        self._is_stopping = True
+        deadline = self._clock.now() + longest_wait
+        while self._is_replacing and self._clock.now() < deadline:
+            await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
+        remaining = max(0.0, deadline - self._clock.now())
+        await self._statements.drain(longest_wait=remaining, may_read=False)
         self._statements.end()
 
     def redirect_waiting(self) -> None:
@@ -154,8 +172,7 @@
     async def _find_primary(self) -> None:
         """Find the current primary and serve it, or promote another."""
         candidate = await self._failover.find_primary(
-            self._service,
-            self._recorded_primary(),
+            self._service, self._record
         )
         if candidate is None:
             await self._replace('no server is primary', is_planned=False)
@@ -164,23 +181,28 @@
             reason = 'it is to get no work any more'
             await self._replace(reason, is_planned=False)
             return
-        await self._record_primary(candidate.server.server)
         self._start_serving(candidate)
 
-    def _recorded_primary(self) -> connection.ServerId:
+    @property
+    def _record(self) -> primary_record.PrimaryRecord:
+        """Return what is recorded of the primary, by this or the last owner."""
         claim = self._keeper.known[self._claim.task]
-        return connection.ServerId(claim.detail)
+        return primary_record.decode(claim.detail)
 
-    async def _record_primary(self, server: connection.ServerId) -> None:
-        if server != self._recorded_primary():
-            await self._keeper.record(self._claim, server)
+    async def _save_record(self, record: primary_record.PrimaryRecord) -> bool:
+        if record == self._record:
+            return True
+        return await self._keeper.record(self._claim, record.encode())
 
     def _start_serving(self, candidate: candidates.Candidate) -> None:
+        record = primary_record.PrimaryRecord(
+            server=candidate.server.server, term=candidate.status.term
+        )
+        # The pending record leads the next owner to this server as well.
+        asyncio.ensure_future(self._save_record(record))
         # One that must get no work leads only until others have its log.
         is_open = not self._failover.is_drain_overdue(candidate.server)
-        self._statements.start(
-            candidate.server, candidate.status.received, is_open=is_open
-        )
+        self._statements.start(candidate, is_open=is_open)
         _logger.info(
             'service {}: serving primary {} at position {} (epoch {}, takes '
             'statements: {})',
@@ -192,6 +214,13 @@
         )
 
     async def _replace(self, reason: str, *, is_planned: bool) -> None:
+        self._is_replacing = True
+        try:
+            await self._change_primary(reason, is_planned=is_planned)
+        finally:
+            self._is_replacing = False
+
+    async def _change_primary(self, reason: str, *, is_planned: bool) -> None:
         former = self.primary
         started = self._clock.now()
         change = self._describe_change(former, is_planned=is_planned)
@@ -201,7 +230,7 @@
             former.server if former else 'nobody',
             reason,
         )
-        if not await self._failover.has_successor(change):
+        if not await self._failover.choice.has_successor(change):
             self._postpone('no server that takes work has caught up')
             return
         self._failover.start_timer()
@@ -214,8 +243,12 @@
         else:
             self._statements.end()
         try:
-            candidate = await self._promote_successor(former, is_planned)
-        except failover.ChangePostponedError as error:
+            candidate = await self._failover.replace(
+                self._describe_change(former, is_planned=is_planned),
+                save=self._save_record,
+                is_owner=lambda: self.holds_lease,
+            )
+        except successor_choice.ChangePostponedError as error:
             self._postpone(str(error))
             return
         self._statements.end()
@@ -243,35 +276,18 @@
         former: connection.BackendServer | None,
         *,
         is_planned: bool,
-    ) -> failover.Change:
+    ) -> successor_choice.Change:
         can_go_on = (
             former is not None
             and is_planned
             and self._failover.registered(former) is not None
             and not self._failover.is_drain_overdue(former)
         )
-        return failover.Change(
+        return successor_choice.Change(
             service=self._service,
             former=former,
-            recorded=self._recorded_primary(),
+            record=self._record,
             epoch=self.epoch,
             acknowledged=self._statements.acknowledged,
             may_postpone=can_go_on,
         )
-
-    async def _promote_successor(
-        self,
-        former: connection.BackendServer | None,
-        is_planned: bool,
-    ) -> candidates.Candidate | None:
-        try:
-            return await self._failover.replace(
-                self._describe_change(former, is_planned=is_planned),
-                record=self._record_primary,
-                is_owner=lambda: self.holds_lease,
-            )
-        except errors.PlatformError as error:
-            _logger.warning(
-                'service {}: promotion failed: {}', self._service, error
-            )
-            return None
--- /dev/null
+++ b/src/egretstep/replication/primary_record.py
@@ -0,0 +1,74 @@
+"""What an owner leaves to the next one about the primary of its service.
+
+It is the detail of the owner's claim. An ordered promotion is recorded before
+the order goes out, since it may take effect at any time after that, also when
+its answer is lost or its owner has stopped.
+"""
+
+import dataclasses
+
+import logbook
+import orjson
+
+from egretstep import errors, identifiers, json_fields
+from egretstep.backends import connection
+
+NO_SERVER = connection.ServerId('')
+_logger = logbook.Logger('primary')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PrimaryRecord:
+    """The primary of a service, or the server that is to become it.
+
+    `server` is empty if nothing was recorded. It leads `term`; or, if
+    `is_pending` is set, its promotion was ordered when `term` was the latest
+    one, and no other server may be used until its outcome is known.
+
+    >>> record = PrimaryRecord(server=connection.ServerId('i-1'))
+    >>> decode(record.encode()) == record
+    True
+    """
+
+    server: connection.ServerId = NO_SERVER
+    term: identifiers.Term = identifiers.NO_TERM
+    is_pending: bool = False
+
+    def encode(self) -> str:
+        """Return the record as the detail of a claim."""
+        return orjson.dumps(dataclasses.asdict(self)).decode()
+
+    def accepts(
+        self, server: connection.ServerId, status: connection.ServerStatus
+    ) -> bool:
+        """Return whether a server that reports a status may be used.
+
+        It must lead a later term than the recorded primary, or be that one.
+        """
+        if status.role is not connection.Role.PRIMARY:
+            return False
+        if self.is_pending:
+            return server == self.server and status.term > self.term
+        if server == self.server:
+            return status.term >= self.term
+        return status.term > self.term
+
+
+def decode(detail: str) -> PrimaryRecord:
+    """Return the record in the detail of a claim.
+
+    A detail that is not in this format is the name of a server, as earlier
+    versions wrote it.
+    """
+    if not detail.startswith('{'):
+        return PrimaryRecord(server=connection.ServerId(detail))
+    try:
+        fields = json_fields.JsonFields.decode(detail.encode())
+        return PrimaryRecord(
+            server=connection.ServerId(fields.text('server')),
+            term=identifiers.Term(fields.integer('term')),
+            is_pending=fields.flag('is_pending'),
+        )
+    except errors.MalformedFieldError as error:
+        _logger.warning('malformed record of a primary is ignored: {}', error)
+        return PrimaryRecord()
--- a/src/egretstep/replication/primary_statements.py
+++ b/src/egretstep/replication/primary_statements.py
@@ -15,6 +15,7 @@
 from egretstep.backends import answers, commands, connection
 from egretstep.pooling import brokers, failure_answers, gate
 from egretstep.pooling import work as work_module
+from egretstep.replication import candidates
 from egretstep.replication import tenure as tenure_module
 
 LEASE_POLL_INTERVAL_SECONDS = 0.02
@@ -71,6 +72,16 @@
         """Return the server that is used as primary, None without one."""
         return self._tenure.server if self._tenure else None
 
+    @property
+    def was_refused(self) -> bool:
+        """Return whether the primary said that it is not the primary."""
+        return self._tenure is not None and self._tenure.was_refused
+
+    @property
+    def term(self) -> identifiers.Term:
+        """Return the term that the primary leads."""
+        return self._tenure.term if self._tenure else identifiers.NO_TERM
+
     @property
     def acknowledged(self) -> identifiers.LogPosition | None:
         """Return a position that covers every acknowledged commit."""
@@ -78,17 +89,15 @@
 
     def start(
         self,
-        server: connection.BackendServer,
-        position: identifiers.LogPosition,
+        candidate: candidates.Candidate,
         *,
         is_open: bool,
     ) -> None:
-        """Use a server, which has received the log up to a position.
-
-        Unless `is_open` is set, statements go on waiting.
-        """
-        self._tenure = tenure_module.Tenure(server=server)
-        self._acknowledged = position
+        """Use a server that leads; unless `is_open`, statements still wait."""
+        self._tenure = tenure_module.Tenure(
+            server=candidate.server, term=candidate.status.term
+        )
+        self._acknowledged = candidate.status.received
         self._reads_while_changing = False
         if is_open:
             self._is_changing = False
@@ -223,6 +232,8 @@
         limited_work = dataclasses.replace(work, timeout=remaining_seconds)
         broker = self._brokers.get(tenure.server)
         answer = await broker.execute(limited_work, link)
+        if answer.code is answers.Code.NOT_PRIMARY:
+            tenure.was_refused = True
         if not answer.was_sent:
             return answer
         return await self._check_sent(work, answer, tenure, deadline)
--- /dev/null
+++ b/src/egretstep/replication/successor_choice.py
@@ -0,0 +1,205 @@
+"""The search for a server that can become the next primary of a service."""
+
+import asyncio
+import dataclasses
+import typing
+
+import logbook
+
+from egretstep import clock, errors, identifiers
+from egretstep.backends import connection
+from egretstep.membership import registry
+from egretstep.replication import candidates, primary_record, server_probe
+from egretstep.settings import deployment
+
+MAX_CATCH_UP_SECONDS = 0.5
+POLL_INTERVAL_SECONDS = 0.05
+_logger = logbook.Logger('succession')
+
+
+class ChangePostponedError(errors.EgretstepError):
+    """No server has caught up, and the former primary can go on meanwhile."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Change:
+    """A change of the primary of a service.
+
+    `former` is the primary to replace; it is not a candidate. `epoch` is that
+    of the owner's lease. `record` is what is recorded of the primary; a server
+    whose promotion was ordered already is chosen again, since it may still
+    take effect. `acknowledged` covers every acknowledged commit, and
+    is None if no such position is known. `may_postpone` tells whether the
+    former primary can go on until another server has caught up.
+    """
+
+    service: deployment.ServiceName
+    former: connection.BackendServer | None
+    record: primary_record.PrimaryRecord
+    epoch: int
+    acknowledged: identifiers.LogPosition | None
+    may_postpone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """The server to promote, and the latest term that any server reported."""
+
+    candidate: candidates.Candidate
+    latest_term: identifiers.Term
+
+
+class SuccessorChoice:
+    """Asks the servers of a service which of them may lead it."""
+
+    def __init__(
+        self,
+        *,
+        servers: registry.ServerRegistry,
+        probe: server_probe.ServerProbe,
+        current_deployment: typing.Callable[[], deployment.Deployment],
+        time_source: clock.Clock,
+    ) -> None:
+        self._servers = servers
+        self._probe = probe
+        self._current_deployment = current_deployment
+        self._clock = time_source
+
+    async def has_successor(self, change: Change) -> bool:
+        """Return whether a server that takes work has caught up.
+
+        True at once if the change may not be postponed.
+        """
+        if not change.may_postpone or change.acknowledged is None:
+            return True
+        asked = [
+            asyncio.ensure_future(self._probe.status(server))
+            for server in self._others(change)
+            if self._servers.takes_work(server)
+        ]
+        try:
+            for each in asyncio.as_completed(asked):
+                status = await each
+                if status and status.received >= change.acknowledged:
+                    return True
+        finally:
+            for query in asked:
+                query.cancel()
+        return False
+
+    async def choose(self, change: Change) -> Choice | None:
+        """Return the server to promote, None if none may be promoted.
+
+        Raises `ChangePostponedError` if the change may be postponed and no
+        server has caught up.
+        """
+        evidence = await self._collect_evidence(change)
+        chosen = self._find_ordered(change, evidence) or candidates.choose(
+            evidence, takes_work=self._servers.takes_work
+        )
+        if chosen is None:
+            self._log_no_choice(change, evidence)
+            return None
+        _logger.info(
+            'service {}: promoting {} at position {} (epoch {}, acknowledged: '
+            '{}, servers without an answer: {})',
+            change.service,
+            chosen.server.server,
+            chosen.status.received,
+            change.epoch,
+            change.acknowledged,
+            evidence.unknown_count,
+        )
+        terms = [each.status.term for each in evidence.found]
+        latest = max(*terms, change.record.term)
+        return Choice(candidate=chosen, latest_term=latest)
+
+    def _find_ordered(
+        self, change: Change, evidence: candidates.Evidence
+    ) -> candidates.Candidate | None:
+        """Return the server whose promotion is pending, if it answers.
+
+        It had every acknowledged commit when its promotion was ordered, and
+        nothing has been acknowledged since.
+        """
+        if not change.record.is_pending:
+            return None
+        for each in evidence.found:
+            if each.server.server == change.record.server:
+                return each
+        return None
+
+    async def _collect_evidence(self, change: Change) -> candidates.Evidence:
+        """Query the servers until one that takes work has caught up.
+
+        If none has within `MAX_CATCH_UP_SECONDS`, the latest answers count.
+        """
+        deadline = self._clock.now() + MAX_CATCH_UP_SECONDS
+        while True:
+            evidence = await self._query_once(change)
+            has_successor = any(
+                self._servers.takes_work(each.server)
+                for each in evidence.complete
+            )
+            if has_successor or not self._may_improve(change, evidence):
+                return evidence
+            if self._clock.now() > deadline:
+                break
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        if change.may_postpone:
+            raise ChangePostponedError(
+                f'no server of {change.service} that takes work has caught up '
+                f'to {change.acknowledged}',
+            )
+        return evidence
+
+    def _may_improve(
+        self, change: Change, evidence: candidates.Evidence
+    ) -> bool:
+        """Return whether the same question may soon find a better server.
+
+        A replica catches up only while the former primary runs. A server
+        that gave no answer may have been slow.
+        """
+        if change.may_postpone:
+            return True
+        unanswered = len(self._others(change)) - len(evidence.found)
+        return not evidence.complete and unanswered > 0
+
+    async def _query_once(self, change: Change) -> candidates.Evidence:
+        others = self._others(change)
+        found = await self._probe.find_candidates(others)
+        members = {server.server for server in others}
+        if change.former is not None:
+            members.add(change.former.server)
+        if change.record.server:
+            members.add(change.record.server)
+        current = self._current_deployment().services.get(change.service)
+        return candidates.Evidence(
+            found=found,
+            unknown_count=len(members) - len(found),
+            acknowledged=change.acknowledged,
+            sync_replicas=current.sync_replicas if current else 0,
+        )
+
+    def _others(self, change: Change) -> list[connection.BackendServer]:
+        """Return the servers of the service, except the former primary."""
+        former = change.former.server if change.former else None
+        return [
+            server
+            for server in self._servers.of_service(change.service)
+            if server.server != former
+        ]
+
+    def _log_no_choice(
+        self, change: Change, evidence: candidates.Evidence
+    ) -> None:
+        _logger.warning(
+            'service {}: no server can be promoted (required: {}, synchronous '
+            'replicas: {}, servers without an answer: {}, found: {})',
+            change.service,
+            evidence.required,
+            evidence.sync_replicas,
+            evidence.unknown_count,
+            {each.server.server: each.status for each in evidence.found},
+        )
--- a/src/egretstep/replication/tenure.py
+++ b/src/egretstep/replication/tenure.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from egretstep import identifiers
 from egretstep.backends import connection
 from egretstep.pooling import work as work_module
 
@@ -22,14 +23,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Tenure:
-    """A server that this owner uses as the primary, and its phase.
+    """A server that this owner uses as the primary in a term, and its phase.
 
+    `was_refused` is set once the server answers that it is not the primary.
     Statements keep the tenure in which they began, so that their answers are
     judged by what has become of it meanwhile.
     """
 
     server: connection.BackendServer
+    term: identifiers.Term
     phase: Phase = Phase.SERVING
+    was_refused: bool = False
 
     def permits(self, work: work_module.Work) -> bool:
         """Return whether the answer to a statement may be used."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -27,7 +27,9 @@
     next `lost_writes` transactions take effect and are answered 2 seconds
     late. `loses_polls` leaves polls of the change feed that arrive without an
     answer for good. `forgets` answers polls of the change feed with 410, as if the
-    requested changes were no longer kept.
+    requested changes were no longer kept. `promotion_answer_delay` delays the
+    answers to promotion requests by some seconds; what they ask for begins at
+    once.
     """
 
     is_silent: bool = False
@@ -36,6 +38,7 @@
     lost_writes: int = 0
     loses_polls: bool = False
     forgets: bool = False
+    promotion_answer_delay: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -261,6 +264,7 @@
         )
         group = self._groups[body['service']]
         accepted = await group.promote(body['id'])
+        await asyncio.sleep(self.faults.promotion_answer_delay)
         return web.Response(status=200 if accepted else 409)
 
     def _describe_row(self, key: RowKey) -> dict[str, typing.Any]:
--- a/tests/platform/test_change_of_primary.py
+++ b/tests/platform/test_change_of_primary.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import signal
 import typing
 import unittest
 
@@ -85,6 +86,40 @@
     return sorted(lost)
 
 
+def late_commits(
+    group: platform_servers.Group, writers: Writers
+) -> typing.Sequence[str]:
+    """Return the acknowledged writes that a former primary committed late."""
+    return [
+        f'{entry.statement_id} at {server}, {entry.position}'
+        for server, entry in group.commits
+        if entry.statement_id in writers.acknowledged
+        and any(
+            takeover.term > entry.position[0]
+            and takeover.at < entry.committed_at
+            for takeover in group.takeovers
+        )
+    ]
+
+
+Trouble = typing.Callable[
+    [platform_fleet.PlatformFleet, platform_servers.Server], None
+]
+
+
+def _drain(
+    fleet: platform_fleet.PlatformFleet, server: platform_servers.Server
+) -> None:
+    server.state = 'draining'
+    fleet.store.register_all()
+
+
+def _silence(
+    _fleet: platform_fleet.PlatformFleet, server: platform_servers.Server
+) -> None:
+    server.faults.is_silent = True
+
+
 class ChangeOfPrimaryTest(unittest.IsolatedAsyncioTestCase):
     async def test_no_replica_that_lacks_acknowledged_commits_is_promoted(
         self,
@@ -107,3 +142,71 @@
             await writers.stop()
             self.assertTrue(fleet.group.takeovers)
             self.assertEqual(lost_commits(fleet.group, writers), [])
+
+    async def test_a_promotion_that_takes_effect_late_is_waited_for(
+        self,
+    ) -> None:
+        """Guards against serving the former primary after a time limit."""
+        async with platform_fleet.PlatformFleet(first_port=23630) as fleet:
+            fleet.group.promotion_delay = 4.0
+            await self._change_primary(fleet, _silence)
+
+    async def test_a_promotion_whose_call_gets_no_answer_is_waited_for(
+        self,
+    ) -> None:
+        """Guards against serving the former primary after a lost answer."""
+        async with platform_fleet.PlatformFleet(first_port=23660) as fleet:
+            fleet.group.promotion_delay = 1.5
+            fleet.store.faults.promotion_answer_delay = 9.0
+            await self._change_primary(fleet, _silence)
+
+    async def test_a_planned_change_whose_call_gets_no_answer(self) -> None:
+        """Guards against serving the former primary after a lost answer."""
+        async with platform_fleet.PlatformFleet(first_port=23690) as fleet:
+            fleet.group.promotion_delay = 1.05
+            fleet.store.faults.promotion_answer_delay = 9.0
+            await self._change_primary(fleet, _drain)
+
+    async def test_an_owner_that_stops_hands_a_pending_promotion_over(
+        self,
+    ) -> None:
+        """Guards against a successor that serves the former primary."""
+        async with platform_fleet.PlatformFleet(first_port=23720) as fleet:
+            fleet.group.promotion_delay = 1.0
+            await self._change_primary(fleet, _drain, ends=signal.SIGTERM)
+
+    async def test_a_killed_owner_leaves_a_pending_promotion(self) -> None:
+        """Guards against a next owner that serves the former primary."""
+        async with platform_fleet.PlatformFleet(first_port=23750) as fleet:
+            fleet.group.promotion_delay = 4.0
+            await self._change_primary(fleet, _silence, ends=signal.SIGKILL)
+
+    async def _change_primary(
+        self,
+        fleet: platform_fleet.PlatformFleet,
+        trouble: Trouble,
+        *,
+        ends: signal.Signals | None = None,
+    ) -> None:
+        """Replace the primary, and compare what was told with the logs.
+
+        If `ends` is given, the owner gets this signal once it has requested
+        the promotion.
+        """
+        fleet.group.former_primary_seconds = 1.0
+        writers = Writers(fleet)
+        writers.start()
+        await asyncio.sleep(0.5)
+        former = fleet.group.primary
+        trouble(fleet, former)
+        while not fleet.store.promotion_requests:
+            await asyncio.sleep(0.01)
+        former.faults.is_silent = False
+        if ends is not None:
+            await fleet.stop_host(fleet.owner(), ends)
+        await asyncio.sleep(fleet.group.promotion_delay + 3)
+        await writers.stop()
+        self.assertIsNot(fleet.group.primary, former)
+        self.assertEqual(late_commits(fleet.group, writers), [])
+        last_acknowledged = max(writers.acknowledged.values())
+        self.assertGreater(last_acknowledged, fleet.group.takeovers[-1].at)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -128,6 +128,10 @@
             self.is_usable = False
             raise connection.ConnectionBrokenError('reset by the server')
         await asyncio.sleep(self._server.work_seconds)
+        if self._server.refuses_statements_with is not None:
+            return answers.Answer(
+                code=self._server.refuses_statements_with, was_sent=True
+            )
         state = self._server.states.get(
             command.text,
             answers.TransactionState.OUTSIDE,
@@ -185,7 +189,8 @@
 class FakeServer:
     """A backend server: how it answers, and what it has received.
 
-    `refuses_with` is the code with which it refuses connections, if any.
+    `refuses_with` is the code with which it refuses connections, if any, and
+    `refuses_statements_with` that with which it refuses statements.
     `dead_connections`, which count towards `connection_limit`, are lost
     connections that the server has not closed yet. A statement whose text is
     `breaks_connection_on` breaks its connection, any other one takes
@@ -201,6 +206,7 @@
     term: int = 1
     position: identifiers.LogPosition = identifiers.LogPosition(1, 5)
     refuses_with: answers.Code | None = None
+    refuses_statements_with: answers.Code | None = None
     connection_limit: int | None = None
     dead_connections: int = 0
     is_down: bool = False
--- a/tests/replication/owner_case.py
+++ b/tests/replication/owner_case.py
@@ -49,19 +49,32 @@
 
 
 class Promotions:
-    """Promotes a server after a delay, unless `is_unreachable` is set."""
+    """Promotes a server after `delay` seconds.
+
+    Unless `is_unreachable` is set, or `is_refused`. If `loses_answers` is set,
+    the promotion takes effect, but the owner is not told so.
+    """
 
     def __init__(self, promoted: platform_fakes.FakeServer) -> None:
         self._promoted = promoted
+        self.delay = PROMOTION_DELAY_SECONDS
         self.is_unreachable = False
+        self.is_refused = False
+        self.loses_answers = False
+        self.request_count = 0
 
     async def promote(self, **_order: typing.Any) -> None:
+        self.request_count += 1
+        if self.is_refused:
+            raise failover.PromotionRefusedError('too many calls')
         if self.is_unreachable:
             raise errors.PlatformError('the platform is unreachable')
         asyncio.get_running_loop().call_later(
-            PROMOTION_DELAY_SECONDS,
+            self.delay,
             self._complete,
         )
+        if self.loses_answers:
+            raise errors.PlatformError('no answer')
 
     def _complete(self) -> None:
         self._promoted.role = connection.Role.PRIMARY
@@ -94,26 +107,41 @@
             time_source=self.clock,
             first_era=self.store.era,
         )
-        self.renewal = lease_renewal.LeaseRenewal(
+        renewal = lease_renewal.LeaseRenewal(
             keeper=self.keeper,
             store=self.store,
             confirmers=platform_fakes.NoOtherHosts(),
             time_source=self.clock,
         )
-        opener = platform_fakes.FakeOpener(self.first, self.second)
+        self.opener = platform_fakes.FakeOpener(self.first, self.second)
         claim = await self.keeper.claim(TASK)
-        self.owner = primary.PrimaryOwner(
+        self.owner = self.make_owner(typing.cast(claims.Claim, claim))
+        self.running = [
+            asyncio.ensure_future(self.owner.run()),
+            asyncio.ensure_future(renewal.run()),
+        ]
+        self.assertTrue((await self.owner.execute(WRITE, LINK)).is_ok)
+
+    async def asyncTearDown(self) -> None:
+        for task in self.running:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    def make_owner(self, claim: claims.Claim) -> primary.PrimaryOwner:
+        """Return an owner that holds a claim."""
+        return primary.PrimaryOwner(
             service=platform_fakes.SERVICE,
-            claim=typing.cast(claims.Claim, claim),
+            claim=claim,
             keeper=self.keeper,
             broker_table=brokers.BrokerTable(
-                opener=opener,
+                opener=self.opener,
                 current_deployment=lambda: deployment.EMPTY,
                 time_source=self.clock,
             ),
             failover_coordinator=failover.FailoverCoordinator(
                 servers=self.servers,
-                opener=opener,
+                opener=self.opener,
                 promotions=self.promotions,
                 current_deployment=lambda: deployment.EMPTY,
                 drain_seconds=DRAIN_SECONDS,
@@ -121,17 +149,6 @@
             ),
             time_source=self.clock,
         )
-        self.running = [
-            asyncio.ensure_future(self.owner.run()),
-            asyncio.ensure_future(self.renewal.run()),
-        ]
-        self.assertTrue((await self.owner.execute(WRITE, LINK)).is_ok)
-
-    async def asyncTearDown(self) -> None:
-        for task in self.running:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
 
     async def drain_primary(self) -> None:
         """Let the primary take no new work, and the owner notice it."""
--- a/tests/replication/registered_servers.py
+++ b/tests/replication/registered_servers.py
@@ -21,7 +21,7 @@
 
     @draining.setter
     def draining(self, name: str) -> None:
-        self._draining_since = {name: self._clock.now()}
+        self._draining_since = {name: self._clock.now()} if name else {}
 
     def no_work_since(self, server: connection.BackendServer) -> float | None:
         """Return since when a server leaves, None if it does not."""
--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -6,7 +6,12 @@
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, connection
-from egretstep.replication import candidates, failover
+from egretstep.replication import (
+    candidates,
+    failover,
+    primary_record,
+    successor_choice,
+)
 from egretstep.settings import deployment
 from tests import platform_fakes, virtual_time
 from tests.replication import registered_servers
@@ -45,6 +50,7 @@
         self.deployment = deployment.EMPTY
         self.recorded: list[str] = []
         self.is_owner = True
+        self.is_saved = True
         self.servers = registered_servers.RegisteredServers(
             self.first, self.second, self.third
         )
@@ -128,7 +134,10 @@
         self._require_sync_replica()
         self.second.is_down = True
         replaced = await self._replace(
-            former=None, recorded=connection.ServerId('gone')
+            former=None,
+            record=primary_record.PrimaryRecord(
+                server=connection.ServerId('gone')
+            ),
         )
         self.assertIsNone(replaced)
 
@@ -147,7 +156,7 @@
             'acknowledged': identifiers.LogPosition(1, 9),
             'may_postpone': True,
         }
-        with self.assertRaises(failover.ChangePostponedError):
+        with self.assertRaises(successor_choice.ChangePostponedError):
             await self._replace(**change)
         self.assertEqual(self.promotions.requests, [])
         self.third.position = identifiers.LogPosition(1, 9)
@@ -204,23 +213,25 @@
     async def _replace(
         self, **changed: typing.Any
     ) -> candidates.Candidate | None:
-        change = failover.Change(
+        change = successor_choice.Change(
             service=platform_fakes.SERVICE,
             former=self.first.backend(),
-            recorded=connection.ServerId('first'),
+            record=primary_record.PrimaryRecord(
+                server=connection.ServerId('first')
+            ),
             epoch=4,
             acknowledged=None,
         )
         return await self.failover.replace(
             dataclasses.replace(change, **changed),
-            record=self._record,
+            save=self._save,
             is_owner=lambda: self.is_owner,
         )
 
     async def _find(self, recorded: str) -> candidates.Candidate | None:
         return await self.failover.find_primary(
             platform_fakes.SERVICE,
-            connection.ServerId(recorded),
+            primary_record.PrimaryRecord(server=connection.ServerId(recorded)),
         )
 
     def _require_sync_replica(self) -> None:
@@ -234,5 +245,6 @@
     def _bring_back(self, server: platform_fakes.FakeServer) -> None:
         server.is_down = False
 
-    async def _record(self, server: connection.ServerId) -> None:
-        self.recorded.append(server)
+    async def _save(self, record: primary_record.PrimaryRecord) -> bool:
+        self.recorded.append(record.server)
+        return self.is_saved
