An owner leaves a primary that another server has superseded

What callers saw: after a promotion that the owner knew nothing of, writes acknowledged for up to a second and rolled back, then `not-primary` for good.

Cause: nothing looked at the role of a primary that answers.

Change: a refusal as a replica, or a registration of another primary that its status confirms, ends the tenure of the primary.

Evidence: two of the three tests of SupersededPrimaryTest failed without the call in _check_primary.

--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -144,11 +144,34 @@
         if reason is not None and self._clock.now() >= self._postponed_until:
             await self._replace(reason, is_planned=True)
             return
+        if await self._is_superseded(current or primary):
+            await self._statements.drain(longest_wait=0, may_read=False)
+            self._statements.end()
+            return
         broker = self._brokers.get(current or primary)
         is_silent = broker.activity.silent_seconds > MAX_SILENCE_SECONDS
         if broker.activity.failures or is_silent:
             await self._diagnose_failures(broker)
 
+    async def _is_superseded(self, primary: connection.BackendServer) -> bool:
+        """Return whether the primary leads no longer, for whatever reason.
+
+        The primary is then looked for anew, before it takes more writes.
+        """
+        term = self._statements.term
+        is_superseded = await self._failover.is_superseded(primary, term)
+        if not is_superseded and not self._statements.was_refused:
+            return False
+        _logger.warning(
+            'service {}: {} does not lead after term {} any more (refused a '
+            'statement: {})',
+            self._service,
+            primary.server,
+            term,
+            self._statements.was_refused,
+        )
+        return True
+
     async def _diagnose_failures(self, broker: broker_module.Broker) -> None:
         """Replace the primary if it is down or demoted, not if it is slow."""
         started = self._clock.now()
--- a/tests/replication/test_pending_promotion.py
+++ b/tests/replication/test_pending_promotion.py
@@ -3,8 +3,8 @@
 import asyncio
 import dataclasses
 
-from egretstep.backends import answers
-from egretstep.replication import failover, primary_record
+from egretstep.backends import answers, connection
+from egretstep.replication import failover, primary, primary_record
 from tests.replication import owner_case
 
 LATE_SECONDS = failover.MAX_PROMOTION_SECONDS + 1
@@ -82,3 +82,34 @@
     async def _write(self, timeout: float = 1.5) -> answers.Answer:
         work = dataclasses.replace(owner_case.WRITE, timeout=timeout)
         return await self.owner.execute(work, owner_case.LINK)
+
+
+class SupersededPrimaryTest(owner_case.OwnerCase):
+    async def test_a_primary_that_refuses_writes_is_left(self) -> None:
+        """A promotion took effect that this owner knows nothing of."""
+        self.first.refuses_statements_with = answers.Code.NOT_PRIMARY
+        self._lead_second()
+        await self.owner.execute(owner_case.WRITE, owner_case.LINK)
+        await asyncio.sleep(primary.CHECK_INTERVAL_SECONDS * 3)
+        self.assertEqual(self.owner.primary.server, self._second_id())
+
+    async def test_a_primary_beside_a_later_one_is_left(self) -> None:
+        """It still answers, also writes, for a while."""
+        self._lead_second()
+        await asyncio.sleep(primary.CHECK_INTERVAL_SECONDS * 3)
+        self.assertEqual(self.owner.primary.server, self._second_id())
+        self.assertEqual(self.promotions.request_count, 0)
+
+    async def test_a_former_primary_of_an_old_term_changes_nothing(
+        self,
+    ) -> None:
+        self.second.role = connection.Role.PRIMARY
+        await asyncio.sleep(primary.CHECK_INTERVAL_SECONDS * 3)
+        self.assertEqual(self.owner.primary.server, 'first')
+
+    def _lead_second(self) -> None:
+        self.second.role = connection.Role.PRIMARY
+        self.second.term = self.first.term + 1
+
+    def _second_id(self) -> connection.ServerId:
+        return self.second.backend().server
