Close the connections to the store at a planned stop

What was seen: "Event loop is closed" after the last line of a host's log.

Cause: the two idle connections to the store were left to the end of the process. They carry nothing by then.

Change: the program closes its client of the store.

Evidence: two tracebacks in each of three hosts before, none after; test_no_connection_outlives_a_planned_stop failed on the commit before.

--- a/src/egretstep/platform/store.py
+++ b/src/egretstep/platform/store.py
@@ -171,6 +171,11 @@
             self._check_history(table, after)
             raise
 
+    def close(self) -> None:
+        """Close all connections."""
+        for client in (self._client, *self._poll_clients.values()):
+            client.close()
+
     def _poll_client(self, table: str) -> http.HttpClient:
         client = self._poll_clients.get(table)
         if client is None:
--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -52,6 +52,15 @@
 
 async def _serve(settings: node.NodeSettings) -> None:
     platform_store = store.PlatformStore(address=settings.store)
+    try:
+        await _run_node(settings, platform_store)
+    finally:
+        platform_store.close()
+
+
+async def _run_node(
+    settings: node.NodeSettings, platform_store: store.PlatformStore
+) -> None:
     registration = host_rows.Registration(store=platform_store)
     pending = await _start_registration(settings, registration)
     own = pending.own
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -156,6 +156,16 @@
             self.assertLess(gap, 1.5)
             await stopping
 
+    async def test_no_connection_outlives_a_planned_stop(self) -> None:
+        """Guards against connections that are open when the loop ends."""
+        async with platform_fleet.PlatformFleet(first_port=23530) as fleet:
+            caller = await platform_caller.Caller.connect(fleet.port(0))
+            await caller.run('WRITE frame 1')
+            await fleet.stop_host(0)
+            log = fleet.read_log(0)
+            self.assertIn('host host-0 has stopped', log)
+            self.assertNotIn('Event loop is closed', log)
+
     async def test_a_planned_stop_waits_for_the_store(self) -> None:
         """While the store doesn't answer, no successor can be recorded.
 
