The answers of enough replicas prove a candidate complete

What callers saw: nothing yet; found by reading. With synchronous replicas, a primary that crashed with a commit on its way left the service without one.

Cause: the acknowledged position is the end of the log that the primary reported, and may include commits that no replica has received. No candidate reached it.

Change: once no more servers are unknown than there are synchronous replicas, the latest position among those found is enough.

test_a_commit_that_no_replica_has_was_not_acknowledged failed without it.

--- a/src/egretstep/replication/candidates.py
+++ b/src/egretstep/replication/candidates.py
@@ -31,27 +31,33 @@
     the number of other servers of the service, the former primary included.
     `acknowledged` is a position that covers every acknowledged commit, None
     if this host knows none. `sync_replicas` is the number of replicas that
-    have received a commit before it is acknowledged.
+    have received a commit before it is acknowledged. `can_catch_up` tells
+    whether the former primary still runs, so that servers receive more.
     """
 
     found: typing.Sequence[Candidate]
     unknown_count: int
     acknowledged: identifiers.LogPosition | None
     sync_replicas: int
+    can_catch_up: bool = False
 
     @property
     def required(self) -> identifiers.LogPosition | None:
         """Return the position that a server must have received.
 
         A server that has received it lacks no acknowledged commit. Returns
-        None if the position is not known: more servers are unknown than
-        there may be without one that holds the latest commit.
+        None if the position is not known.
+
+        The acknowledged position may be too far: a server reports the end of
+        its log, which other commits have reached that nobody has received
+        yet.
         """
-        if self.acknowledged is not None:
+        received = self._received_by_enough()
+        if received is None or self.can_catch_up:
             return self.acknowledged
-        if self.found and self.unknown_count <= self.sync_replicas:
-            return max(each.status.received for each in self.found)
-        return None
+        if self.acknowledged is None:
+            return received
+        return min(received, self.acknowledged)
 
     @property
     def complete(self) -> list[Candidate]:
@@ -61,6 +67,16 @@
             return []
         return [each for each in self.found if each.status.received >= required]
 
+    def _received_by_enough(self) -> identifiers.LogPosition | None:
+        """Return the latest position of the servers that answered.
+
+        None if more servers are unknown than there are synchronous replicas:
+        then the latest acknowledged commit may be on none of those found.
+        """
+        if not self.found or self.unknown_count > self.sync_replicas:
+            return None
+        return max(each.status.received for each in self.found)
+
 
 def choose(
     evidence: Evidence,
--- a/src/egretstep/replication/successor_choice.py
+++ b/src/egretstep/replication/successor_choice.py
@@ -180,6 +180,7 @@
             unknown_count=len(members) - len(found),
             acknowledged=change.acknowledged,
             sync_replicas=current.sync_replicas if current else 0,
+            can_catch_up=change.may_postpone,
         )
 
     def _others(self, change: Change) -> list[connection.BackendServer]:
--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -116,6 +116,7 @@
         self,
     ) -> None:
         self._require_sync_replica()
+        self.second.is_down = True
         replaced = await self._replace(
             acknowledged=identifiers.LogPosition(1, 6)
         )
@@ -128,6 +129,14 @@
         await self._replace()
         self.assertEqual(self.promotions.requests, [('third', 4)])
 
+    async def test_a_commit_that_no_replica_has_was_not_acknowledged(
+        self,
+    ) -> None:
+        """The former primary reported the end of its log, which is further."""
+        self._require_sync_replica()
+        await self._replace(acknowledged=identifiers.LogPosition(1, 6))
+        self.assertEqual(len(self.promotions.requests), 1)
+
     async def test_a_recorded_primary_that_has_left_counts_as_unknown(
         self,
     ) -> None:
