Release the lease of a term when the same host serves the next one

A read that had waited for a former primary could be answered there after the next one took writes.

Cause: the lease of the former term was left to expire.

Change: start_serving releases it.

test_the_lease_of_a_former_term_ends_with_the_next_one failed before.

--- a/src/egretstep/replication/group.py
+++ b/src/egretstep/replication/group.py
@@ -192,7 +192,13 @@
         return tenure, fenced_at
 
     def start_serving(self, tenure: Tenure) -> None:
-        """Start serving in the term of a tenure."""
+        """Start serving in the term of a tenure.
+
+        Answers of the former primary are not passed on any more, although
+        the lease of the former term may not have expired.
+        """
+        if self._tenure is not None and self._tenure is not tenure:
+            self._tenure.lease.release()
         self._superseded.clear()
         self._tenure = tenure
 
