--- a/specifications/__main__.py
+++ b/specifications/__main__.py
@@ -8,6 +8,7 @@
     failover,
     freshness,
     leases,
+    promotions,
     restored_leases,
 )
 
@@ -20,6 +21,7 @@
         *failover.specifications(),
         *freshness.specifications(),
         *leases.specifications(),
+        *promotions.specifications(),
         *restored_leases.specifications(),
     ]
 
--- a/specifications/failover.py
+++ b/specifications/failover.py
@@ -50,13 +50,19 @@
 
 
 class Variant(typing.NamedTuple):
-    """Mechanisms of failover; a broken variant sets one to False."""
+    """Mechanisms of failover; a broken variant sets one to False.
+
+    With `has_one_owner`, A and B are the same host. It knows when it serves
+    the next term, and so doesn't wait for the lease of the former one.
+    """
 
     checks_lease: bool = True
     waits_for_old_lease: bool = True
     fences_majority: bool = True
     promotes_longest_log: bool = True
     commits_by_quorum: bool = True
+    has_one_owner: bool = False
+    releases_former_lease: bool = True
 
 
 Transitions = list[tuple[str, State]]
@@ -118,6 +124,9 @@
 def _may_acknowledge(state: State, variant: Variant) -> bool:
     if not variant.checks_lease:
         return True
+    is_released = variant.has_one_owner and variant.releases_former_lease
+    if is_released and state.serving:
+        return False
     source = clock.ManualClock(start=state.now * lease.LEASE_SECONDS)
     majority_lease = lease.MajorityLease(
         servers=SERVER_NAMES, time_source=source
@@ -207,7 +216,9 @@
 
 
 def _may_serve(state: State, variant: Variant) -> bool:
-    return not variant.waits_for_old_lease or state.now >= state.fenced_at + 1
+    if variant.has_one_owner or not variant.waits_for_old_lease:
+        return True
+    return state.now >= state.fenced_at + 1
 
 
 def _has_lost_write(state: State) -> bool:
@@ -228,11 +239,28 @@
         'nearest server chosen': Variant(promotes_longest_log=False),
         'commit without quorum': Variant(commits_by_quorum=False),
     }
+    return [
+        *_variants('failover', Variant(), broken),
+        *_variants(
+            'failover by one owner',
+            Variant(has_one_owner=True),
+            {
+                'former lease not released': Variant(
+                    has_one_owner=True, releases_former_lease=False
+                ),
+            },
+        ),
+    ]
+
+
+def _variants(
+    name: str, complete: Variant, broken: dict[str, Variant]
+) -> list[checking.Specification]:
     return checking.with_broken_variants(
-        name='failover',
+        name=name,
         initial=State(),
         transitions=_transitions,
-        variant=Variant(),
+        variant=complete,
         broken=broken,
         invariants={
             'no late acknowledgement': lambda each: not each['late'],
