--- a/specifications/promotions.py
+++ b/specifications/promotions.py
@@ -176,21 +176,24 @@
     may_order = state.serving == NEVER or not variant.ends_tenure_first
     if not may_order or state.leader != FORMER:
         return []
-    transitions: Transitions = []
-    for count in range(1, len(REPLICAS) + 1):
-        for found in itertools.combinations(REPLICAS, count):
-            chosen = _choose(state, found, variant)
-            if chosen is None or _is_ordered_elsewhere(state, chosen):
-                continue
-            ordered = state._replace(
-                ordered=checking.replace_item(state.ordered, chosen, True),
-                pending=chosen if variant.records_order else state.pending,
-            )
-            transitions.append((
-                f'a promotion of s{chosen} is ordered',
-                ordered,
-            ))
-    return transitions
+    choices = {
+        _choose(state, found, variant)
+        for count in range(1, len(REPLICAS) + 1)
+        for found in itertools.combinations(REPLICAS, count)
+    }
+    return [
+        _order(state, chosen, variant)
+        for chosen in choices
+        if chosen is not None and not _is_ordered_elsewhere(state, chosen)
+    ]
+
+
+def _order(state: State, chosen: int, variant: Variant) -> tuple[str, State]:
+    ordered = state._replace(
+        ordered=checking.replace_item(state.ordered, chosen, True),
+        pending=chosen if variant.records_order else state.pending,
+    )
+    return f'a promotion of s{chosen} is ordered', ordered
 
 
 def _is_ordered_elsewhere(state: State, chosen: int) -> bool:
