--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 
 bench-gaps: install
 	$(BIN)/python -m measurements.gaps
+	$(BIN)/python -m measurements.primary_changes
 
 mutants: install
 	$(BIN)/python tests/mutants.py
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -1,6 +1,6 @@
 """The mutants that `make mutants` runs, each without one mechanism."""
 
-from tests import mutant_types, silence_mutations
+from tests import mutant_types, primary_mutations, silence_mutations
 
 MUTANTS = (
     mutant_types.Mutant(
@@ -164,15 +164,15 @@
     ),
     mutant_types.Mutant(
         name='the write gate of a new owner is open before it has a primary',
-        path='src/egretstep/replication/primary.py',
+        path='src/egretstep/replication/primary_statements.py',
         old='            is_closed=True,\n',
         new='            is_closed=False,\n',
         tests='tests.replication.test_hand_over',
     ),
     mutant_types.Mutant(
         name='statements that wait at a former owner are not redirected',
-        path='src/egretstep/replication/primary.py',
-        old='            is_replaced=lambda: self.is_over,\n',
+        path='src/egretstep/replication/primary_statements.py',
+        old='            is_replaced=lambda: lease.is_over,\n',
         new='',
         tests='tests.replication.test_hand_over',
     ),
@@ -274,5 +274,6 @@
         new='await asyncio.sleep(0)',
         tests='tests.platform.test_ingress',
     ),
+    *primary_mutations.MUTANTS,
     *silence_mutations.MUTANTS,
 )
