Use a server that leads already instead of ordering it again

Cause: the search for a successor could choose the server that leads, whose order changes nothing; since orders are recorded as pending, the owner waited for a later term for ever. An owner that finds a leaving primary past its time searched with that primary among the candidates.

Change: a chosen server that leads the latest term is used at once; a leading server that is to get no work is replaced as the former primary. Also: an order goes out within the remaining time of the lease, not only after a look at it; a change of primary that ends with an error ends the tenure.

--- a/src/egretstep/platform/promotions.py
+++ b/src/egretstep/platform/promotions.py
@@ -33,6 +33,7 @@
         service: deployment.ServiceName,
         server: connection.ServerId,
         epoch: int,
+        timeout: float,
     ) -> None:
         """Make a server the primary of a service.
 
@@ -54,7 +55,7 @@
         client = http.HttpClient(address=self._address)
         try:
             response = await client.call(
-                request, timeout=REQUEST_TIMEOUT_SECONDS
+                request, timeout=min(timeout, REQUEST_TIMEOUT_SECONDS)
             )
         except errors.PlatformUnreachableError as error:
             raise failover.PromotionRefusedError(str(error)) from error
--- a/src/egretstep/replication/failover.py
+++ b/src/egretstep/replication/failover.py
@@ -42,10 +42,12 @@
         service: deployment.ServiceName,
         server: connection.ServerId,
         epoch: int,
+        timeout: float,
     ) -> None:
         """Request that a server becomes the primary of a service.
 
-        `epoch` is that of the owner's lease. Raises `PromotionRefusedError`
+        `epoch` is that of the owner's lease. Nothing is sent after `timeout`
+        seconds. Raises `PromotionRefusedError`
         if the request certainly has no effect, and `errors.PlatformError`
         if that is not known.
         """
@@ -182,12 +184,13 @@
         change: successor_choice.Change,
         *,
         save: SaveRecord,
-        is_owner: typing.Callable[[], bool],
+        remaining_lease: typing.Callable[[], float],
     ) -> candidates.Candidate | None:
         """Promote a server that has every acknowledged commit.
 
-        `save` records the order before it goes out. `is_owner` is checked
-        right before that, because the lease may end during the queries.
+        A server that leads already is returned at once. `save` records an
+        order before it goes out. `remaining_lease` returns the seconds for
+        which the lease of the owner holds; the order goes out in this time.
         Returns None when no server was promoted, or none is known to be.
         Raises `ChangePostponedError` if the change may be postponed and no
         server has caught up.
@@ -195,27 +198,31 @@
         choice = await self.choice.choose(change)
         if choice is None:
             return None
+        is_latest = choice.candidate.status.term == choice.latest_term
+        if is_latest and _is_accepted(change.record, choice.candidate):
+            return choice.candidate
         record = primary_record.PrimaryRecord(
             server=choice.candidate.server.server,
             term=choice.latest_term,
             is_pending=True,
         )
         outcome = _Outcome.NOT_ORDERED
-        if not await save(record):
+        is_saved = await save(record)
+        if is_saved and remaining_lease() > 0:
+            outcome = await self._order(change, record, remaining_lease())
+        elif is_saved:
             _logger.warning(
-                'service {}: {} is not promoted: neither the store nor a '
-                'majority of the hosts has the record of it',
+                'service {}: {} is not promoted: the lease has ended',
                 change.service,
                 record.server,
             )
-        elif not is_owner():
+        else:
             _logger.warning(
-                'service {}: {} is not promoted: the lease has ended',
+                'service {}: {} is not promoted: neither the store nor a '
+                'majority of the hosts has the record of it',
                 change.service,
                 record.server,
             )
-        else:
-            outcome = await self._order(change, record)
         if outcome is _Outcome.NOT_ORDERED:
             await save(change.record)
             return None
@@ -227,12 +234,14 @@
         self,
         change: successor_choice.Change,
         record: primary_record.PrimaryRecord,
+        timeout: float,
     ) -> _Outcome:
         try:
             await self._promotions.promote(
                 service=change.service,
                 server=record.server,
                 epoch=change.epoch,
+                timeout=timeout,
             )
         except PromotionRefusedError as error:
             _logger.warning(
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -200,10 +200,6 @@
         if candidate is None:
             await self._replace('no server is primary', is_planned=False)
             return
-        if self._failover.is_drain_overdue(candidate.server):
-            reason = 'it is to get no work any more'
-            await self._replace(reason, is_planned=False)
-            return
         self._start_serving(candidate)
 
     @property
@@ -212,6 +208,11 @@
         claim = self._keeper.known[self._claim.task]
         return primary_record.decode(claim.detail)
 
+    def _remaining_lease(self) -> float:
+        if not self.holds_lease:
+            return 0
+        return self._keeper.remaining_lease(self._claim.task)
+
     async def _save_record(self, record: primary_record.PrimaryRecord) -> bool:
         if record == self._record:
             return True
@@ -240,6 +241,10 @@
         self._is_replacing = True
         try:
             await self._change_primary(reason, is_planned=is_planned)
+        except BaseException:
+            # What has become of the change is looked for anew.
+            self._statements.end()
+            raise
         finally:
             self._is_replacing = False
 
@@ -269,7 +274,7 @@
             candidate = await self._failover.replace(
                 self._describe_change(former, is_planned=is_planned),
                 save=self._save_record,
-                is_owner=lambda: self.holds_lease,
+                remaining_lease=self._remaining_lease,
             )
         except successor_choice.ChangePostponedError as error:
             self._postpone(str(error))
--- a/tests/replication/owner_case.py
+++ b/tests/replication/owner_case.py
@@ -63,12 +63,15 @@
         self.loses_answers = False
         self.request_count = 0
 
-    async def promote(self, **_order: typing.Any) -> None:
+    async def promote(self, **order: typing.Any) -> None:
         self.request_count += 1
         if self.is_refused:
             raise failover.PromotionRefusedError('too many calls')
         if self.is_unreachable:
             raise errors.PlatformError('the platform is unreachable')
+        if order['server'] != self._promoted.name:
+            # It leads already, so that nothing changes.
+            return
         asyncio.get_running_loop().call_later(
             self.delay,
             self._complete,
--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -29,6 +29,7 @@
         service: deployment.ServiceName,
         server: connection.ServerId,
         epoch: int,
+        timeout: float,
     ) -> None:
         self.requests.append((server, epoch))
         if self.promotes_at_once:
@@ -207,6 +208,20 @@
         self.failover.start_timer()
         self.assertLess(self.failover.expected_seconds(), 0.5)
 
+    async def test_a_server_that_leads_already_is_not_ordered(self) -> None:
+        """An order would change nothing, and its effect be waited for."""
+        self.third.role = connection.Role.PRIMARY
+        self.third.term = 2
+        self.third.position = identifiers.LogPosition(2, 9)
+        found = await self._replace(
+            former=None,
+            record=primary_record.PrimaryRecord(
+                server=connection.ServerId('gone'), term=identifiers.Term(1)
+            ),
+        )
+        self.assertEqual(found and found.server.server, 'third')
+        self.assertEqual(self.promotions.requests, [])
+
     async def test_the_latest_term_leads(self) -> None:
         self.second.role = connection.Role.PRIMARY
         self.second.term = 2
@@ -234,7 +249,7 @@
         return await self.failover.replace(
             dataclasses.replace(change, **changed),
             save=self._save,
-            is_owner=lambda: self.is_owner,
+            remaining_lease=lambda: float(self.is_owner),
         )
 
     async def _find(self, recorded: str) -> candidates.Candidate | None:
--- a/tests/replication/test_planned_change.py
+++ b/tests/replication/test_planned_change.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 
+from egretstep import identifiers
 from egretstep.backends import answers
 from egretstep.membership import leases
 from egretstep.pooling import work as work_module
@@ -40,6 +41,27 @@
         await self.owner.execute(opening, owner_case.LINK)
         self.assertEqual(len(self.first.received), 1)
 
+    async def test_an_owner_that_finds_a_leaving_primary_replaces_it(
+        self,
+    ) -> None:
+        """Guards against ordering the primary again that is to be left.
+
+        The other server is behind, as replicas are under load.
+        """
+        self.first.position = identifiers.LogPosition(1, 9)
+        claim = self.keeper.known[owner_case.TASK]
+        self.running.pop(0).cancel()
+        self.servers.draining = 'first'
+        await asyncio.sleep(owner_case.DRAIN_SECONDS * 2)
+        self.owner = self.make_owner(claim)
+        self.running.append(asyncio.ensure_future(self.owner.run()))
+        await asyncio.sleep(owner_case.PROMOTION_DELAY_SECONDS * 10)
+        self.assertTrue(
+            (await self.owner.execute(owner_case.WRITE, owner_case.LINK)).is_ok
+        )
+        self.assertEqual(len(self.first.received), 1)
+        self.assertEqual(len(self.second.received), 1)
+
     async def test_an_unresponsive_store_delays_no_replacement(self) -> None:
         self.store.is_unresponsive = True
         await self.drain_primary()
