An order for the server that leads needs no later term

The order changes nothing, and a later term was waited for.

Change: the record of such an order counts the term that the server leads.

--- a/src/egretstep/replication/failover.py
+++ b/src/egretstep/replication/failover.py
@@ -198,14 +198,9 @@
         choice = await self.choice.choose(change)
         if choice is None:
             return None
-        is_latest = choice.candidate.status.term == choice.latest_term
-        if is_latest and _is_accepted(change.record, choice.candidate):
+        if choice.leads and _is_accepted(change.record, choice.candidate):
             return choice.candidate
-        record = primary_record.PrimaryRecord(
-            server=choice.candidate.server.server,
-            term=choice.latest_term,
-            is_pending=True,
-        )
+        record = choice.pending_record()
         outcome = _Outcome.NOT_ORDERED
         is_saved = await save(record)
         if is_saved and remaining_lease() > 0:
--- a/src/egretstep/replication/successor_choice.py
+++ b/src/egretstep/replication/successor_choice.py
@@ -48,6 +48,26 @@
     candidate: candidates.Candidate
     latest_term: identifiers.Term
 
+    @property
+    def leads(self) -> bool:
+        """Return whether the server leads the latest term already."""
+        status = self.candidate.status
+        is_primary = status.role is connection.Role.PRIMARY
+        return is_primary and status.term == self.latest_term
+
+    def pending_record(self) -> primary_record.PrimaryRecord:
+        """Return the record of an order to promote the server.
+
+        An order for one that leads already changes nothing but orders before
+        it, so that its term is good enough.
+        """
+        former_term = self.latest_term - 1 if self.leads else self.latest_term
+        return primary_record.PrimaryRecord(
+            server=self.candidate.server.server,
+            term=identifiers.Term(former_term),
+            is_pending=True,
+        )
+
 
 class SuccessorChoice:
     """Asks the servers of a service which of them may lead it."""
--- a/tests/replication/test_pending_promotion.py
+++ b/tests/replication/test_pending_promotion.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 
 from egretstep.backends import answers, connection
 from egretstep.replication import failover, primary, primary_record
@@ -33,6 +34,26 @@
         self.assertEqual(len(self.first.received), received_count)
         self.assertEqual(len(self.second.received), 1)
 
+    async def test_the_former_primary_is_ordered_if_the_next_one_is_lost(
+        self,
+    ) -> None:
+        """Guards against waiting for a lead that no order can change."""
+        self.promotions.delay = LATE_SECONDS * 100
+        self.promotions.loses_answers = True
+        self.first.reports_status = False
+        self.first.breaks_connection_on = owner_case.WRITE.command.text
+        await self._write(timeout=0.1)
+        while not self.promotions.request_count:
+            await asyncio.sleep(0.01)
+        self.promotions.loses_answers = False
+        self.second.is_down = True
+        self.first.reports_status = True
+        self.first.breaks_connection_on = b''
+        started = time.monotonic()
+        await self._write_until_done(LATE_SECONDS * 2)
+        waited = time.monotonic() - started
+        self.assertGreater(waited, failover.MAX_PROMOTION_SECONDS - 0.1)
+
     async def test_the_next_owner_waits_for_it_too(self) -> None:
         """Guards against a successor that serves the former primary."""
         self.promotions.delay = LATE_SECONDS
@@ -75,9 +96,10 @@
             raise AssertionError('the task could not be claimed')
         self.owner = self.make_owner(claim)
 
-    async def _write_until_done(self) -> None:
-        while not (await self._write(timeout=0.5)).is_ok:
-            await asyncio.sleep(0.1)
+    async def _write_until_done(self, limit: float = 60) -> None:
+        async with asyncio.timeout(limit):
+            while not (await self._write(timeout=0.5)).is_ok:
+                await asyncio.sleep(0.1)
 
     async def _write(self, timeout: float = 1.5) -> answers.Answer:
         work = dataclasses.replace(owner_case.WRITE, timeout=timeout)
