--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak test's checks, and runs with seeds that failed before."""
 
+import dataclasses
 import pathlib
 import unittest
 
@@ -13,12 +14,23 @@
 RESTORES_PORT_OFFSET = 900
 
 
-def _regression_seeds() -> list[int]:
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SoakedRun:
+    """The options of a run of the soak."""
+
+    seed: int
+    seconds: float = SECONDS
+    restores: int = 0
+
+
+def _regressions() -> list[SoakedRun]:
     lines = REGRESSIONS.read_text().splitlines()
+    rows = [
+        line.split('|') for line in lines if line and not line.startswith('#')
+    ]
     return [
-        int(line.partition('|')[0])
-        for line in lines
-        if line and not line.startswith('#')
+        SoakedRun(seed=int(row[0]), seconds=float(row[1]), restores=int(row[2]))
+        for row in rows
     ]
 
 
@@ -70,12 +82,14 @@
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     async def test_seeds(self) -> None:
-        for index, seed in enumerate([ADDITIONAL_SEED, *_regression_seeds()]):
-            with self.subTest(seed=seed):
+        runs = [SoakedRun(seed=ADDITIONAL_SEED), *_regressions()]
+        for index, soaked in enumerate(runs):
+            with self.subTest(seed=soaked.seed):
                 report = await run.soak(
-                    seed=seed,
-                    seconds=SECONDS,
+                    seed=soaked.seed,
+                    seconds=soaked.seconds,
                     first_port=FIRST_PORT + 100 * index,
+                    restores=soaked.restores,
                 )
                 self.assertEqual(report.violations, [], report.text())
 
