A restarted server's registration is not one that was checked before

What callers saw: nothing yet; found by reading the diff. A former primary that restarted as the leader with the sequence of its checked registration was not asked again before its next heartbeat.

Cause: a checked registration was remembered by its sequence, without the process that it counts for.

Change: by start and sequence. A primary that reports to be a replica is left like any superseded one, so that a server that leads already is found first. The log lines name the service, the term and the server that supersedes.

test_a_restarted_server_is_asked_again_whether_it_leads failed before; leaving the primary on a replica's status has no test that failed before.

--- a/src/egretstep/replication/failover.py
+++ b/src/egretstep/replication/failover.py
@@ -85,7 +85,9 @@
         self._drain_seconds = drain_seconds
         self._started_at = time_source.now()
         self._expected_seconds = INITIAL_EXPECTED_SECONDS
-        self._checked_registrations: dict[connection.ServerId, int] = {}
+        self._checked_registrations: dict[
+            connection.ServerId, tuple[int, int]
+        ] = {}
         self.probe = server_probe.ServerProbe(opener=opener)
         self.choice = successor_choice.SuccessorChoice(
             servers=servers,
@@ -170,12 +172,22 @@
             is_own = server.server == primary.server
             if (server.role is connection.Role.REPLICA) is not is_own:
                 continue
-            checked = self._checked_registrations.get(server.server)
-            if checked == server.sequence:
+            # A restarted server counts its registrations anew.
+            registration = (server.started_ms, server.sequence)
+            if self._checked_registrations.get(server.server) == registration:
                 continue
-            self._checked_registrations[server.server] = server.sequence
+            self._checked_registrations[server.server] = registration
             status = await self.probe.status(server)
             if status is not None and _supersedes(status, term, is_own=is_own):
+                _logger.warning(
+                    'service {}: primary {} of term {} is superseded: {} '
+                    'reports {}',
+                    primary.service,
+                    primary.server,
+                    term,
+                    server.server,
+                    status,
+                )
                 return True
         return False
 
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -145,8 +145,7 @@
             await self._replace(reason, is_planned=True)
             return
         if await self._is_superseded(current or primary):
-            await self._statements.drain(longest_wait=0, may_read=False)
-            self._statements.end()
+            await self._leave_primary()
             return
         broker = self._brokers.get(current or primary)
         is_silent = broker.activity.silent_seconds > MAX_SILENCE_SECONDS
@@ -190,7 +189,18 @@
         broker.activity.record_alive()
         status = liveness.status
         if status is not None and status.role is not connection.Role.PRIMARY:
-            await self._replace('it is no longer primary', is_planned=False)
+            _logger.warning(
+                'service {}: {} reports {} and is left',
+                self._service,
+                broker.server.server,
+                status,
+            )
+            await self._leave_primary()
+
+    async def _leave_primary(self) -> None:
+        """Use the primary no longer; the next check looks for another."""
+        await self._statements.drain(longest_wait=0, may_read=False)
+        self._statements.end()
 
     async def _find_primary(self) -> None:
         """Find the current primary and serve it, or promote another."""
--- a/src/egretstep/replication/primary_statements.py
+++ b/src/egretstep/replication/primary_statements.py
@@ -23,6 +23,7 @@
 MAX_DISCOVERY_SECONDS = 0.5
 _logger = logbook.Logger('primary')
 _Phase = tenure_module.Phase
+_USES = {_Phase.READ_ONLY: 'plain reads only', _Phase.ENDED: 'nothing'}
 
 
 class Lease(typing.Protocol):
@@ -278,9 +279,12 @@
         broker = self._brokers.get(tenure.server)
         ended_count = broker.interrupt(lambda work: not tenure.permits(work))
         _logger.info(
-            'server {} is used as primary no longer ({}): {} statements ended',
+            'service {}: {} (term {}) is now used as primary for {}: {} '
+            'statements there were ended',
+            tenure.server.service,
             tenure.server.server,
-            phase.value,
+            tenure.term,
+            _USES[phase],
             ended_count,
         )
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -209,6 +209,7 @@
     refuses_statements_with: answers.Code | None = None
     connection_limit: int | None = None
     dead_connections: int = 0
+    started_ms: int = 0
     is_down: bool = False
     reports_status: bool = True
     breaks_connection_on: bytes = b''
@@ -238,6 +239,7 @@
             zone=identifiers.ZoneName('north'),
             slots=2,
             role=self.role,
+            started_ms=self.started_ms,
         )
 
 
--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -16,6 +16,8 @@
 from tests import platform_fakes, virtual_time
 from tests.replication import registered_servers
 
+TERM = identifiers.Term(1)
+
 
 class _Promotions:
     def __init__(self, servers: dict[str, platform_fakes.FakeServer]) -> None:
@@ -222,6 +224,17 @@
         self.assertEqual(found and found.server.server, 'third')
         self.assertEqual(self.promotions.requests, [])
 
+    async def test_a_restarted_server_is_asked_again_whether_it_leads(
+        self,
+    ) -> None:
+        """Guards against taking its registration for one that was checked."""
+        self.third.role = connection.Role.PRIMARY
+        first = self.first.backend()
+        self.assertFalse(await self.failover.is_superseded(first, TERM))
+        self.third.started_ms = 7
+        self.third.term = TERM + 1
+        self.assertTrue(await self.failover.is_superseded(first, TERM))
+
     async def test_the_latest_term_leads(self) -> None:
         self.second.role = connection.Role.PRIMARY
         self.second.term = 2
