--- a/specifications/promotions.py
+++ b/specifications/promotions.py
@@ -70,7 +70,7 @@
 class Variant(typing.NamedTuple):
     """Mechanisms of the change; a broken variant sets one to False."""
 
-    ends_tenure_first: bool = True
+    ends_leadership_first: bool = True
     withholds_late_answers: bool = True
     records_order: bool = True
     waits_for_ordered: bool = True
@@ -131,7 +131,7 @@
     transitions: Transitions = []
     if state.serving == FORMER:
         transitions.append((
-            'the tenure of s0 ends',
+            'the leadership of s0 ends',
             state._replace(serving=NEVER),
         ))
     if not state.is_next_owner:
@@ -173,7 +173,7 @@
 
 
 def _orders(state: State, variant: Variant) -> Transitions:
-    may_order = state.serving == NEVER or not variant.ends_tenure_first
+    may_order = state.serving == NEVER or not variant.ends_leadership_first
     if not may_order or state.leader != FORMER:
         return []
     choices = {
@@ -266,7 +266,7 @@
         variant=Variant(),
         broken={
             'statements go on while the order is out': Variant(
-                ends_tenure_first=False
+                ends_leadership_first=False
             ),
             'late answers are passed on': Variant(withholds_late_answers=False),
             'the order is not recorded': Variant(records_order=False),
--- a/src/egretstep/replication/tenure.py
+++ b/src/egretstep/replication/leadership.py
@@ -22,11 +22,11 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Tenure:
+class Leadership:
     """A server that this owner uses as the primary in a term, and its phase.
 
     `was_refused` is set once the server answers that it is not the primary.
-    Statements keep the tenure in which they began, so that their answers are
+    Statements keep the leadership in which they began, so that their answers are
     judged by what has become of it meanwhile.
     """
 
--- a/src/egretstep/replication/primary_statements.py
+++ b/src/egretstep/replication/primary_statements.py
@@ -16,13 +16,13 @@
 from egretstep.pooling import brokers, failure_answers, gate
 from egretstep.pooling import work as work_module
 from egretstep.replication import candidates
-from egretstep.replication import tenure as tenure_module
+from egretstep.replication import leadership as leadership_module
 
 LEASE_POLL_INTERVAL_SECONDS = 0.02
 RETRY_INTERVAL_SECONDS = 0.02
 MAX_DISCOVERY_SECONDS = 0.5
 _logger = logbook.Logger('primary')
-_Phase = tenure_module.Phase
+_Phase = leadership_module.Phase
 _USES = {_Phase.READ_ONLY: 'plain reads only', _Phase.ENDED: 'nothing'}
 
 
@@ -62,7 +62,7 @@
             is_replaced=lambda: lease.is_over,
             is_closed=True,
         )
-        self._tenure: tenure_module.Tenure | None = None
+        self._leadership: leadership_module.Leadership | None = None
         self._is_changing = False
         self._change_count = 0
         self._reads_while_changing = False
@@ -71,17 +71,19 @@
     @property
     def primary(self) -> connection.BackendServer | None:
         """Return the server that is used as primary, None without one."""
-        return self._tenure.server if self._tenure else None
+        return self._leadership.server if self._leadership else None
 
     @property
     def was_refused(self) -> bool:
         """Return whether the primary said that it is not the primary."""
-        return self._tenure is not None and self._tenure.was_refused
+        return self._leadership is not None and self._leadership.was_refused
 
     @property
     def term(self) -> identifiers.Term:
         """Return the term that the primary leads."""
-        return self._tenure.term if self._tenure else identifiers.NO_TERM
+        return (
+            self._leadership.term if self._leadership else identifiers.NO_TERM
+        )
 
     @property
     def acknowledged(self) -> identifiers.LogPosition | None:
@@ -95,7 +97,7 @@
         is_open: bool,
     ) -> None:
         """Use a server that leads; unless `is_open`, statements still wait."""
-        self._tenure = tenure_module.Tenure(
+        self._leadership = leadership_module.Leadership(
             server=candidate.server, term=candidate.status.term
         )
         self._acknowledged = candidate.status.received
@@ -106,13 +108,13 @@
 
     def refresh(self, server: connection.BackendServer) -> None:
         """Use the current registration of the primary."""
-        if self._tenure is not None:
-            self._tenure.server = server
+        if self._leadership is not None:
+            self._leadership.server = server
 
     async def drain(self, *, longest_wait: float, may_read: bool) -> None:
         """Hold new statements back and wait for the running ones.
 
-        With `may_read`, plain reads still run until the tenure ends.
+        With `may_read`, plain reads still run until the leadership ends.
         """
         self._is_changing = True
         self._reads_while_changing = may_read
@@ -133,12 +135,12 @@
         """
         self._reads_while_changing = False
         self._interrupt(_Phase.ENDED)
-        self._tenure = None
+        self._leadership = None
 
     def resume(self) -> None:
         """Use the same primary again, as no other server was promoted."""
-        if self._tenure is not None:
-            self._tenure.phase = _Phase.SERVING
+        if self._leadership is not None:
+            self._leadership.phase = _Phase.SERVING
         self._reads_while_changing = False
         self._is_changing = False
         self._gate.open()
@@ -178,7 +180,7 @@
             refusal = self._refusal_if_too_long(deadline)
             if refusal is not None:
                 return refusal
-        elif self._tenure is None:
+        elif self._leadership is None:
             discovery_deadline = self._clock.now() + MAX_DISCOVERY_SECONDS
             gate_deadline = min(deadline, discovery_deadline)
         try:
@@ -199,12 +201,14 @@
         Plain reads do: until the next primary takes writes, the old one has
         all of them.
         """
-        return self._reads_while_changing and tenure_module.is_plain_read(work)
+        return self._reads_while_changing and leadership_module.is_plain_read(
+            work
+        )
 
     def _pinned_count(self) -> int:
-        if self._tenure is None:
+        if self._leadership is None:
             return 0
-        return self._brokers.get(self._tenure.server).pinned_count
+        return self._brokers.get(self._leadership.server).pinned_count
 
     def _refusal_if_too_long(self, deadline: float) -> answers.Answer | None:
         remaining_seconds = self._expected_seconds()
@@ -222,34 +226,34 @@
         link: work_module.LinkId,
         deadline: float,
     ) -> answers.Answer:
-        tenure = self._tenure
-        if tenure is None or not await self._wait_for_lease(deadline):
+        leadership = self._leadership
+        if leadership is None or not await self._wait_for_lease(deadline):
             return failure_answers.moved()
-        if not tenure.permits(work):
+        if not leadership.permits(work):
             return failure_answers.interrupted(
                 work, has_written=False, was_sent=False
             )
         remaining_seconds = max(0.0, deadline - self._clock.now())
         limited_work = dataclasses.replace(work, timeout=remaining_seconds)
-        broker = self._brokers.get(tenure.server)
+        broker = self._brokers.get(leadership.server)
         answer = await broker.execute(limited_work, link)
         if answer.code is answers.Code.NOT_PRIMARY:
-            tenure.was_refused = True
+            leadership.was_refused = True
         if not answer.was_sent:
             return answer
-        return await self._check_sent(work, answer, tenure, deadline)
+        return await self._check_sent(work, answer, leadership, deadline)
 
     async def _check_sent(
         self,
         work: work_module.Work,
         answer: answers.Answer,
-        tenure: tenure_module.Tenure,
+        leadership: leadership_module.Leadership,
         deadline: float,
     ) -> answers.Answer:
         """Return the answer, or an error if it may be a former primary's."""
         if not await self._wait_for_lease(deadline):
             return _withheld(work, 'the lease ended before the answer')
-        if answer.is_ok and not tenure.permits(work):
+        if answer.is_ok and not leadership.permits(work):
             return _withheld(work, 'the primary was replaced before the answer')
         is_commit = work.command.action is commands.Action.COMMIT
         if answer.is_ok and (work.command.is_write or is_commit):
@@ -269,21 +273,23 @@
         if self._acknowledged is None or position > self._acknowledged:
             self._acknowledged = position
 
-    def _interrupt(self, phase: tenure_module.Phase) -> None:
+    def _interrupt(self, phase: leadership_module.Phase) -> None:
         """Enter a phase and end the statements that it does not permit."""
-        tenure = self._tenure
-        if tenure is None:
+        leadership = self._leadership
+        if leadership is None:
             return
-        tenure.phase = phase
+        leadership.phase = phase
         self._change_count += 1
-        broker = self._brokers.get(tenure.server)
-        ended_count = broker.interrupt(lambda work: not tenure.permits(work))
+        broker = self._brokers.get(leadership.server)
+        ended_count = broker.interrupt(
+            lambda work: not leadership.permits(work)
+        )
         _logger.info(
             'service {}: {} (term {}) is now used as primary for {}: {} '
             'statements there were ended',
-            tenure.server.service,
-            tenure.server.server,
-            tenure.term,
+            leadership.server.service,
+            leadership.server.server,
+            leadership.term,
             _USES[phase],
             ended_count,
         )
--- a/tests/primary_mutations.py
+++ b/tests/primary_mutations.py
@@ -11,8 +11,8 @@
     mutant_types.Mutant(
         name='statements of a former primary go on',
         path=_STATEMENTS,
-        old='broker.interrupt(lambda work: not tenure.permits(work))',
-        new='broker.interrupt(lambda work: False)',
+        old='lambda work: not leadership.permits(work)',
+        new='lambda work: False',
         tests=_FORMER_TESTS,
     ),
     mutant_types.Mutant(
