--- a/tests/replication/test_failover.py
+++ b/tests/replication/test_failover.py
@@ -17,6 +17,7 @@
 from tests.replication import registered_servers
 
 TERM = identifiers.Term(1)
+REMAINING_LEASE = 0.3
 
 
 class _Promotions:
@@ -24,6 +25,7 @@
         self._servers = servers
         self.promotes_at_once = True
         self.requests: list[tuple[str, int]] = []
+        self.timeouts: list[float] = []
 
     async def promote(
         self,
@@ -34,6 +36,7 @@
         timeout: float,
     ) -> None:
         self.requests.append((server, epoch))
+        self.timeouts.append(timeout)
         if self.promotes_at_once:
             promoted = self._servers[server]
             promoted.role = connection.Role.PRIMARY
@@ -181,6 +184,14 @@
         self.assertIsNone(await self._replace())
         self.assertEqual(self.promotions.requests, [])
 
+    async def test_an_order_goes_out_while_the_lease_holds(self) -> None:
+        """Guards against an order that is sent after the lease has ended.
+
+        Connecting to the platform may take longer than the lease holds.
+        """
+        await self._replace()
+        self.assertEqual(self.promotions.timeouts, [REMAINING_LEASE])
+
     async def test_leading_an_old_term_does_not_count_as_promoted(self) -> None:
         """The promoted server was primary before and reports its old term."""
         self.second.role = connection.Role.PRIMARY
@@ -262,7 +273,7 @@
         return await self.failover.replace(
             dataclasses.replace(change, **changed),
             save=self._save,
-            remaining_lease=lambda: float(self.is_owner),
+            remaining_lease=lambda: REMAINING_LEASE * self.is_owner,
         )
 
     async def _find(self, recorded: str) -> candidates.Candidate | None:
