--- a/src/egretstep/backends/answers.py
+++ b/src/egretstep/backends/answers.py
@@ -4,6 +4,7 @@
 import enum
 
 from egretstep import identifiers
+from egretstep.backends import server_load
 
 
 class Code(enum.Enum):
@@ -61,7 +62,8 @@
     zero if the caller may retry at once. `is_pinned` tells whether the server
     connection is still reserved for the caller, and `was_sent` whether the
     statement was sent to a server. `queued_ms` is the time spent waiting for a
-    slot of the server, and `ran_ms` the time that the server took.
+    slot of the server, and `ran_ms` the time that the server took. `load` is
+    that of the server for which the statement was meant, None if not known.
     """
 
     code: Code = Code.OK
@@ -75,6 +77,7 @@
     was_sent: bool = False
     queued_ms: int = 0
     ran_ms: int = 0
+    load: server_load.ServerLoad | None = None
 
     @property
     def is_ok(self) -> bool:
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -21,6 +21,17 @@
   isPinned @14 :Bool;
   timeoutMs @15 :UInt32;
   priority @16 :UInt8;
+  targetMs @17 :Int32 = -1;
+}
+
+struct ServerLoad {
+  server @0 :Text;
+  capacity @1 :Float32;
+  running @2 :UInt32;
+  waiting @3 :UInt32;
+  serviceSeconds @4 :Float32;
+  failureShare @5 :Float32;
+  waits @6 :List(Float32);
 }
 
 struct Result {
@@ -36,6 +47,8 @@
   wasSent @9 :Bool;
   queuedMs @10 :UInt32;
   ranMs @11 :UInt32;
+  load @12 :ServerLoad;
+  hasLoad @13 :Bool;
 }
 
 struct Claim { resource @0 :Text; host @1 :Text; boot @2 :UInt64; epoch @3 :UInt64; isReleased @4 :Bool; isSettled @5 :Bool; detail @6 :Text; revision @7 :UInt32; }
--- a/src/egretstep/peers/fleet_messages.py
+++ b/src/egretstep/peers/fleet_messages.py
@@ -7,13 +7,14 @@
 import typing
 
 from egretstep import clock, identifiers
-from egretstep.backends import answers, commands, connection
+from egretstep.backends import answers, commands, connection, server_load
 from egretstep.membership import claims
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
 from egretstep.storage import change_feed, tables
 
 NO_MAX_STALENESS_MS = -1
+NO_TARGET_MS = -1
 
 Struct = typing.Any
 
@@ -38,6 +39,8 @@
     }
     if work.max_staleness is not None:
         fields['stalenessMs'] = clock.to_milliseconds(work.max_staleness)
+    if work.target is not None:
+        fields['targetMs'] = clock.to_milliseconds(work.target)
     if command.prepared is not None:
         fields['shape'] = command.prepared.shape
         fields['shapeWrites'] = command.prepared.is_write
@@ -83,6 +86,11 @@
         is_pinned=fields.isPinned,
         timeout=clock.to_seconds(fields.timeoutMs),
         priority=fields.priority,
+        target=(
+            None
+            if fields.targetMs == NO_TARGET_MS
+            else clock.to_seconds(fields.targetMs)
+        ),
     )
 
 
@@ -103,6 +111,9 @@
     if answer.position is not None:
         fields['position'] = _encode_position(answer.position)
         fields['hasPosition'] = True
+    if answer.load is not None:
+        fields['load'] = _encode_load(answer.load)
+        fields['hasLoad'] = True
     return fields
 
 
@@ -121,6 +132,31 @@
         was_sent=fields.wasSent,
         queued_ms=fields.queuedMs,
         ran_ms=fields.ranMs,
+        load=_decode_load(fields.load) if fields.hasLoad else None,
+    )
+
+
+def _encode_load(load: server_load.ServerLoad) -> dict[str, typing.Any]:
+    return {
+        'server': load.server,
+        'capacity': load.capacity,
+        'running': load.running,
+        'waiting': load.waiting,
+        'serviceSeconds': load.service_seconds,
+        'failureShare': load.failure_share,
+        'waits': list(load.waits),
+    }
+
+
+def _decode_load(fields: Struct) -> server_load.ServerLoad:
+    return server_load.ServerLoad(
+        server=fields.server,
+        capacity=fields.capacity,
+        running=fields.running,
+        waiting=fields.waiting,
+        service_seconds=fields.serviceSeconds,
+        failure_share=fields.failureShare,
+        waits=tuple(fields.waits) or (0.0,),
     )
 
 
--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -157,7 +157,13 @@
             return await self._run_pinned(work, key, deadline, attempt)
         try:
             async with self._queue.slot(
-                workspace=work.workspace, weight=1, deadline=deadline
+                workspace=work.workspace,
+                weight=1,
+                deadline=deadline,
+                priority=work.priority,
+                target_at=None
+                if work.target is None
+                else started + work.target,
             ):
                 queued_seconds = self._clock.now() - started
                 answer = await self._run_unpinned(
--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -18,6 +18,7 @@
 import typing
 
 from egretstep import clock, errors, identifiers
+from egretstep.backends import server_load
 from egretstep.pooling import queue_forecast, queueing
 
 INITIAL_SERVICE_ESTIMATE_SECONDS = 0.002
@@ -70,6 +71,18 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class QueueLoad:
+    """Running and waiting statements, and the expected waits in seconds.
+
+    `waits` holds the wait of a new statement for each priority level.
+    """
+
+    running: int
+    waiting: int
+    waits: tuple[float, ...]
+
+
 class FairQueue:
     """Grants a fixed number of slots to statements of workspaces.
 
@@ -107,6 +120,23 @@
         """Return how many statements wait for a slot."""
         return self._waiting_count
 
+    def set_capacity(self, capacity: float) -> None:
+        """Change how many statements may run at once, at least one."""
+        slots = max(1, int(capacity))
+        self._free_slots += slots - self._slot_count
+        self._slot_count = slots
+        self._dispatch()
+
+    def load_now(self) -> QueueLoad:
+        """Return the present load of the queue."""
+        position = self._waiting_count + 1
+        wait = self._forecast.seconds_until(position=position)
+        return QueueLoad(
+            running=self._slot_count - self._free_slots,
+            waiting=self._waiting_count,
+            waits=(wait,) * server_load.PRIORITY_LEVEL_COUNT,
+        )
+
     def expected_wait(
         self, *, workspace: identifiers.WorkspaceName, weight: float
     ) -> float:
@@ -135,10 +165,13 @@
         workspace: identifiers.WorkspaceName,
         weight: float,
         deadline: float,
+        priority: int = 0,
+        target_at: float | None = None,
     ) -> typing.AsyncGenerator[None, None]:
         """Hold a slot while the block runs.
 
-        `deadline` is a monotonic time. Raises `errors.RefusedError` as soon
+        `deadline` is a monotonic time, and so is `target_at`, at which the
+        target latency of the operation ends. Priority 0 is the highest. Raises `errors.RefusedError` as soon
         as the statement is not expected to get a slot before the deadline,
         and at the latest at the deadline.
         """
--- a/src/egretstep/pooling/work.py
+++ b/src/egretstep/pooling/work.py
@@ -29,7 +29,9 @@
     is the position that the session has seen. `max_staleness` is the
     permitted age of the data in seconds; None means that every commit must
     be visible. A pinned statement runs on the connection that is already
-    pinned to `pin_id`. `timeout` is in seconds.
+    pinned to `pin_id`. `timeout` is in seconds. `target` is what is left of
+    the operation's target latency, in seconds; zero or less means that it is
+    missed already, None that there is none.
     """
 
     statement_id: bytes
@@ -45,6 +47,7 @@
     opens: Opens = Opens.NOTHING
     is_pinned: bool = False
     priority: int = 1
+    target: float | None = None
 
     @property
     def is_read_only(self) -> bool:
