Rate limits: hosts pool their shares while the counting host is lost

Cause: while the counting host was lost or cut off together with the store, each host admitted its own fallback rate only.

Change: such hosts ask a standby, which grants the sum of the shares of the hosts that call it. The counting host leaves each silent host at least this share, so that the limit holds for both together. The limiter of one host moves to a module of its own. The test that only one request calls a silent counting host now also requires that only one calls a silent standby.

Ruled out: higher fallback rates of single hosts, which add up to more than the limit.

--- a/src/egretstep/callers/session_services.py
+++ b/src/egretstep/callers/session_services.py
@@ -6,7 +6,7 @@
 
 from egretstep import identifiers
 from egretstep.backends import connection
-from egretstep.limits import grants
+from egretstep.limits import host_limiter
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
 
@@ -38,7 +38,7 @@
 
     current_deployment: typing.Callable[[], deployment.Deployment]
     dispatcher: dispatcher.Dispatcher
-    rate_limiter: grants.HostRateLimiter
+    rate_limiter: host_limiter.HostRateLimiter
     release_here: typing.Callable[[identifiers.PinId], None]
     is_stopping: typing.Callable[[], bool]
     is_configured: asyncio.Event
--- a/src/egretstep/limits/grants.py
+++ b/src/egretstep/limits/grants.py
@@ -4,7 +4,6 @@
 tokens in small batches, so that most operations need no message to it.
 """
 
-import asyncio
 import dataclasses
 import typing
 
@@ -14,18 +13,13 @@
 from egretstep.limits import bucket, usage
 from egretstep.settings import deployment
 
-BATCH_DEMAND_SECONDS = 0.4
-BATCH_LIFETIME_SECONDS = 1.5
 MAX_RESERVATION_SECONDS = 0.2
-MIN_RETRY_SECONDS = 0.05
-MAX_RETRY_SECONDS = 0.5
-MAX_ADMISSION_SECONDS = 0.3
 HOST_TIMEOUT_SECONDS = 2.0
 SILENT_HOSTS_REFRESH_SECONDS = 0.1
 MIN_FALLBACK_SHARE = 0.3
 FALLBACK_HEADROOM = 1.2
-FALLBACK_BURST_SECONDS = 0.3
-MIN_FALLBACK_BURST = 2
+# The rest of a host's equal share stays with the counting host.
+POOLED_SHARE = 0.8
 SUMMARY_INTERVAL_SECONDS = 1.0
 _logger = logbook.Logger('grants')
 
@@ -43,9 +37,6 @@
 
 
 Workspace = identifiers.WorkspaceName
-RequestTokens = typing.Callable[
-    [Workspace, int], typing.Awaitable[Grant | None]
-]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -72,11 +63,20 @@
     return min(settings.rate, max(FALLBACK_HEADROOM * used, minimum))
 
 
+def pooled_rate(settings: deployment.Workspace, *, hosts: int) -> float:
+    """Return the operations per second that a host may pool at a standby.
+
+    `hosts` is the size of the fleet.
+    """
+    return POOLED_SHARE * settings.rate / hosts
+
+
 class FleetRateLimiter:
     """Token buckets of all workspaces, kept by the counting host.
 
     A host that has not called within `HOST_TIMEOUT_SECONDS` is assumed to use
-    its fallback rate, which is subtracted from the rate of the other hosts.
+    its fallback rate, or to pool its share at a standby. The larger of the two
+    is subtracted from the rate of the other hosts.
     New buckets are filled as if empty at `empty_at`, in monotonic seconds.
     """
 
@@ -117,16 +117,25 @@
         if not silent:
             return settings.rate
         silent_rate = sum(
-            fallback_rate(
-                settings,
-                hosts=self._host_count,
-                used=self._meter(host, settings.name).rate(now=now),
-            )
-            for host in silent
+            self._reserved_rate(host, settings, now) for host in silent
         )
         minimum = settings.rate / self._host_count
         return max(settings.rate - silent_rate, minimum)
 
+    def _reserved_rate(
+        self,
+        host: identifiers.HostName,
+        settings: deployment.Workspace,
+        now: float,
+    ) -> float:
+        """Return the rate that a host may use without this one's grants."""
+        alone = fallback_rate(
+            settings,
+            hosts=self._host_count,
+            used=self._meter(host, settings.name).rate(now=now),
+        )
+        return max(alone, pooled_rate(settings, hosts=self._host_count))
+
     def _silent_hosts(self, now: float) -> list[identifiers.HostName]:
         """Return the hosts silent for the host timeout, cached for a while."""
         if now - self._silent_hosts_at > SILENT_HOSTS_REFRESH_SECONDS:
@@ -156,7 +165,7 @@
         granted = tokens.take(wanted)
         wait = 0.0
         if not granted:
-            granted, wait = _reserve(tokens, wanted)
+            granted, wait = reserve(tokens, wanted)
         self._add_grant(settings, granted)
         if granted:
             meter = self._meter(caller, workspace)
@@ -216,7 +225,7 @@
         return tokens
 
 
-def _reserve(tokens: bucket.TokenBucket, wanted: int) -> tuple[int, float]:
+def reserve(tokens: bucket.TokenBucket, wanted: int) -> tuple[int, float]:
     """Reserve the next tokens, in the order of the requests of all hosts.
 
     Returns their number and the seconds until the last of them is due.
@@ -228,122 +237,3 @@
             return reserved, last
         last = wait
     return wanted, last
-
-
-class _LocalTokens:
-    """Tokens of one workspace on this host, with its demand.
-
-    `demand` measures the requests and `used` the granted tokens. `waiting`
-    operations wait for `pending_request`, the request for tokens.
-    """
-
-    def __init__(self, *, now: float) -> None:
-        self.tokens = 0
-        self.expires_at = 0.0
-        self.refused_until = 0.0
-        self.demand = usage.UsageMeter(now=now)
-        self.used = usage.UsageMeter(now=now)
-        self.waiting = 0
-        self.pending_request: asyncio.Task[None] | None = None
-
-    def take_one(self, now: float) -> bool:
-        """Take a token that has not expired; return whether there was one."""
-        if self.expires_at < now:
-            self.tokens = 0
-        if not self.tokens:
-            return False
-        self.tokens -= 1
-        return True
-
-    def tokens_to_request(self, now: float) -> int:
-        """Return the need of the waiters and `BATCH_DEMAND_SECONDS`."""
-        rate = self.demand.rate(now=now)
-        return max(1, self.waiting, round(rate * BATCH_DEMAND_SECONDS))
-
-
-class HostRateLimiter:
-    """Admission control for the operations of callers on this host.
-
-    `request_tokens` asks the counting host for tokens; it returns None if
-    there is none. The limiter then admits operations at the rate that
-    `fallback_rate` returns for a workspace and this host's recent rate.
-    """
-
-    def __init__(
-        self,
-        *,
-        request_tokens: RequestTokens,
-        fallback_rate: typing.Callable[[Workspace, float], float],
-        time_source: clock.Clock,
-    ) -> None:
-        self._request_tokens = request_tokens
-        self._fallback_rate = fallback_rate
-        self._clock = time_source
-        self._local_tokens: dict[Workspace, _LocalTokens] = {}
-        self._fallback_buckets: dict[Workspace, bucket.TokenBucket] = {}
-
-    async def admit(self, workspace: Workspace) -> float | None:
-        """Return None if a token was taken, or the seconds until a retry."""
-        now = self._clock.now()
-        local = self._local_tokens.get(workspace)
-        if local is None:
-            local = _LocalTokens(now=now)
-            self._local_tokens[workspace] = local
-        local.demand.add(1, now=now)
-        deadline = now + MAX_ADMISSION_SECONDS
-        while not local.take_one(now):
-            if local.refused_until > now or now > deadline:
-                return max(local.refused_until - now, MIN_RETRY_SECONDS)
-            await self._refill(workspace, local)
-            now = self._clock.now()
-        return None
-
-    async def _refill(self, workspace: Workspace, local: _LocalTokens) -> None:
-        local.waiting += 1
-        try:
-            if local.pending_request is None or local.pending_request.done():
-                local.pending_request = asyncio.ensure_future(
-                    self._request_grant(workspace, local),
-                )
-            await asyncio.shield(local.pending_request)
-        finally:
-            local.waiting -= 1
-
-    async def _request_grant(
-        self, workspace: Workspace, local: _LocalTokens
-    ) -> None:
-        wanted = local.tokens_to_request(self._clock.now())
-        grant = await self._request_tokens(workspace, wanted)
-        if grant is None:
-            grant = self._grant_local(workspace, local)
-        else:
-            self._fallback_buckets.pop(workspace, None)
-            local.used.add(grant.granted, now=self._clock.now())
-        if grant.wait:
-            await asyncio.sleep(grant.wait)
-        now = self._clock.now()
-        if grant.granted:
-            local.tokens += grant.granted
-            local.expires_at = now + BATCH_LIFETIME_SECONDS
-        else:
-            pause = min(grant.retry_after, MAX_RETRY_SECONDS)
-            local.refused_until = now + max(pause, MIN_RETRY_SECONDS)
-
-    def _grant_local(self, workspace: Workspace, local: _LocalTokens) -> Grant:
-        """Grant tokens at this host's recent rate, by itself."""
-        tokens = self._fallback_buckets.get(workspace)
-        if tokens is None:
-            used = local.used.rate(now=self._clock.now())
-            rate = self._fallback_rate(workspace, used)
-            if rate <= 0:
-                return Grant(granted=0, retry_after=1)
-            tokens = bucket.TokenBucket(
-                rate=rate,
-                burst=max(MIN_FALLBACK_BURST, rate * FALLBACK_BURST_SECONDS),
-                time_source=self._clock,
-            )
-            self._fallback_buckets[workspace] = tokens
-        granted, wait = _reserve(tokens, max(1, local.waiting))
-        if granted:
-            return Grant(granted=granted, wait=wait)
-        return Grant(granted=0, retry_after=tokens.retry_after())
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -68,4 +68,5 @@
   takeTokens @6 (demands :List(Demand), caller :Text) -> (serving :Bool, lots :List(Lot));
   changes @7 (known :List(TableVersion)) -> (ageMs :UInt64, tables :List(TableChanges), era :UInt64);
   laterConfiguration @8 (version :UInt64) -> (content :Data);
+  takePooledTokens @9 (demands :List(Demand), caller :Text) -> (lots :List(Lot));
 }
--- a/src/egretstep/programs/fleet_queries.py
+++ b/src/egretstep/programs/fleet_queries.py
@@ -20,6 +20,8 @@
 
 CONTACT_INTERVAL_SECONDS = 0.7
 MAX_PROBED_HOSTS = 3
+STANDBY_KEY = 'counting-standby'
+_ANY_ZONE = identifiers.ZoneName('')
 _logger = logbook.Logger('questions')
 
 
@@ -47,6 +49,7 @@
         self._clock = time_source
         self._is_isolated = False
         self._unresponsive_claim: claims.Claim | None = None
+        self._standby_failed_at = float('-inf')
 
     @property
     def is_isolated(self) -> bool:
@@ -87,26 +90,68 @@
     ) -> grants.Grant | None:
         """Request up to `wanted` tokens of a workspace.
 
-        Returns None if there is no counting host or it does not answer.
+        They come from a standby if there is no counting host or it does not
+        answer. Returns None if there is no answer from that host either.
         """
         claim = self._keeper.known.get(tasks.COUNTING_TASK)
         own = self._hosts.own.host
         if claim is not None and claim.host == own:
-            return self._tasks.take_tokens(workspace, wanted, own)
-        if claim is not None and claim == self._unresponsive_claim:
-            # The counting host did not answer the last call. Callers don't
-            # wait for it again; `maintain_contact` goes on trying.
-            return None
+            grant = self._tasks.take_tokens(workspace, wanted, own)
+            if grant is not None:
+                return grant
         demands = [{'workspace': workspace, 'wanted': wanted}]
+        # Callers don't wait again for a counting host that did not answer the
+        # last call; `maintain_contact` goes on trying.
+        if claim is None or claim == self._unresponsive_claim:
+            return await self._request_pooled(workspace, wanted)
         reply = await self._call_counting_host(demands)
         if reply is None or not reply.serving:
+            return await self._request_pooled(workspace, wanted)
+        return _decode_grant(reply.lots[0])
+
+    async def _request_pooled(
+        self,
+        workspace: identifiers.WorkspaceName,
+        wanted: int,
+    ) -> grants.Grant | None:
+        """Request tokens of the rate that hosts pool at a standby."""
+        own = self._hosts.own.host
+        if self._standby_host() == own:
+            return self._tasks.standby.take(workspace, wanted, own)
+        demands = [{'workspace': workspace, 'wanted': wanted}]
+        reply = await self._call_standby(demands)
+        return None if reply is None else _decode_grant(reply.lots[0])
+
+    def _standby_host(self) -> identifiers.HostName:
+        return self._hosts.best(STANDBY_KEY, _ANY_ZONE).host
+
+    async def _call_standby(
+        self, demands: list[dict[str, typing.Any]]
+    ) -> typing.Any:
+        """Call the standby; without demands, only contribute to the pool.
+
+        Returns None if it does not answer. It is then not called again until
+        the next contact is due, because callers must not wait each time.
+        """
+        own = self._hosts.own.host
+        standby_host = self._standby_host()
+        if standby_host == own:
+            self._tasks.standby.record_contact(own)
+            return None
+        retry_at = self._standby_failed_at + CONTACT_INTERVAL_SECONDS
+        if self._clock.now() < retry_at:
+            return None
+        try:
+            return await self._peers.call(
+                standby_host,
+                lambda remote: remote.takePooledTokens(
+                    demands=demands, caller=own
+                ),
+            )
+        except (errors.LinkError, errors.LinkLostError) as error:
+            _logger.info('standby {} does not answer: {}', standby_host, error)
+            self._standby_failed_at = self._clock.now()
             return None
-        batch = reply.lots[0]
-        return grants.Grant(
-            granted=batch.granted,
-            wait=clock.to_seconds(batch.waitMs),
-            retry_after=clock.to_seconds(batch.retryAfterMs),
-        )
 
     async def _call_counting_host(
         self,
@@ -157,6 +202,8 @@
             await asyncio.sleep(CONTACT_INTERVAL_SECONDS)
             claim = self._keeper.known.get(tasks.COUNTING_TASK)
             reply = await self._call_counting_host([])
+            if reply is None:
+                await self._call_standby([])
             own = self._hosts.own.host
             if reply is not None or claim is None or claim.host == own:
                 self._set_isolated(isolated=False)
@@ -180,3 +227,11 @@
             state = 'lost' if isolated else 'regained'
             _logger.info('contact with the other hosts is {}', state)
         self._is_isolated = isolated
+
+
+def _decode_grant(batch: typing.Any) -> grants.Grant:
+    return grants.Grant(
+        granted=batch.granted,
+        wait=clock.to_seconds(batch.waitMs),
+        retry_after=clock.to_seconds(batch.retryAfterMs),
+    )
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -3,6 +3,7 @@
 import typing
 
 from egretstep import clock, identifiers
+from egretstep.limits import grants
 from egretstep.membership import fleet_links, leases
 from egretstep.peers import fleet_messages, fleet_schema
 from egretstep.pooling import brokers, local_host
@@ -115,15 +116,30 @@
             if grant is None:
                 _context.results.serving = False
                 return
-            granted_lots.append({
-                'workspace': workspace,
-                'granted': grant.granted,
-                'retryAfterMs': clock.to_milliseconds(grant.retry_after),
-                'waitMs': clock.to_milliseconds(grant.wait),
-            })
+            granted_lots.append(_encode_grant(workspace, grant))
         _context.results.serving = True
         _context.results.lots = granted_lots
 
+    async def takePooledTokens(
+        self,
+        demands: typing.Any,
+        caller: str,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Grant tokens of the rate that hosts pool here, as a standby.
+
+        A call without demands only adds the caller's share to the pool.
+        """
+        host = identifiers.HostName(caller)
+        self._tasks.standby.record_contact(host)
+        granted_lots = []
+        for demand in demands:
+            workspace = identifiers.WorkspaceName(demand.workspace)
+            grant = self._tasks.standby.take(workspace, demand.wanted, host)
+            granted_lots.append(_encode_grant(workspace, grant))
+        _context.results.lots = granted_lots
+
     async def changes(
         self,
         known: typing.Any,
@@ -153,3 +169,14 @@
     async def link_closed(self) -> None:
         """Roll back the transactions left open by callers of the other host."""
         self._brokers.release_link(self._link)
+
+
+def _encode_grant(
+    workspace: identifiers.WorkspaceName, grant: grants.Grant
+) -> dict[str, typing.Any]:
+    return {
+        'workspace': workspace,
+        'granted': grant.granted,
+        'retryAfterMs': clock.to_milliseconds(grant.retry_after),
+        'waitMs': clock.to_milliseconds(grant.wait),
+    }
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -10,7 +10,7 @@
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.limits import bucket, grants
+from egretstep.limits import bucket, grants, standby
 from egretstep.membership import (
     claims,
     directory,
@@ -39,6 +39,7 @@
     """Runs the tasks that this host has claimed, and hands them over.
 
     `make_failover` returns a new failover coordinator for each owned service.
+    `standby` limits rates for hosts that can't reach the counting host.
     """
 
     def __init__(
@@ -66,6 +67,11 @@
         self._previous_epochs: dict[claims.TaskName, int] = {}
         self._rate_limiter: grants.FleetRateLimiter | None = None
         self._counting_claim: claims.Claim | None = None
+        self.standby = standby.StandbyRateLimiter(
+            current_deployment=current_deployment,
+            hosts=hosts.up_host_names,
+            time_source=time_source,
+        )
         self._supervisor = supervisor.Supervisor(name='owners')
         self._wanted: tuple[task_ranking.Task, ...] = ()
         self._wanted_inputs: tuple[deployment.Deployment, int] | None = None
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -8,7 +8,7 @@
 
 from egretstep import clock, identifiers
 from egretstep.callers import session_services
-from egretstep.limits import grants
+from egretstep.limits import host_limiter
 from egretstep.membership import (
     claiming,
     directory,
@@ -199,7 +199,7 @@
                 local=self._local,
                 time_source=self._clock,
             ),
-            rate_limiter=grants.HostRateLimiter(
+            rate_limiter=host_limiter.HostRateLimiter(
                 request_tokens=self._queries.request_tokens,
                 fallback_rate=self._queries.fallback_rate,
                 time_source=self._clock,
--- a/tests/limits/test_grants.py
+++ b/tests/limits/test_grants.py
@@ -6,7 +6,7 @@
 import unittest
 
 from egretstep import clock, identifiers
-from egretstep.limits import bucket, grants
+from egretstep.limits import bucket, grants, host_limiter
 from egretstep.settings import deployment
 from tests import platform_fakes, virtual_time
 
@@ -100,7 +100,7 @@
         self.clock = clock.ManualClock(start=100)
         self.grant: grants.Grant | None = grants.Grant(granted=1)
         self.requested: list[int] = []
-        self.limiter = grants.HostRateLimiter(
+        self.limiter = host_limiter.HostRateLimiter(
             request_tokens=self._request_tokens,
             fallback_rate=self._fallback_rate,
             time_source=self.clock,
@@ -115,7 +115,7 @@
     async def test_unused_tokens_expire(self) -> None:
         self.grant = grants.Grant(granted=10)
         await self.limiter.admit(platform_fakes.DEPOT)
-        self.clock.advance(grants.BATCH_LIFETIME_SECONDS + 1)
+        self.clock.advance(host_limiter.BATCH_LIFETIME_SECONDS + 1)
         await self.limiter.admit(platform_fakes.DEPOT)
         self.assertEqual(len(self.requested), 2)
 
@@ -132,7 +132,7 @@
     async def test_wait_for_tokens_is_bounded(self) -> None:
         """More operations wait on a host than it is granted tokens."""
         self.grant = grants.Grant(granted=1, wait=0.15)
-        limiter = grants.HostRateLimiter(
+        limiter = host_limiter.HostRateLimiter(
             request_tokens=self._request_tokens,
             fallback_rate=lambda _workspace, used: max(1, used),
             time_source=clock.MonotonicClock(),
@@ -143,7 +143,7 @@
         )
         self.assertLess(
             time.monotonic() - started,
-            grants.MAX_ADMISSION_SECONDS * 2,
+            host_limiter.MAX_ADMISSION_SECONDS * 2,
         )
         self.assertTrue(any(waits))
 
--- a/tests/test_fleet_queries.py
+++ b/tests/test_fleet_queries.py
@@ -6,8 +6,10 @@
 """
 
 import unittest
+import unittest.mock
 
 from egretstep import clock, errors, identifiers
+from egretstep.limits import standby
 from egretstep.membership import claims, directory
 from egretstep.programs import fleet_queries, tasks
 from egretstep.settings import deployment
@@ -57,11 +59,16 @@
         self.peers = _Peers()
         self.keeper = _Keeper()
         self.keeper.hold('a', 1)
+        self.standby = standby.StandbyRateLimiter(
+            current_deployment=lambda: deployment.EMPTY,
+            hosts=hosts.up_host_names,
+            time_source=clock.ManualClock(),
+        )
         self.queries = fleet_queries.FleetQueries(
             hosts=hosts,
             keeper=self.keeper,
             peers=self.peers,
-            fleet_tasks=None,
+            fleet_tasks=unittest.mock.Mock(standby=self.standby),
             current_deployment=lambda: deployment.EMPTY,
             time_source=clock.ManualClock(),
         )
@@ -76,11 +83,15 @@
     async def test_callers_do_not_wait_for_a_silent_counting_host(
         self,
     ) -> None:
-        """Only the first of several requests calls a failed counting host."""
+        """Only the first of several requests calls a failed counting host.
+
+        Only that one calls the standby, which fails as well.
+        """
+        standby_host = self.queries._standby_host()
         for _ in range(5):
             grant = await self.queries.request_tokens(platform_fakes.DEPOT, 1)
             self.assertIsNone(grant)
-        self.assertEqual(self.peers.called, ['a'])
+        self.assertEqual(self.peers.called, ['a', standby_host])
         self.keeper.hold('b', 2)
         await self.queries.request_tokens(platform_fakes.DEPOT, 1)
-        self.assertEqual(self.peers.called, ['a', 'b'])
+        self.assertEqual(self.peers.called, ['a', standby_host, 'b'])
