Configuration: out-of-range values are refused with entry, value and range

Cause: a route's priority above 255 could not be sent to other hosts, and a timeout of zero or a connection limit of zero could not be served; an error named the field, but not the entry.

The error names the route's database, the service or the workspace.

--- a/src/egretstep/platform/operator_settings.py
+++ b/src/egretstep/platform/operator_settings.py
@@ -15,6 +15,9 @@
     'read_your_writes': deployment.Consistency.SESSION,
 }
 DEFAULT_TRANSACTION_IDLE_MS = 3000
+MAX_PRIORITY = 255
+MAX_DURATION_MS = 24 * 60 * 60 * 1000
+_Entry = typing.TypeVar('_Entry')
 
 
 def zones_out(
@@ -50,12 +53,22 @@
 
 
 def _decode(fields: json_fields.JsonFields) -> deployment.Deployment:
-    routes = map(_decode_route, fields.objects('routes'))
-    services = map(_decode_service, fields.objects('services'))
-    tenants = fields.objects('tenants', is_optional=True)
-    workspaces = [_decode_workspace(each) for each in tenants]
+    routes = [
+        _decode_named(each, 'database', _decode_route)
+        for each in fields.objects('routes')
+    ]
+    services = [
+        _decode_named(each, 'name', _decode_service)
+        for each in fields.objects('services')
+    ]
+    workspaces = [
+        _decode_named(each, 'name', _decode_workspace)
+        for each in fields.objects('tenants', is_optional=True)
+    ]
     idle_ms = fields.nested('limits').number(
-        'tx_idle_ms', default=DEFAULT_TRANSACTION_IDLE_MS
+        'tx_idle_ms',
+        most=MAX_DURATION_MS,
+        default=DEFAULT_TRANSACTION_IDLE_MS,
     )
     return deployment.Deployment(
         version=identifiers.SettingsVersion(fields.integer('version')),
@@ -69,17 +82,38 @@
     )
 
 
+def _decode_named(
+    fields: json_fields.JsonFields,
+    name_field: str,
+    decode: typing.Callable[[json_fields.JsonFields], _Entry],
+) -> _Entry:
+    """Decode an entry; an error names it by one of its fields."""
+    name = fields.text(name_field)
+    try:
+        return decode(fields)
+    except errors.MalformedFieldError as error:
+        raise errors.MalformedFieldError(
+            f'{name_field} {json_fields.quote(name)}: {error}',
+        ) from error
+
+
 def _decode_route(fields: json_fields.JsonFields) -> deployment.Route:
     max_staleness = None
     if fields.has('max_staleness_ms'):
-        max_staleness = clock.to_seconds(fields.number('max_staleness_ms'))
+        max_staleness = clock.to_seconds(
+            fields.number('max_staleness_ms', most=MAX_DURATION_MS)
+        )
     return deployment.Route(
         database=identifiers.DatabaseName(fields.name('database')),
         service=deployment.ServiceName(fields.name('service')),
         consistency=fields.choice('route_type', _CONSISTENCY),
-        timeout=clock.to_seconds(fields.number('timeout_ms')),
-        target=clock.to_seconds(fields.number('target_latency_ms', default=0)),
-        priority=fields.integer('priority', default=1),
+        timeout=clock.to_seconds(
+            fields.number('timeout_ms', least=1, most=MAX_DURATION_MS)
+        ),
+        target=clock.to_seconds(
+            fields.number('target_latency_ms', most=MAX_DURATION_MS, default=0)
+        ),
+        priority=fields.integer('priority', most=MAX_PRIORITY, default=1),
         max_staleness=max_staleness,
         is_open=fields.flag('auth_exempt', default=False),
     )
@@ -88,7 +122,7 @@
 def _decode_service(fields: json_fields.JsonFields) -> deployment.Service:
     return deployment.Service(
         name=deployment.ServiceName(fields.name('name')),
-        connection_limit=fields.integer('max_conns'),
+        connection_limit=fields.integer('max_conns', least=1),
         sync_replicas=fields.integer('sync_replicas', default=0),
     )
 
