Server queues order and reject by priority, target and time limit

Cause: with one order for all statements the most valuable kind was served worst, statements that could not meet their target delayed those that could, and rejected callers came back at the same time.

--- a/src/egretstep/callers/platform_session.py
+++ b/src/egretstep/callers/platform_session.py
@@ -12,8 +12,13 @@
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
-from egretstep.callers import access, session_services, session_state
-from egretstep.observability import decisions, metrics
+from egretstep.callers import (
+    access,
+    platform_work,
+    session_services,
+    session_state,
+)
+from egretstep.observability import decisions
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
 
@@ -142,6 +147,7 @@
     ) -> answers.Answer:
         if self._transaction_state is not _State.OUTSIDE:
             return self._refuse(command)
+        started = time.monotonic()
         route, workspace = self.authorize()
         refusal = await self._admit(statement_id, workspace)
         if refusal is not None:
@@ -150,6 +156,7 @@
             pin_id=identifiers.PinId(next(_pin_ids)),
             is_read_only=command.action is _Action.BEGIN_READ,
             route=route,
+            spent_seconds=time.monotonic() - started,
         )
         self._transaction_state = _State.INSIDE
         return answers.Answer()
@@ -187,49 +194,41 @@
                 return self._fail_transaction(session_state.unknown_prepared())
             command = dataclasses.replace(command, prepared=prepared)
         started = time.monotonic()
-        if self._transaction:
+        transaction = self._transaction
+        if transaction:
             answer = await self._run_in_transaction(statement_id, command)
         elif command.action is _Action.COMMIT:
             return self._refuse(command)
         else:
-            answer = await self._run_autocommit(statement_id, command)
+            answer = await self._run_autocommit(statement_id, command, started)
         self._advance_floor(command, answer)
         elapsed = time.monotonic() - started
-        self._record_outcome(statement_id, elapsed, answer)
+        if transaction:
+            transaction.spent_seconds += elapsed
+        platform_work.record_outcome(
+            statement_id=statement_id,
+            database=self._database,
+            elapsed=elapsed,
+            answer=answer,
+            current=self._services.current_deployment(),
+        )
         return answer
 
-    def _record_outcome(
-        self,
-        statement_id: bytes,
-        elapsed: float,
-        answer: answers.Answer,
-    ) -> None:
-        """Count the outcome, and log a failure or a missed target."""
-        metrics.statements.inc(self._database, answer.code.value)
-        metrics.statement_seconds.observe({}, elapsed)
-        current = self._services.current_deployment()
-        route = current.routes.get(self._database)
-        if not answer.is_ok:
-            decisions.failed(
-                statement_id,
-                self._database,
-                elapsed,
-                answer,
-                current.version,
-            )
-        elif route is not None and elapsed > route.target:
-            decisions.late(statement_id, self._database, elapsed, answer)
-
     async def _run_autocommit(
         self,
         statement_id: bytes,
         command: commands.Command,
+        started: float,
     ) -> answers.Answer:
+        """Run a statement that arrived at the monotonic time `started`."""
         route, workspace = self.authorize()
         refusal = await self._admit(statement_id, workspace)
         if refusal is not None:
             return refusal
-        work = self._new_work(statement_id, command, route, workspace)
+        spent_seconds = time.monotonic() - started
+        work = self._new_work(
+            statement_id, command, route, workspace, spent_seconds
+        )
         dispatched = await self._services.dispatcher.dispatch(work)
         return dispatched.answer
 
@@ -243,7 +242,13 @@
         )
         workspace = self._authorize_in_transaction()
         work = dataclasses.replace(
-            self._new_work(statement_id, command, transaction.route, workspace),
+            self._new_work(
+                statement_id,
+                command,
+                transaction.route,
+                workspace,
+                transaction.spent_seconds,
+            ),
             pin_id=transaction.pin_id,
         )
         if transaction.host is None:
@@ -272,12 +277,8 @@
         transaction: session_services.Transaction,
         work: work_module.Work,
     ) -> answers.Answer:
-        opens = work_module.Opens.TRANSACTION
-        if transaction.is_read_only:
-            opens = work_module.Opens.READ_TRANSACTION
-        staleness = work.max_staleness if transaction.is_read_only else None
         dispatched = await self._services.dispatcher.dispatch(
-            dataclasses.replace(work, opens=opens, max_staleness=staleness),
+            platform_work.opening(work, is_read_only=transaction.is_read_only),
         )
         if dispatched.answer.is_pinned:
             transaction.host = dispatched.host
@@ -321,23 +322,19 @@
         command: commands.Command,
         route: deployment.Route,
         workspace: identifiers.WorkspaceName,
+        spent_seconds: float,
     ) -> work_module.Work:
         reads_own_writes = route.consistency is deployment.Consistency.SESSION
-        staleness = route.max_staleness
-        if route.consistency is deployment.Consistency.PRIMARY:
-            staleness = None
-        if command.is_write or command.action is _Action.COMMIT:
-            staleness = None
-        return work_module.Work(
-            statement_id=statement_id,
-            command=command,
-            workspace=workspace,
-            service=route.service,
-            timeout=route.timeout,
+        return dataclasses.replace(
+            platform_work.new_work(
+                statement_id=statement_id,
+                command=command,
+                route=route,
+                workspace=workspace,
+                spent_seconds=spent_seconds,
+            ),
             values=self._session_state.session_values,
             floor=self._floor if reads_own_writes else identifiers.LOG_START,
-            max_staleness=staleness,
-            priority=route.priority,
         )
 
 
--- a/src/egretstep/callers/session_services.py
+++ b/src/egretstep/callers/session_services.py
@@ -17,7 +17,8 @@
 
     `pin_id` names the server connection that is reserved for it. `host` and
     `server` are set when the first statement opens it on a server, and `host`
-    is None again when that server no longer holds it.
+    is None again when that server no longer holds it. `spent_seconds` is the
+    time of its statements so far, BEGIN included, without the pauses between.
     """
 
     pin_id: identifiers.PinId
@@ -25,6 +26,7 @@
     route: deployment.Route
     host: identifiers.HostName | None = None
     server: connection.ServerId = connection.ServerId('')
+    spent_seconds: float = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -65,6 +65,16 @@
     'Reads served, by database and role of the server.',
     ('database', 'role'),
 )
+admission_rejections = BufferedCounter(
+    'egretstep_admission_rejections_total',
+    'Statements that a server queue rejected, by reason and priority level.',
+    ('reason', 'level'),
+)
+late_statements = BufferedCounter(
+    'egretstep_late_statements_total',
+    'Statements put behind others because their target is missed, by level.',
+    ('level',),
+)
 statement_seconds = aioprometheus.Histogram(
     'egretstep_statement_seconds',
     'Time from a statement to its answer at the entry.',
--- a/src/egretstep/pooling/queue_forecast.py
+++ b/src/egretstep/pooling/queue_forecast.py
@@ -31,8 +31,14 @@
     0.5
     """
 
-    def __init__(self, *, time_source: clock.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        time_source: clock.Clock,
+        max_gap_seconds: float = MAX_GAP_SECONDS,
+    ) -> None:
         self._clock = time_source
+        self._max_gap_seconds = max_gap_seconds
         self._granted_at: collections.deque[float] = collections.deque()
         self._waiting_since: float | None = None
 
@@ -47,13 +53,21 @@
     def record_slot_granted(self) -> None:
         """Record that a waiting statement got a slot."""
         now = self._clock.now()
-        if self._granted_at and now - self._granted_at[-1] > MAX_GAP_SECONDS:
-            self._granted_at.clear()
-            self._waiting_since = now
+        if (
+            self._granted_at
+            and now - self._granted_at[-1] > self._max_gap_seconds
+        ):
+            self.restart()
         self._granted_at.append(now)
         while self._granted_at[0] < now - WINDOW_SECONDS:
             self._granted_at.popleft()
 
+    def restart(self) -> None:
+        """Forget the rate; if statements wait, measure it from now on."""
+        self._granted_at.clear()
+        if self._waiting_since is not None:
+            self._waiting_since = self._clock.now()
+
     def seconds_until(self, *, position: int) -> float:
         """Return the forecast wait in seconds for a position in the queue.
 
--- /dev/null
+++ b/src/egretstep/pooling/service_times.py
@@ -0,0 +1,76 @@
+"""Recent mean time that statements spend in a slot."""
+
+import dataclasses
+
+from egretstep import identifiers
+from egretstep.backends import server_load
+
+INITIAL_SERVICE_ESTIMATE_SECONDS = 0.002
+NEWEST_SAMPLE_SHARE = 0.2
+# Means over many workspaces get more samples and may change more slowly.
+NEWEST_LEVEL_SAMPLE_SHARE = 0.05
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Mean:
+    """Decaying mean; the first samples have equal shares."""
+
+    newest_share: float
+    seconds: float = INITIAL_SERVICE_ESTIMATE_SECONDS
+    sample_count: int = 0
+
+    def add(self, seconds: float) -> None:
+        self.sample_count += 1
+        share = max(self.newest_share, 1 / self.sample_count)
+        self.seconds += share * (seconds - self.seconds)
+
+
+class ServiceTimes:
+    """Mean service times of levels and of their workspaces.
+
+    A workspace without a sample has the mean of its level, and a level
+    without one that of the server.
+
+    >>> times = ServiceTimes()
+    >>> times.record(0, identifiers.WorkspaceName('depot'), 0.03)
+    >>> times.of_workspace(0, identifiers.WorkspaceName('new'))
+    0.03
+    >>> times.of_level(2)
+    0.03
+    """
+
+    def __init__(self) -> None:
+        self._server = _Mean(newest_share=NEWEST_LEVEL_SAMPLE_SHARE)
+        self._levels = [
+            _Mean(newest_share=NEWEST_LEVEL_SAMPLE_SHARE)
+            for _ in range(server_load.PRIORITY_LEVEL_COUNT)
+        ]
+        self._workspaces: dict[
+            tuple[int, identifiers.WorkspaceName], _Mean
+        ] = {}
+
+    def record(
+        self,
+        level: int,
+        workspace: identifiers.WorkspaceName,
+        seconds: float,
+    ) -> None:
+        """Record the service time of one statement."""
+        mean = self._workspaces.get((level, workspace))
+        if mean is None:
+            mean = _Mean(newest_share=NEWEST_SAMPLE_SHARE)
+            self._workspaces[level, workspace] = mean
+        for each in (mean, self._levels[level], self._server):
+            each.add(seconds)
+
+    def of_workspace(
+        self, level: int, workspace: identifiers.WorkspaceName
+    ) -> float:
+        """Return the mean of a workspace's statements, in seconds."""
+        mean = self._workspaces.get((level, workspace))
+        return mean.seconds if mean else self.of_level(level)
+
+    def of_level(self, level: int) -> float:
+        """Return the mean of a level's statements, in seconds."""
+        mean = self._levels[level]
+        return mean.seconds if mean.sample_count else self._server.seconds
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -255,9 +255,16 @@
     ),
     mutant_types.Mutant(
         name='waiting statements are not refused early',
-        path='src/egretstep/pooling/fair_queue.py',
-        old='if self._is_first_come or not is_due:',
-        new='if is_due or not is_due:',
+        path='src/egretstep/pooling/slot_policy.py',
+        old='if now - self._reviewed_at < REVIEW_INTERVAL_SECONDS:',
+        new='if now is not None:',
+        tests='tests.pooling.test_queue_forecast',
+    ),
+    mutant_types.Mutant(
+        name='statements that will be late are not refused on arrival',
+        path='src/egretstep/pooling/slot_policy.py',
+        old='return self._answered_at(request, wait_seconds) > request.deadline',
+        new='return self._clock.now() > request.deadline',
         tests='tests.pooling.test_overload',
     ),
     mutant_types.Mutant(
