--- a/src/egretstep/pooling/band_group.py
+++ b/src/egretstep/pooling/band_group.py
@@ -56,34 +56,6 @@
         """Charge the account of a band."""
         self._share.charge(band.account, seconds)
 
-    def work_before(
-        self, band: wait_band.WaitBand, own_seconds: float
-    ) -> float:
-        """Return the work done until a band has got `own_seconds`.
-
-        Each other band gets its share meanwhile, but not more than waits.
-        """
-        return own_seconds + sum(
-            _served_beside(
-                other.work_seconds,
-                own_seconds * other.account.weight / band.account.weight,
-            )
-            for other in self.bands
-            if other is not band
-        )
-
-
-def work_before_group(
-    group: BandGroup, other: BandGroup, own_seconds: float
-) -> float:
-    """Return the work of both classes until one has got `own_seconds`."""
-    share = own_seconds * other.account.weight / group.account.weight
-    return own_seconds + _served_beside(other.work_seconds, share)
-
-
-def _served_beside(waiting_seconds: float, share_seconds: float) -> float:
-    return min(waiting_seconds, share_seconds)
-
 
 def _weight_of(level: int) -> float:
     levels_below = server_load.PRIORITY_LEVEL_COUNT - 1 - level
--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -261,6 +261,10 @@
         self, rejection: slot_requests.Rejection
     ) -> errors.RefusedError:
         retry_after_seconds = self._retry_after(rejection)
+        message = OVERLOAD_MESSAGE
+        left_seconds = rejection.request.deadline - self._clock.now()
+        if retry_after_seconds > left_seconds:
+            message = f'{message}; there is room only after its time limit'
         self._log.record_rejection(
             rejection,
             retry_after_seconds=retry_after_seconds,
@@ -271,7 +275,7 @@
         return errors.RefusedError(
             refusal=errors.Refusal(
                 kind=errors.RefusalKind.OVERLOADED,
-                message=OVERLOAD_MESSAGE,
+                message=message,
                 retry_after_ms=max(
                     1, clock.to_milliseconds(retry_after_seconds)
                 ),
--- a/src/egretstep/pooling/fair_share.py
+++ b/src/egretstep/pooling/fair_share.py
@@ -43,6 +43,17 @@
         """Return how far the member is ahead of the group's virtual time."""
         return self.start_of(account) - self._virtual_time
 
+    def enter(self, account: Account, seconds: float) -> None:
+        """Let a member that was idle wait for its share before it is served.
+
+        Without this, its next statement would be as near as that of the
+        others, whatever its weight. `seconds` is a statement's service time.
+        """
+        account.virtual_finish = max(
+            account.virtual_finish,
+            self._virtual_time + seconds / account.weight,
+        )
+
     def charge(self, account: Account, seconds: float) -> None:
         """Charge a statement that was served in the fair order."""
         self._virtual_time = self.start_of(account)
--- a/src/egretstep/pooling/return_times.py
+++ b/src/egretstep/pooling/return_times.py
@@ -16,9 +16,9 @@
 
 # Longest times by priority level. They differ, so that a statement of high
 # priority is told an earlier time also when there are too many for all places.
-MAX_RETURN_SECONDS = (2.0, 3.0, 4.0, 5.0)
+MAX_RETURN_SECONDS = (1.5, 3.0, 4.5, 6.0)
 # Callers without a place are spread over this time before the longest one.
-OVERFLOW_SECONDS = 1.0
+OVERFLOW_SECONDS = 1.5
 MIN_RATE = 1.0
 # Share of a level's slots that returning callers may take; new statements
 # keep arriving meanwhile.
--- a/src/egretstep/pooling/slot_policy.py
+++ b/src/egretstep/pooling/slot_policy.py
@@ -17,6 +17,7 @@
 from egretstep import clock, identifiers
 from egretstep.backends import server_load
 from egretstep.pooling import (
+    band_forecast,
     band_group,
     fair_share,
     queue_forecast,
@@ -98,7 +99,7 @@
                 wait_seconds=wait_seconds,
                 reason=slot_requests.RejectionReason.FORECAST_ON_ARRIVAL,
             )
-        self._band_of(request).add(request)
+        self._add(request)
         return None
 
     def remove(self, request: slot_requests.SlotRequest) -> bool:
@@ -127,11 +128,11 @@
         if now - self._reviewed_at < REVIEW_INTERVAL_SECONDS:
             return []
         self._reviewed_at = now
-        self._review_targets(slots)
         rejections: list[slot_requests.Rejection] = []
         for group in (self._timely, self._late):
             for band in group.bands:
-                rejections.extend(self._review_deadlines(group, band, slots))
+                if band.waiting:
+                    rejections.extend(self._review_band(group, band, slots))
         return rejections
 
     def forget_rates(self) -> None:
@@ -148,8 +149,8 @@
     ) -> float:
         """Return the forecast wait of a new statement, in seconds."""
         band = self._timely.bands[0]
-        position = band.position_of_new(workspace)
-        return self._wait(self._timely, band, position, slots)
+        forecast = self._forecast(self._timely, band, slots)
+        return forecast.wait(band.position_of_new(workspace))
 
     def outlook(self, slots: float) -> tuple[slot_requests.Outlook, ...]:
         """Return the outlook of each priority level."""
@@ -218,38 +219,28 @@
         group = self._group_of(request)
         band = self._band_of(request)
         position = band.position_of_new(request.workspace)
-        return NEW_WAITER_SAFETY_FACTOR * self._wait(
-            group, band, position, slots
-        )
+        forecast = self._forecast(group, band, slots)
+        return NEW_WAITER_SAFETY_FACTOR * forecast.wait(position)
 
-    def _wait(
+    def _forecast(
         self,
         group: band_group.BandGroup,
         band: wait_band.WaitBand,
-        position: int,
         slots: float,
-    ) -> float:
-        """Return the forecast wait for a position of a band, in seconds.
-
-        At sustained overload the rate at which the band gets slots tells the
-        wait. Before it is known, the wait follows from the work that is done
-        until then by all bands, each within its share.
-        """
-        measured_seconds = band.rate.seconds_until(position=position)
-        if measured_seconds:
-            return measured_seconds
-        own_seconds = position * self._times.of_level(band.level)
-        other = self._timely if group is self._late else self._late
-        work_seconds = band_group.work_before_group(
-            group, other, group.work_before(band, own_seconds)
+    ) -> band_forecast.BandForecast:
+        return band_forecast.of_band(
+            band=band,
+            group=group,
+            other_group=self._timely if group is self._late else self._late,
+            slots=slots,
         )
-        return work_seconds / slots
 
     def _outlook_of(
         self, band: wait_band.WaitBand, slots: float
     ) -> slot_requests.Outlook:
         position = band.position_of_new(None)
-        wait_seconds = self._wait(self._timely, band, position, slots)
+        forecast = self._forecast(self._timely, band, slots)
+        wait_seconds = forecast.wait(position)
         return slot_requests.Outlook(
             wait_seconds=wait_seconds, rate=position / wait_seconds
         )
@@ -274,6 +265,12 @@
         )
         return self._clock.now() + wait_seconds + service_seconds
 
+    def _add(self, request: slot_requests.SlotRequest) -> None:
+        band = self._band_of(request)
+        if request.is_late and not self._late.waiting:
+            self._classes.enter(self._late.account, band.service_seconds)
+        band.add(request)
+
     def _mark_late(self, request: slot_requests.SlotRequest) -> None:
         request.is_late = True
         self._late_counts[request.level] += 1
@@ -281,29 +278,21 @@
     def _move_to_late(self, request: slot_requests.SlotRequest) -> None:
         self._band_of(request).remove(request)
         self._mark_late(request)
-        self._band_of(request).add(request)
-
-    def _review_targets(self, slots: float) -> None:
-        for band in self._timely.bands:
-            if not band.waiting:
-                continue
-            for position, request in band.in_order():
-                wait_seconds = self._wait(self._timely, band, position, slots)
-                if self._misses_target(request, wait_seconds):
-                    self._move_to_late(request)
-
-    def _review_deadlines(
+        self._add(request)
+
+    def _review_band(
         self,
         group: band_group.BandGroup,
         band: wait_band.WaitBand,
         slots: float,
     ) -> list[slot_requests.Rejection]:
-        rejections: list[slot_requests.Rejection] = []
-        if not band.waiting:
-            return rejections
+        forecast = self._forecast(group, band, slots)
+        rejections = []
         for position, request in band.in_order():
-            wait_seconds = self._wait(group, band, position, slots)
-            if self._misses_deadline(request, wait_seconds):
+            wait_seconds = forecast.wait(position)
+            if self._misses_target(request, wait_seconds):
+                self._move_to_late(request)
+            elif self._misses_deadline(request, wait_seconds):
                 band.remove(request)
                 rejections.append(
                     slot_requests.Rejection(
--- a/src/egretstep/pooling/wait_band.py
+++ b/src/egretstep/pooling/wait_band.py
@@ -74,7 +74,12 @@
     @property
     def work_seconds(self) -> float:
         """Return the expected service time of all waiting statements."""
-        return self.waiting * self._times.of_level(self.level)
+        return self.waiting * self.service_seconds
+
+    @property
+    def service_seconds(self) -> float:
+        """Return the recent mean service time of the level."""
+        return self._times.of_level(self.level)
 
     def add(self, request: slot_requests.SlotRequest) -> None:
         """Put a statement behind the others of its workspace."""
--- a/tests/pooling/load_replay.py
+++ b/tests/pooling/load_replay.py
@@ -12,6 +12,9 @@
 SLOTS = 6
 WORKSPACES = 20
 SEED = 1
+HOT = identifiers.WorkspaceName('hot')
+# Virtual time in seconds, and the load of the queue then.
+Sample = tuple[float, fair_queue.QueueLoad]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -77,19 +80,24 @@
     """Sends operations at one server and counts their outcomes.
 
     `is_plain` leaves out priority and target. `max_returns` is how often a
-    rejected caller comes back after the told time.
+    rejected caller comes back after the told time, within its time limit.
+    `pinned_load` is the load by open transactions and `hot_share` the share of
+    the workspace `HOT`. Between the two times of `outage` the server is silent.
     """
 
     policy: queueing.QueuePolicy = queueing.QueuePolicy.FAIR
     is_plain: bool = False
     max_returns: int = 0
     pinned_load: float = 0
+    hot_share: float = 0
+    outage: tuple[float, float] = (0, 0)
     by_kind: dict[str, Count] = dataclasses.field(default_factory=dict)
-    by_workspace: dict[str, Count] = dataclasses.field(default_factory=dict)
+    by_workspace: dict[tuple[str, str], Count] = dataclasses.field(
+        default_factory=dict
+    )
     returns: list[float] = dataclasses.field(default_factory=list)
     told: list[tuple[int, float]] = dataclasses.field(default_factory=list)
-    samples: list[tuple[float, int]] = dataclasses.field(default_factory=list)
-    most_running: int = 0
+    samples: list[Sample] = dataclasses.field(default_factory=list)
     queue: fair_queue.FairQueue = dataclasses.field(init=False)
     server: asyncio.Semaphore = dataclasses.field(init=False)
     rng: random.Random = dataclasses.field(init=False)
@@ -118,6 +126,8 @@
         )
         self.server = asyncio.Semaphore(SLOTS)
         self.rng = random.Random(SEED)
+        # The queue spreads return times with the module's own generator.
+        random.seed(SEED)
         await asyncio.gather(
             *(self._send(kind, load_at, seconds) for kind in KINDS),
             self._send_pinned(seconds),
@@ -129,7 +139,7 @@
         while loop.time() < seconds:
             if slots_at is not None:
                 self.queue.set_capacity(slots_at(loop.time()))
-            self.samples.append((loop.time(), self.queue.waiting))
+            self.samples.append((loop.time(), self.queue.load_now()))
             await asyncio.sleep(0.05)
 
     async def _send(self, kind, load_at, seconds) -> None:
@@ -155,6 +165,8 @@
             await self._serve(WRITES)
 
     def _workspace(self) -> identifiers.WorkspaceName:
+        if self.rng.random() < self.hot_share:
+            return HOT
         number = self.rng.randrange(WORKSPACES)
         return identifiers.WorkspaceName(f'workspace-{number}')
 
@@ -164,7 +176,7 @@
         workspace = self._workspace()
         counts = (
             self.by_kind.setdefault(kind.name, Count()),
-            self.by_workspace.setdefault(workspace, Count()),
+            self.by_workspace.setdefault((workspace, kind.name), Count()),
         )
         for count in counts:
             count.sent += 1
@@ -204,8 +216,8 @@
         return None
 
     async def _serve(self, kind: Kind) -> None:
-        self.most_running = max(
-            self.most_running, self.queue.load_now().running
-        )
+        loop = asyncio.get_running_loop()
         async with self.server:
+            if self.outage[0] <= loop.time() < self.outage[1]:
+                await asyncio.sleep(self.outage[1] - loop.time())
             await asyncio.sleep(kind.service * self.rng.uniform(0.7, 1.3))
