Design note of admission; calm bounds follow from targets

Change: a queue counts as calm when no kind waits for more than a fifth of its target (0.05, 0.1 and 0.3 s in place of 0.1 or 0.15 s for all).

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -260,6 +260,20 @@
         new='if now is not None:',
         tests='tests.pooling.test_queue_forecast',
     ),
+    mutant_types.Mutant(
+        name='late statements go among those that can be in time',
+        path='src/egretstep/pooling/slot_policy.py',
+        old='LATE_CLASS_WEIGHT = 0.05',
+        new='LATE_CLASS_WEIGHT = 1',
+        tests='tests.pooling.test_slot_policy',
+    ),
+    mutant_types.Mutant(
+        name='all rejected callers are told the same time',
+        path='src/egretstep/pooling/return_times.py',
+        old='heapq.heappush(self._due_times[level], now + seconds)',
+        new='heapq.heapify(self._due_times[level])',
+        tests='tests.pooling.test_return_times',
+    ),
     mutant_types.Mutant(
         name='statements that will be late are not refused on arrival',
         path='src/egretstep/pooling/slot_policy.py',
--- a/tests/pooling/load_replay.py
+++ b/tests/pooling/load_replay.py
@@ -12,6 +12,7 @@
 SLOTS = 6
 WORKSPACES = 20
 SEED = 1
+CALM_SHARE = 0.2
 HOT = identifiers.WorkspaceName('hot')
 # Virtual time in seconds, and the load of the queue then.
 Sample = tuple[float, fair_queue.QueueLoad]
@@ -60,6 +61,13 @@
 KINDS = (WRITES, SESSION_READS, BOUNDED_READS)
 
 
+def is_calm(load: fair_queue.QueueLoad) -> bool:
+    """Tell whether no kind waits for more than a fifth of its target."""
+    return all(
+        load.waits[kind.priority] < CALM_SHARE * kind.target for kind in KINDS
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Count:
     """What became of the operations of one kind or workspace."""
