Ties between workspaces go to the one that used less

Cause: workspaces with the same virtual start were served in the order in which the queue first saw them. Change: ties go to the workspace that used less, then to the one with fewer waiting statements. Only workspaces that wait are compared, and idle ones are forgotten after a minute. Log lines name the queue.

--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -46,6 +46,7 @@
 
     The baseline policy `FIRST_COME` grants them in the order of arrival, uses
     neither priority nor target, and leaves open transactions out of account.
+    Log lines have the queue's `name`.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         slots: int,
         time_source: clock.Clock,
         policy: queueing.QueuePolicy = queueing.QueuePolicy.FAIR,
+        name: str = '',
     ) -> None:
         self._clock = time_source
         self._slots = slot_count.SlotCount(total=slots, time_source=time_source)
@@ -61,6 +63,7 @@
         self._policy = _new_policy(policy, time_source)
         self._return_times = return_times.ReturnTimes(time_source=time_source)
         self._log = admission_log.AdmissionLog(time_source=time_source)
+        self._name = name
         self._grants: dict[slot_requests.SlotRequest, asyncio.Future[None]] = {}
 
     @property
@@ -268,6 +271,7 @@
         self._log.record_rejection(
             rejection,
             retry_after_seconds=retry_after_seconds,
+            queue=self._name,
             running=self._slots.running,
             slots=self._slots.total,
             waiting=self.waiting,
--- a/src/egretstep/pooling/wait_band.py
+++ b/src/egretstep/pooling/wait_band.py
@@ -22,6 +22,7 @@
 # A workspace that sent a statement within this time is expected to send more.
 ACTIVE_FLOW_SECONDS = 1.0
 EXPECTED_ARRIVALS_PER_FLOW = 2
+IDLE_FLOW_SECONDS = 60.0
 # Expected statements can at most double a position. Where few statements of
 # many workspaces are admitted, most of the expected ones never get a place.
 MAX_EXPECTED_FACTOR = 2
@@ -61,6 +62,7 @@
         self._times = times
         self._share = fair_share.FairShare()
         self._flows: dict[identifiers.WorkspaceName, _Flow] = {}
+        self._waiting_flows: dict[identifiers.WorkspaceName, _Flow] = {}
         # Number of workspaces with more than `index` waiting statements.
         self._depths: list[int] = []
         self.level = level
@@ -86,6 +88,7 @@
         flow = self._get_flow(request.workspace, request.weight)
         flow.latest_arrival_at = self._clock.now()
         flow.requests.append(request)
+        self._waiting_flows[request.workspace] = flow
         if len(flow.requests) > len(self._depths):
             self._depths.append(0)
         self._depths[len(flow.requests) - 1] += 1
@@ -93,19 +96,21 @@
 
     def remove(self, request: slot_requests.SlotRequest) -> bool:
         """Remove a statement; return False if it does not wait here."""
-        flow = self._flows.get(request.workspace)
+        flow = self._waiting_flows.get(request.workspace)
         if flow is None or request not in flow.requests:
             return False
         self._depths[len(flow.requests) - 1] -= 1
         flow.requests.remove(request)
+        if not flow.requests:
+            self._waiting_flows.pop(request.workspace)
         self._count(-1)
         return True
 
     def first(self) -> slot_requests.SlotRequest:
         """Return the statement that is served next."""
         flow = min(
-            (each for each in self._flows.values() if each.requests),
-            key=lambda each: self._share.start_of(each.account),
+            self._waiting_flows.values(),
+            key=self._turn_of,
         )
         return flow.requests[0]
 
@@ -130,6 +135,7 @@
         workspaces are expected to send. A statement that the receiver
         removes does not count for the later ones.
         """
+        self._remove_idle_flows()
         entries = self._entries(self._clock.now())
         entries.sort(key=lambda entry: entry[0])
         ahead = 0
@@ -166,6 +172,19 @@
             self._share.charge_out_of_order(flow.account, seconds)
         return flow.account
 
+    def _turn_of(self, flow: _Flow) -> tuple[float, float, int]:
+        """Return the key by which the next workspace is chosen.
+
+        Of those with the same start, the one that used less goes first, then
+        the one with fewer waiting statements.
+        """
+        account = flow.account
+        return (
+            self._share.start_of(account),
+            account.virtual_finish,
+            len(flow.requests),
+        )
+
     def _count(self, change: int) -> None:
         self.waiting += change
         self.rate.record_waiting(waiting=self.waiting)
@@ -180,6 +199,19 @@
         flow.account.weight = weight
         return flow
 
+    def _remove_idle_flows(self) -> None:
+        """Forget workspaces that sent nothing lately and are not ahead."""
+        limit = self._clock.now() - IDLE_FLOW_SECONDS
+        idle = [
+            flow
+            for flow in self._flows.values()
+            if flow.latest_arrival_at < limit
+            and not flow.requests
+            and not self._share.lead_of(flow.account)
+        ]
+        for flow in idle:
+            self._flows.pop(flow.workspace)
+
     def _step_of(self, flow: _Flow) -> float:
         seconds = self._times.of_workspace(self.level, flow.workspace)
         return seconds / flow.account.weight
--- a/tests/pooling/test_slot_policy.py
+++ b/tests/pooling/test_slot_policy.py
@@ -11,6 +11,8 @@
 SLOTS = 6
 SERVICE_SECONDS = 0.03
 DEPOT = identifiers.WorkspaceName('depot')
+BUSY = identifiers.WorkspaceName('busy')
+QUIET = identifiers.WorkspaceName('quiet')
 
 
 class SlotPolicyTest(unittest.TestCase):
@@ -31,11 +33,12 @@
         *,
         target: float | None = None,
         limit: float = 1e6,
+        workspace: identifiers.WorkspaceName = DEPOT,
     ) -> slot_requests.Rejection | None:
         now = self.clock.now()
         return self.policy.admit(
             slot_requests.SlotRequest(
-                workspace=DEPOT,
+                workspace=workspace,
                 weight=1,
                 level=level,
                 deadline=now + limit,
@@ -58,6 +61,13 @@
         levels = [request.level for request in self._served(100)]
         self.assertAlmostEqual(levels.count(0), 80, delta=3)
 
+    def test_a_busy_workspace_does_not_win_ties(self) -> None:
+        """It came first, and all virtual starts are the same."""
+        for _ in range(5):
+            self._admit(2, workspace=BUSY)
+        self._admit(2, workspace=QUIET)
+        self.assertEqual(self._served(1)[0].workspace, QUIET)
+
     def test_an_idle_level_has_no_credit(self) -> None:
         for _ in range(200):
             self._admit(0)
