Forecasts count the silence of a server

Cause: while a server is silent, the forecast kept the rate from before, and statements were held to their deadline. Change: when running statements should have ended and none did, the time of the silence is added to the forecasts.

--- a/src/egretstep/pooling/band_forecast.py
+++ b/src/egretstep/pooling/band_forecast.py
@@ -36,9 +36,10 @@
     """Forecast from the recent time between two grants of the band."""
 
     seconds_per_grant: float
+    silent_seconds: float
 
     def wait(self, position: int) -> float:
-        return position * self.seconds_per_grant
+        return self.silent_seconds + position * self.seconds_per_grant
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,6 +47,7 @@
     """Forecast from the work that waits; `slots` serve it."""
 
     service_seconds: float
+    silent_seconds: float
     slots: float
     levels: tuple[_OtherWork, ...]
     other_class: _OtherWork
@@ -56,7 +58,7 @@
             level.until(own_seconds) for level in self.levels
         )
         work_seconds = class_seconds + self.other_class.until(class_seconds)
-        return work_seconds / self.slots
+        return self.silent_seconds + work_seconds / self.slots
 
 
 def of_band(
@@ -65,16 +67,21 @@
     group: band_group.BandGroup,
     other_group: band_group.BandGroup,
     slots: float,
+    silent_seconds: float,
 ) -> BandForecast:
     """Return the forecast of a band of `group`.
 
-    `slots` are those that waiting statements can get, in all bands.
+    `slots` are those that waiting statements can get, in all bands. A server
+    that has been silent for a time is expected to be so for as long again.
     """
     seconds_per_grant = band.rate.seconds_until(position=1)
     if seconds_per_grant:
-        return _MeasuredForecast(seconds_per_grant=seconds_per_grant)
+        return _MeasuredForecast(
+            seconds_per_grant=seconds_per_grant, silent_seconds=silent_seconds
+        )
     return _WorkForecast(
         service_seconds=band.service_seconds,
+        silent_seconds=silent_seconds,
         slots=slots,
         levels=tuple(
             _OtherWork(
--- a/src/egretstep/pooling/service_times.py
+++ b/src/egretstep/pooling/service_times.py
@@ -49,6 +49,11 @@
             tuple[int, identifiers.WorkspaceName], _Mean
         ] = {}
 
+    @property
+    def mean_seconds(self) -> float:
+        """Return the mean of all statements, in seconds."""
+        return self._server.seconds
+
     def record(
         self,
         level: int,
--- a/src/egretstep/pooling/slot_policy.py
+++ b/src/egretstep/pooling/slot_policy.py
@@ -21,6 +21,7 @@
     band_group,
     fair_share,
     queue_forecast,
+    server_silence,
     service_times,
     slot_requests,
     wait_band,
@@ -43,6 +44,7 @@
     level: int
     workspace: identifiers.WorkspaceName
     times: service_times.ServiceTimes
+    silence: server_silence.ServerSilence
 
     def settle(self, served_seconds: float) -> None:
         """Replace the estimated by the measured service time."""
@@ -50,6 +52,7 @@
         for account in self.accounts:
             account.virtual_finish += difference / account.weight
         self.times.record(self.level, self.workspace, served_seconds)
+        self.silence.record_end()
 
 
 class FairPolicy:
@@ -61,6 +64,7 @@
     def __init__(self, *, time_source: clock.Clock) -> None:
         self._clock = time_source
         self._times = service_times.ServiceTimes()
+        self._silence = server_silence.ServerSilence(time_source=time_source)
         self._classes = fair_share.FairShare()
         self._timely = band_group.BandGroup(
             weight=1, times=self._times, time_source=time_source
@@ -176,6 +180,7 @@
         group = self._late if is_late else self._timely
         band = group.bands[level]
         seconds = self._times.of_workspace(level, workspace)
+        self._silence.record_start()
         accounts = [band.charge(workspace, weight, seconds, has_waited)]
         if has_waited:
             self._classes.charge(group.account, seconds)
@@ -187,6 +192,7 @@
             level=level,
             workspace=workspace,
             times=self._times,
+            silence=self._silence,
         )
 
     def _group_of(
@@ -233,6 +239,9 @@
             group=group,
             other_group=self._timely if group is self._late else self._late,
             slots=slots,
+            silent_seconds=self._silence.seconds(
+                mean_service_seconds=self._times.mean_seconds
+            ),
         )
 
     def _outlook_of(
