Place reads by expected completion; early rejection; retry budget

Cause: a read went to a random replica of the own zone, also when that replica was full, slow or failing, and a refused read gave up when the replica asked for a long pause. Change: reads go to the server that is expected to end them first, by the load data that answers carry. Servers that fail too often get only probes. A read that a server did not serve goes on to one that was not tried. A statement for a full primary is rejected before it is sent, by fresh load data. Every repeat is paid from a retry budget of the host.

--- a/src/egretstep/observability/decisions.py
+++ b/src/egretstep/observability/decisions.py
@@ -97,6 +97,17 @@
     )
 
 
+def retry_denied(statement_id: bytes, answer: answers.Answer) -> None:
+    """Log and count a statement that the retry budget does not repeat."""
+    metrics.denied_retries.inc(answer.code.value)
+    _log_event(
+        'retry denied',
+        statement_id,
+        outcome=answer.code.value,
+        retry_after_ms=answer.retry_after_ms,
+    )
+
+
 def denied(
     statement_id: bytes,
     database: identifiers.DatabaseName,
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -84,6 +84,26 @@
     'Statements sent again, by reason.',
     ('reason',),
 )
+denied_retries = BufferedCounter(
+    'egretstep_denied_retries_total',
+    'Internal retries denied by the retry budget, by outcome of the attempt.',
+    ('reason',),
+)
+placed_reads = BufferedCounter(
+    'egretstep_placed_reads_total',
+    'Reads that may use a replica, by role of the chosen server and reason.',
+    ('role', 'reason'),
+)
+early_rejections = BufferedCounter(
+    'egretstep_early_rejections_total',
+    'Statements rejected by load data before they were sent, by level.',
+    ('level',),
+)
+server_trust_changes = BufferedCounter(
+    'egretstep_server_trust_changes_total',
+    'Changes of whether a server is trusted, by new state and reason.',
+    ('state', 'reason'),
+)
 settings_version = aioprometheus.Gauge(
     'egretstep_settings_version',
     'Version of the settings in force.',
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -1,7 +1,7 @@
 """Sends each statement to the host that can run it, with safe retries.
 
 A write goes to the host that owns the service. A read that accepts stale
-data may go to a host that has connections to a replica.
+data goes to the server that is expected to answer it first.
 """
 
 import asyncio
@@ -21,14 +21,18 @@
 from egretstep.observability import decisions
 from egretstep.pooling import failure_answers, local_host
 from egretstep.pooling import work as work_module
-from egretstep.routing import retry_policy
+from egretstep.routing import (
+    budget,
+    early_rejection,
+    read_router,
+    retry_policy,
+    server_loads,
+)
+from egretstep.routing import course as course_module
 from egretstep.settings import deployment
 
 LOCAL_LINK_ID = work_module.LinkId(0)
-INITIAL_BACKOFF_SECONDS = 0.02
-MAX_BACKOFF_SECONDS = 0.15
 NO_OWNER_RETRY_AFTER_MS = 300
-REPLICA_COOLDOWN_SECONDS = 1.0
 _TASK_PREFIX = 'service-'
 
 
@@ -68,48 +72,51 @@
         peers: fleet_links.FleetLinks,
         local: local_host.LocalHost,
         time_source: clock.Clock,
+        rng: random.Random | None = None,
     ) -> None:
         self._hosts = hosts
-        self._servers = servers
         self._keeper = keeper
         self._peers = peers
         self._local = local
         self._clock = time_source
-        self._cooldown_until: dict[connection.ServerId, float] = {}
+        self._random = rng or random.Random()
+        loads = server_loads.ServerLoads(time_source=time_source)
+        self._router = read_router.ReadRouter(
+            hosts=hosts,
+            servers=servers,
+            owner_of=self._owner_of,
+            loads=loads,
+            time_source=time_source,
+            rng=self._random,
+        )
+        self._early_rejection = early_rejection.EarlyRejection(
+            loads=loads, time_source=time_source, rng=self._random
+        )
+        self._budget = budget.HostRetryBudget(time_source=time_source)
 
     async def dispatch(self, work: work_module.Work) -> Dispatched:
         """Run a statement outside a transaction, or one that opens one.
 
-        An attempt that had no effect is repeated, on another host or server
-        where there is one, as long as `retry_policy` allows it.
+        An attempt that had no effect, and a plain read that failed, is
+        repeated on another host or server where there is one, as long as
+        `retry_policy` and the retry budget allow it.
         """
-        deadline = self._clock.now() + work.timeout
-        backoff = INITIAL_BACKOFF_SECONDS
-        may_read_replica = work.max_staleness is not None
-        while True:
-            dispatched = await self._attempt(work, may_read_replica, deadline)
-            answer = dispatched.answer
-            if not self._is_retryable(work, answer):
-                return dispatched
-            remaining = deadline - self._clock.now()
-            decisions.attempt_without_effect(
-                work.statement_id,
-                answer,
-                dispatched.host,
-                dispatched.server,
-                remaining,
-            )
-            if not retry_policy.is_worth_retrying(
-                answer,
-                waited=work.timeout - remaining,
-                remaining=remaining,
-            ):
-                return dispatched
-            if not dispatched.server:
-                await asyncio.sleep(backoff * random.uniform(0.5, 1))
-                backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
-            elif answer.code is answers.Code.BEHIND:
-                may_read_replica = False
+        self._budget.deposit()
+        course = course_module.Course(
+            work=work,
+            deadline=self._clock.now() + work.timeout,
+            may_read_replica=work.max_staleness is not None,
+        )
+        target: read_router.Target | None = self._first_target(course)
+        while target is not None:
+            rejection = self._reject_early(course, target)
+            if rejection is not None:
+                return rejection
+            dispatched = await self._attempt(course, target)
+            target = await self._next_target(course, dispatched)
+        return dataclasses.replace(
+            dispatched, answer=course.final(dispatched.answer)
+        )
 
     async def run_in_transaction(
         self,
@@ -122,7 +129,7 @@
         have committed; nothing is retried.
         """
         try:
-            return await self._run_at(host, work)
+            answer = await self._run_at(host, work)
         except errors.LinkError as error:
             return failure_answers.transaction_lost(
                 work, has_written=True, was_sent=False, reason=str(error)
@@ -131,6 +138,8 @@
             return failure_answers.transaction_lost(
                 work, has_written=True, was_sent=True, reason=str(error)
             )
+        self._router.record_load(answer)
+        return answer
 
     async def release(
         self,
@@ -144,26 +153,100 @@
         else:
             await self._peers.release(host, pin_id)
 
-    def _is_retryable(
+    def _first_target(self, course: course_module.Course) -> read_router.Target:
+        if course.may_read_replica:
+            return self._router.first_target(course.work)
+        return self._router.primary_target(course.work.service)
+
+    async def _next_target(
         self,
-        work: work_module.Work,
+        course: course_module.Course,
+        dispatched: Dispatched,
+    ) -> read_router.Target | None:
+        """Return the target of a repeat, after the pause before it.
+
+        None if the answer is final.
+        """
+        work = course.work
+        answer = dispatched.answer
+        remaining = course.deadline - self._clock.now()
+        may_repeat = retry_policy.may_repeat(work, answer)
+        if may_repeat:
+            decisions.attempt_without_effect(
+                work.statement_id,
+                answer,
+                dispatched.host,
+                dispatched.server,
+                remaining,
+            )
+        other = self._other_server(course, answer, remaining)
+        if other is not None:
+            is_paid = course.pay(other.server, answer, self._budget)
+            return other if is_paid else None
+        if not may_repeat or not retry_policy.is_worth_retrying(
+            answer, waited=work.timeout - remaining, remaining=remaining
+        ):
+            return None
+        if not course.pay(read_router.PRIMARY, answer, self._budget):
+            return None
+        await asyncio.sleep(course.next_pause(answer, self._random))
+        return self._router.primary_target(work.service)
+
+    def _other_server(
+        self,
+        course: course_module.Course,
         answer: answers.Answer,
-    ) -> bool:
-        if answer.is_ok or not answer.has_no_effect:
-            return False
-        if work.is_read_only:
-            return True
-        return answer.code is not answers.Code.ABORTED or not answer.was_sent
+        remaining: float,
+    ) -> read_router.Target | None:
+        """Return another server that may serve a read at once, if any."""
+        if not course.may_read_replica:
+            return None
+        work = course.work
+        if not retry_policy.may_repeat_elsewhere(
+            work, answer, remaining=remaining
+        ):
+            return None
+        if answer.code is answers.Code.BEHIND:
+            course.may_read_replica = False
+            return self._router.primary_target(work.service)
+        return self._router.next_target(work, course.tried)
+
+    def _reject_early(
+        self,
+        course: course_module.Course,
+        target: read_router.Target,
+    ) -> Dispatched | None:
+        """Return a refusal if the only server can't answer in time.
+
+        The queue of this host itself needs no forecast by load data.
+        """
+        work = course.work
+        is_own_queue = target.host == self._hosts.own.host
+        if work.max_staleness is not None or is_own_queue or not target.meant:
+            return None
+        retry_after = self._early_rejection.retry_after(
+            target.meant,
+            priority=work.priority,
+            remaining=course.deadline - self._clock.now(),
+        )
+        if retry_after is None:
+            return None
+        return Dispatched(
+            answer=answers.refusal(
+                answers.Code.OVERLOADED,
+                f'the queue of server {target.meant} is too long',
+                retry_after_ms=clock.to_milliseconds(retry_after),
+            ),
+            host=target.host or self._hosts.own.host,
+        )
 
     async def _attempt(
         self,
-        work: work_module.Work,
-        may_read_replica: bool,
-        deadline: float,
+        course: course_module.Course,
+        target: read_router.Target,
     ) -> Dispatched:
-        replica = self._choose_replica(work) if may_read_replica else None
-        host = self._choose_host(work, replica)
-        server = replica.server if replica else connection.ServerId('')
+        host = target.host
+        course.tried.add(target.meant)
         if host is None or self._hosts.is_suspected(host):
             return Dispatched(
                 answer=answers.refusal(
@@ -174,22 +257,25 @@
                 host=host or self._hosts.own.host,
             )
         bounded_work = dataclasses.replace(
-            work,
-            server=server,
-            timeout=deadline - self._clock.now(),
+            course.work,
+            server=target.server,
+            timeout=course.deadline - self._clock.now(),
         )
-        answer = await self._run_once(host, bounded_work)
-        if replica and not answer.is_ok and answer.has_no_effect:
-            self._start_cooldown(replica, answer)
-        return Dispatched(answer=answer, host=host, server=server)
+        sent_id = self._router.record_sent(target)
+        try:
+            answer = await self._run_once(host, bounded_work, target)
+        finally:
+            self._router.record_answered(target, sent_id)
+        return Dispatched(answer=answer, host=host, server=target.server)
 
     async def _run_once(
         self,
         host: identifiers.HostName,
         work: work_module.Work,
+        target: read_router.Target,
     ) -> answers.Answer:
         try:
-            return await self._run_at(host, work)
+            answer = await self._run_at(host, work)
         except errors.LinkError as error:
             return answers.refusal(
                 answers.Code.OVERLOADED,
@@ -197,9 +283,12 @@
                 retry_after_ms=failure_answers.RETRY_AFTER_MS,
             )
         except errors.LinkLostError as error:
+            self._router.record_lost(target)
             return failure_answers.connection_broken(
                 work, str(error), was_sent=True
             )
+        self._router.record_outcome(target, answer)
+        return answer
 
     async def _run_at(
         self,
@@ -210,52 +299,9 @@
             return await self._local.execute(work, LOCAL_LINK_ID)
         return await self._peers.execute(host, work)
 
-    def _choose_host(
+    def _owner_of(
         self,
-        work: work_module.Work,
-        replica: connection.BackendServer | None,
+        service: deployment.ServiceName,
     ) -> identifiers.HostName | None:
-        if replica is None:
-            claim = self._keeper.known.get(ownership_task(work.service))
-            return claim.host if claim else None
-        return self._hosts.best(replica.server, replica.zone).host
-
-    def _choose_replica(
-        self,
-        work: work_module.Work,
-    ) -> connection.BackendServer | None:
-        """Choose a random replica, preferably in this host's zone.
-
-        Returns None when no replica is available, or when only the primary
-        is in this host's zone.
-        """
-        now = self._clock.now()
-        available = [
-            server
-            for server in self._servers.of_service(work.service)
-            if server.role is connection.Role.REPLICA
-            and self._servers.takes_work(server)
-            and self._cooldown_until.get(server.server, 0) <= now
-        ]
-        own_zone = self._hosts.own.zone
-        in_own_zone = [
-            server for server in available if server.zone == own_zone
-        ]
-        if in_own_zone:
-            return random.choice(in_own_zone)
-        is_primary_in_own_zone = (
-            self._servers.primary_zone(work.service) == own_zone
-        )
-        if is_primary_in_own_zone or not available:
-            return None
-        return random.choice(available)
-
-    def _start_cooldown(
-        self,
-        replica: connection.BackendServer,
-        answer: answers.Answer,
-    ) -> None:
-        if answer.code is answers.Code.OVERLOADED and not answer.was_sent:
-            return
-        until = self._clock.now() + REPLICA_COOLDOWN_SECONDS
-        self._cooldown_until[replica.server] = until
+        claim = self._keeper.known.get(ownership_task(service))
+        return claim.host if claim else None
--- /dev/null
+++ b/src/egretstep/routing/early_rejection.py
@@ -0,0 +1,117 @@
+"""Decides which statements are rejected before they are sent to a full server.
+
+Load pattern: a burst fills the queue of a primary, and each further statement
+would travel to its host only to be rejected there. Only fresh load data
+counts. Some statements still go, so that the data stays fresh and the end of
+the burst is seen.
+"""
+
+import dataclasses
+import random
+import typing
+
+import logbook
+
+from egretstep import clock
+from egretstep.backends import connection, server_load
+from egretstep.observability import metrics
+from egretstep.routing import server_loads
+
+MAX_AGE_SECONDS = 0.25
+PASS_INTERVAL_SECONDS = 0.05
+LOG_INTERVAL_SECONDS = 1.0
+# Statements that are rejected together return over this much longer a time.
+SPREAD = 0.5
+_Level = tuple[connection.ServerId, int]
+_logger = logbook.Logger('placement')
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _LevelState:
+    passed_at: float
+    logged_at: float | None = None
+    rejected_count: int = 0
+
+
+class EarlyRejection:
+    """Rejects statements whose only server has too long a queue.
+
+    One statement each `PASS_INTERVAL_SECONDS` passes for each server and
+    priority level.
+    """
+
+    def __init__(
+        self,
+        *,
+        loads: server_loads.ServerLoads,
+        time_source: clock.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._loads = loads
+        self._clock = time_source
+        self._random = rng
+        self._levels: dict[_Level, _LevelState] = {}
+
+    def retry_after(
+        self,
+        server: connection.ServerId,
+        *,
+        priority: int,
+        remaining: float,
+    ) -> float | None:
+        """Return after how many seconds a rejected statement may return.
+
+        None if it is to be sent. `remaining` is the rest of its time limit in
+        seconds.
+        """
+        report = self._loads.report(server)
+        if report is None or report.age > MAX_AGE_SECONDS:
+            return None
+        wait = report.load.wait(priority=priority)
+        if wait <= remaining:
+            return None
+        level = (server, server_load.level_of(priority))
+        if self._may_pass(level):
+            return None
+        excess = wait - remaining + report.load.service_seconds
+        retry_after = excess * (1 + SPREAD * self._random.random())
+        self._record_rejected(level, report, wait, remaining)
+        return retry_after
+
+    def _may_pass(self, level: _Level) -> bool:
+        now = self._clock.now()
+        state = self._levels.get(level)
+        if state is None:
+            self._levels[level] = _LevelState(passed_at=now)
+            return True
+        if now - state.passed_at < PASS_INTERVAL_SECONDS:
+            return False
+        state.passed_at = now
+        return True
+
+    def _record_rejected(
+        self,
+        level: _Level,
+        report: server_loads.LoadReport,
+        wait: float,
+        remaining: float,
+    ) -> None:
+        """Count a rejection; log at most one line a second for each level."""
+        metrics.early_rejections.inc(str(level[1]))
+        state = self._levels[level]
+        state.rejected_count += 1
+        now = self._clock.now()
+        logged_at = state.logged_at
+        if logged_at is not None and now - logged_at < LOG_INTERVAL_SECONDS:
+            return
+        fields: dict[str, typing.Any] = {
+            'server': level[0],
+            'level': level[1],
+            'wait_s': round(wait, 3),
+            'left_s': round(remaining, 3),
+            'age_s': round(report.age, 3),
+            'rejected': state.rejected_count,
+        }
+        _logger.info('statements are rejected early', extra=fields)
+        state.logged_at = now
+        state.rejected_count = 0
