--- a/src/egretstep/routing/budget.py
+++ b/src/egretstep/routing/budget.py
@@ -8,10 +8,12 @@
 
 RETRIES_PER_REQUEST = 0.2
 MAX_BALANCE = 100.0
-# While a service is handed over, all statements of up to two seconds wait and
-# are repeated. The requests of this period pay for them.
+# While a service is handed over, all its statements of up to a second wait and
+# are repeated. What this period saves pays for two such seconds.
 SAVING_PERIOD_SECONDS = 10.0
 MIN_HOST_BALANCE = 50.0
+RATE_PERIOD_SECONDS = 1.0
+RATE_SMOOTHING = 0.2
 
 
 class RetryBudget:
@@ -58,20 +60,26 @@
         self._budget = RetryBudget()
         self._period_started_at = time_source.now()
         self._request_count = 0
+        self._rate: float | None = None
 
     def deposit(self) -> None:
         """Add the share of a retry that one request allows."""
-        now = self._clock.now()
-        elapsed = now - self._period_started_at
-        if elapsed >= SAVING_PERIOD_SECONDS:
-            rate = self._request_count / elapsed
-            savings = rate * SAVING_PERIOD_SECONDS * RETRIES_PER_REQUEST
-            self._budget.max_balance = max(MIN_HOST_BALANCE, savings)
-            self._period_started_at = now
-            self._request_count = 0
+        elapsed = self._clock.now() - self._period_started_at
+        if elapsed >= RATE_PERIOD_SECONDS:
+            self._update_limit(elapsed)
         self._request_count += 1
         self._budget.deposit()
 
     def try_withdraw(self) -> bool:
         """Pay for one retry; return false if the balance is too low."""
         return self._budget.try_withdraw()
+
+    def _update_limit(self, elapsed: float) -> None:
+        latest = self._request_count / elapsed
+        if self._rate is None:
+            self._rate = latest
+        self._rate += RATE_SMOOTHING * (latest - self._rate)
+        savings = self._rate * SAVING_PERIOD_SECONDS * RETRIES_PER_REQUEST
+        self._budget.max_balance = max(MIN_HOST_BALANCE, savings)
+        self._period_started_at += elapsed
+        self._request_count = 0
--- a/src/egretstep/routing/course.py
+++ b/src/egretstep/routing/course.py
@@ -51,12 +51,13 @@
     ) -> bool:
         """Pay for a repeat; return false if the budget does not allow it.
 
-        All repeats of a statement at one server cost one token, because one
-        that waits for a planned change of its primary or owner is repeated
-        many times. A read whose replica is behind is not charged: it has cost
+        All repeats at one server of a statement that was not sent there cost
+        one token, because one that waits for a planned change of its primary
+        or owner is repeated many times. A read whose replica is behind is not charged: it has cost
         no server any work, and moves to the primary only once.
         """
-        if server in self.paid or answer.code is answers.Code.BEHIND:
+        is_paid = server in self.paid and not answer.was_sent
+        if is_paid or answer.code is answers.Code.BEHIND:
             return True
         if not retry_budget.try_withdraw():
             self.is_denied = True
--- a/src/egretstep/routing/placement.py
+++ b/src/egretstep/routing/placement.py
@@ -28,8 +28,12 @@
 NEAR_SECONDS = 0.005
 NEAR_SHARE = 0.2
 MAX_FAILURE_SHARE = 0.9
-# A probe takes at most this share of the reads that a host sends.
+# Probes take at most this share of the reads of a service that a host sends.
 PROBE_SHARE = 0.2
+# Share of the reads that go to a replica of the own zone without any load
+# data. Without them, a replica that has come back gets none in calm, because
+# it counts as moderately loaded.
+EXPLORATION_SHARE = 0.1
 
 
 class Hop(enum.Enum):
@@ -47,6 +51,7 @@
     FASTEST = 'fastest'
     NEAR_EQUAL = 'near-equal'
     PROBE = 'probe'
+    EXPLORATION = 'exploration'
     NEXT = 'next after a refusal'
 
 
@@ -67,6 +72,15 @@
     is_trusted: bool = True
     is_probe_due: bool = False
 
+    @property
+    def is_unexplored(self) -> bool:
+        """Tell whether this is a replica of the own zone, without load data.
+
+        One that has not answered this host's statements yet is not asked more.
+        """
+        has_data = self.report is not None or self.unanswered
+        return not (has_data or self.is_primary or self.is_remote)
+
     @property
     def service_seconds(self) -> float:
         """Return the mean time of a statement in a slot, as last known."""
@@ -83,13 +97,23 @@
 
     @property
     def use(self) -> float:
-        """Return the share of the capacity in use, above one with a queue."""
-        if self.report is None or not self.report.is_current:
-            return self.unanswered / self.capacity
-        load = self.report.load
-        count = load.running + load.waiting + self.unanswered
+        """Return the share of the capacity in use, above one with a queue.
+
+        Load data counts less while it ages: a host that sends its reads
+        elsewhere because of one snapshot gets no later one.
+        """
+        count: float = self.unanswered
+        if self.report is not None and self.report.is_current:
+            load = self.report.load
+            count += (1 - self._aged) * (load.running + load.waiting)
         return count / self.capacity
 
+    @property
+    def _aged(self) -> float:
+        """Return the age of the load data as a share of its use."""
+        age = self.report.age if self.report else server_loads.MAX_AGE_SECONDS
+        return min(1, age / server_loads.MAX_AGE_SECONDS)
+
     def expected_wait(self, priority: int) -> float:
         """Return the expected wait for a slot in seconds.
 
@@ -97,11 +121,10 @@
         it ages.
         """
         own_wait = self.unanswered * self.service_seconds / self.capacity
-        if self.report is None or not self.report.is_current:
+        if self.report is None:
             return self.service_seconds + own_wait
-        aged = self.report.age / server_loads.MAX_AGE_SECONDS
         reported = self.report.load.wait(priority=priority)
-        wait = (1 - aged) * reported + aged * self.service_seconds
+        wait = (1 - self._aged) * reported + self._aged * self.service_seconds
         return wait + own_wait
 
 
@@ -157,6 +180,9 @@
         probed = [each for each in candidates if each.is_probe_due]
         if probed and rng.random() < PROBE_SHARE:
             return Choice(candidate=rng.choice(probed), reason=Reason.PROBE)
+    unknown = [each for each in pool if each.is_unexplored]
+    if 0 < len(unknown) < len(pool) and rng.random() < EXPLORATION_SHARE:
+        return Choice(candidate=rng.choice(unknown), reason=Reason.EXPLORATION)
     return _choose(pool, priority=priority, margin=margin, rng=rng)
 
 
