--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -28,6 +28,9 @@
         self._removed: ServersById = {}
         self._missing_since: dict[connection.ServerId, float] = {}
         self._revision = 0
+        self._of_service: dict[
+            deployment.ServiceName, list[connection.BackendServer]
+        ] = {}
         self._zones_out: frozenset[identifiers.ZoneName] = frozenset()
         self._no_work_since: dict[connection.ServerId, float] = {}
 
@@ -57,6 +60,7 @@
                 self._revision += 1
             self._removed.pop(name, None)
         self._servers = {**self._servers, **current}
+        self._of_service.clear()
         self._record_leaving()
 
     def update_zones_out(self, zones: frozenset[identifiers.ZoneName]) -> None:
@@ -73,8 +77,20 @@
         self,
         service: deployment.ServiceName,
     ) -> list[connection.BackendServer]:
-        """Return the registered servers of a service."""
-        return [server for server in self.all() if server.service == service]
+        """Return the registered servers of a service.
+
+        The list is kept until the servers change: each statement asks for it.
+        """
+        self._forget_missing()
+        found = self._of_service.get(service)
+        if found is None:
+            found = [
+                server
+                for server in self._servers.values()
+                if server.service == service
+            ]
+            self._of_service[service] = found
+        return list(found)
 
     def find(
         self,
@@ -142,6 +158,7 @@
                 )
                 del self._missing_since[server]
                 self._revision += 1
+                self._of_service.clear()
                 self._removed[server] = self._servers.pop(server)
                 if len(self._removed) > MAX_REMOVED_SERVERS:
                     del self._removed[next(iter(self._removed))]
--- a/src/egretstep/pooling/local_host.py
+++ b/src/egretstep/pooling/local_host.py
@@ -2,22 +2,31 @@
 
 Load pattern: a service has just been handed over to this host, and all hosts
 send its statements here before this host serves it. These statements wait
-briefly instead of being refused.
+briefly instead of being refused. A service whose server is far too slow may
+not hold so many statements that the host's other services suffer.
 """
 
 import asyncio
+import collections
 import contextlib
+import random
 import typing
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers
 from egretstep.membership import registry
+from egretstep.observability import metrics
 from egretstep.pooling import brokers, failure_answers
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
 
 HANDOVER_WAIT_SECONDS = 0.5
 HANDOVER_POLL_INTERVAL_SECONDS = 0.005
+# A slot runs 250 statements of 4 ms in a second, which is how long the
+# statements of a service may wait for a planned change of its primary.
+HELD_PER_SLOT = 250
+MIN_FULL_RETRY_AFTER_MS = 1000
+MAX_FULL_RETRY_AFTER_MS = 1500
 
 
 class Owner(typing.Protocol):
@@ -80,6 +89,9 @@
         self._servers = servers
         self._owners = owners
         self._floors = floors
+        self._held: collections.Counter[deployment.ServiceName] = (
+            collections.Counter()
+        )
 
     async def execute(
         self,
@@ -89,8 +101,28 @@
         """Run a statement and return its final answer.
 
         A statement that names a server runs at that replica, any other one
-        at the primary of its service.
+        at the primary of its service. Those of open transactions are always
+        run, because they may hold locks.
         """
+        is_full = self._held[work.service] >= self._held_limit(work.service)
+        if is_full and not work.is_pinned:
+            return _refusal_when_full(work)
+        self._held[work.service] += 1
+        try:
+            return await self._execute(work, link)
+        finally:
+            self._held[work.service] -= 1
+
+    def _held_limit(self, service: deployment.ServiceName) -> int:
+        """Return how many statements of a service this host holds at most."""
+        slots = sum(each.slots for each in self._servers.of_service(service))
+        return HELD_PER_SLOT * max(1, slots)
+
+    async def _execute(
+        self,
+        work: work_module.Work,
+        link: work_module.LinkId,
+    ) -> answers.Answer:
         if work.server:
             return await self._execute_at_replica(work, link)
         owner = self._serving_owner(work.service)
@@ -155,3 +187,15 @@
                 'nothing is known of what was acknowledged lately',
             )
         return await broker.execute(work, link, max(floor, work.floor))
+
+
+def _refusal_when_full(work: work_module.Work) -> answers.Answer:
+    """Return a refusal; the refused callers do not all return at once."""
+    metrics.refusals.inc(work.workspace, 'host full')
+    return answers.refusal(
+        answers.Code.OVERLOADED,
+        f'this host holds too many statements of service {work.service}',
+        retry_after_ms=random.randint(
+            MIN_FULL_RETRY_AFTER_MS, MAX_FULL_RETRY_AFTER_MS
+        ),
+    )
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -158,6 +158,23 @@
         self.assertIs(answer.code, answers.Code.OVERLOADED)
         self.assertEqual(answer.retry_after_ms, 900)
 
+    async def test_a_service_may_not_fill_the_host(self) -> None:
+        self.owners.arriving = True
+        with mock.patch.object(local_host, 'HELD_PER_SLOT', 1):
+            waiting = [
+                asyncio.ensure_future(self.local.execute(WRITE, LINK))
+                for _ in range(self.server.backend().slots)
+            ]
+            await asyncio.sleep(0)
+            answer = await self.local.execute(WRITE, LINK)
+        self.assertIs(answer.code, answers.Code.OVERLOADED)
+        self.assertGreater(answer.retry_after_ms, 0)
+        self.owners.arriving = False
+        for held in await asyncio.gather(*waiting):
+            self.assertIs(held.code, answers.Code.MOVED)
+        last = await self.local.execute(WRITE, LINK)
+        self.assertIs(last.code, answers.Code.MOVED)
+
     async def test_a_task_that_is_handed_over_is_claimed_at_once(self) -> None:
         started: list[claims.Claim] = []
         claimant = claiming.Claimant(
