Tests of the choice without load data and of the registry's kept lists

They guard against a choice that differs from the former one on hosts without load data, and against servers of a service that stay after a change.

--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -30,6 +30,16 @@
         self.clock.advance(registry.MISSING_ENTRY_SECONDS + 0.1)
         self.assertEqual(self._known(), [])
 
+    def test_servers_of_a_service_follow_each_change(self) -> None:
+        service = self.server.service
+        self.assertEqual(self.registry.of_service(service), [self.server])
+        draining = dataclasses.replace(self.server, is_draining=True)
+        self.registry.update({draining.server: draining})
+        self.assertEqual(self.registry.of_service(service), [draining])
+        self.registry.update({})
+        self.clock.advance(registry.MISSING_ENTRY_SECONDS + 0.1)
+        self.assertEqual(self.registry.of_service(service), [])
+
     def test_draining_servers_and_zones_that_are_out_take_no_work(self) -> None:
         self.assertTrue(self.registry.takes_work(self.server))
         draining = dataclasses.replace(self.server, is_draining=True)
--- a/tests/routing/test_read_placement.py
+++ b/tests/routing/test_read_placement.py
@@ -76,6 +76,20 @@
         self.assertTrue(answer.is_ok)
         self.assertEqual([server.received for server in servers], [1, 1, 1])
 
+    def test_without_load_data_the_own_zone_is_chosen(self) -> None:
+        for replica_zone, expected in (('south', 0), ('north', 1)):
+            replicas_share = virtual_time.run(self._no_load_data(replica_zone))
+            self.assertEqual(replicas_share, expected)
+
+    async def _no_load_data(self, replica_zone: str) -> float:
+        servers = self._servers(replica_zone=replica_zone, primary_zone='north')
+        for server in servers:
+            server.reports_load = False
+        fleet = self._fleet(*servers, host_count=1)
+        await fleet.send(simulated_fleet.READ, rate=10, seconds=SECONDS)
+        received = sum(replica.received for replica in servers[:2])
+        return received / len(fleet.answers)
+
     async def _slow_replica(
         self, *, reports_load: bool
     ) -> tuple[simulated_fleet.Fleet, simulated_fleet.SimulatedServer]:
