Learn a server's concurrency limit; end idle transactions that block others

Cause: the number of concurrent statements at a server was fixed at its registered slots, also when it slows down long before they are full, and a workspace could hold every connection in idle transactions.

Change: the broker adapts the capacity of its queue by short trials of other limits, lowers it on BUSY answers, keeps the share of failed statements and attaches the load to each answer. When no connection is left, the longest idle transaction of the largest holder beyond its share is rolled back.

--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -106,6 +106,25 @@
     'Polls of other hosts for changes of tables that were of no use, by reason.',
     ('reason',),
 )
+server_capacity = aioprometheus.Gauge(
+    'egretstep_server_capacity',
+    'Statements that may run at a server at once, by server.',
+)
+capacity_changes = BufferedCounter(
+    'egretstep_capacity_changes_total',
+    'Changes of the concurrency limit of a server, by server and reason.',
+    ('server', 'reason'),
+)
+idle_transactions_ended = BufferedCounter(
+    'egretstep_idle_transactions_ended_total',
+    'Idle transactions rolled back for a waiting statement, by workspace.',
+    ('workspace',),
+)
+connections_refused = BufferedCounter(
+    'egretstep_connections_refused_total',
+    'Statements refused because their workspace holds too many connections.',
+    ('workspace',),
+)
 
 
 def publish_all() -> None:
--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -1,29 +1,28 @@
 """Runs the statements of this host at one backend server.
 
-A broker owns the connections and the fair queue, pins open transactions to a
-connection, and turns errors into answers that tell if a statement took effect.
+A broker owns the connections and the fair queue, adapts the queue's capacity to
+the server, and turns errors into answers that tell if a statement took effect.
 """
 
 import asyncio
 import dataclasses
 import typing
 
-import logbook
-
 from egretstep import clock, errors, identifiers
 from egretstep.backends import answers, connection
 from egretstep.pooling import (
     failure_answers,
     fair_queue,
     interruptions,
+    pinned_transactions,
     server_activity,
+    server_performance,
     statement_state,
     workspace_connections,
 )
 from egretstep.pooling import work as work_module
 
 CONNECTION_REFUSED_RETRY_MS = 100
-_logger = logbook.Logger('broker')
 _SERVER_ERRORS = (
     TimeoutError,
     connection.ConnectionBrokenError,
@@ -50,15 +49,24 @@
         self._queue = fair_queue.FairQueue(
             slots=server.slots, time_source=time_source
         )
-        self._pins: dict[statement_state.PinKey, statement_state.Pin] = {}
+        self._performance = server_performance.ServerPerformance(
+            server=server, queue=self._queue, time_source=time_source
+        )
+        self._pins = pinned_transactions.PinnedTransactions(
+            server=server.server, time_source=time_source
+        )
         self._interruptions = interruptions.Interruptions()
         self.server = server
         self.connections = workspace_connections.WorkspaceConnections(
             server=server,
-            opener=opener,
+            opener=server_performance.MeteredOpener(
+                opener=opener, performance=self._performance
+            ),
             limit=connection_limit,
             time_source=time_source,
+            make_room=self._pins.make_room,
         )
+        self._pins.use(self.connections)
         self.activity = server_activity.ServerActivity(time_source=time_source)
         self.used_at = time_source.now()
 
@@ -86,18 +94,20 @@
         """Return the final answer, `OVERLOADED` if no slot is free in time.
 
         The statement runs, or opens its transaction, on a log reaching `floor`.
+        The answer carries the load of the server.
         """
         attempt = statement_state.Attempt()
         self.used_at = self._clock.now()
         try:
             async with self._interruptions.guarded(work):
-                return await self._execute(work, link, floor, attempt)
+                answer = await self._execute(work, link, floor, attempt)
         except TimeoutError:
-            return failure_answers.interrupted(
+            answer = failure_answers.interrupted(
                 work,
                 has_written=attempt.has_written,
                 was_sent=attempt.was_sent,
             )
+        return dataclasses.replace(answer, load=self._performance.load)
 
     def interrupt(
         self, is_concerned: typing.Callable[[work_module.Work], bool]
@@ -112,27 +122,19 @@
 
     def release_pin(self, key: statement_state.PinKey) -> None:
         """Roll back the transaction of a caller that has disconnected."""
-        pin = self._pins.pop(key, None)
-        if pin is not None:
-            self.connections.discard(pin.session_connection)
+        self._pins.roll_back(key)
 
     def release_link(self, link: work_module.LinkId) -> None:
         """Roll back the transactions of a host whose link is closed."""
-        link_keys = tuple(key for key in self._pins if key[0] == link)
-        for key in link_keys:
-            self.release_pin(key)
+        self._pins.roll_back_link(link)
 
     def release_all(self) -> None:
         """Roll back every transaction."""
-        for key in list(self._pins):
-            self.release_pin(key)
+        self._pins.roll_back_all()
 
     def end_idle_transactions(self, idle_limit_seconds: float) -> None:
         """Roll back transactions idle for more than a number of seconds."""
-        limit = self._clock.now() - idle_limit_seconds
-        for key, pin in list(self._pins.items()):
-            if not pin.is_busy and pin.used_at < limit:
-                self.release_pin(key)
+        self._pins.roll_back_idle(idle_limit_seconds)
 
     def stop_reuse(self) -> None:
         """Close connections once idle; leave their limit to the owning host."""
@@ -166,9 +168,10 @@
                 else started + work.target,
             ):
                 queued_seconds = self._clock.now() - started
-                answer = await self._run_unpinned(
-                    work, key, deadline, floor, attempt
-                )
+                with self._performance.in_slot():
+                    answer = await self._run_unpinned(
+                        work, key, deadline, floor, attempt
+                    )
                 return dataclasses.replace(
                     answer, queued_ms=clock.to_milliseconds(queued_seconds)
                 )
@@ -192,11 +195,11 @@
                 answer = await self._attempt(work, floor, attempt)
         except _SERVER_ERRORS as error:
             self._discard(attempt.session_connection)
-            return self._answer_error(work, error, was_sent=attempt.was_sent)
+            return self._answer_error(work, error, attempt)
         except BaseException:
             self._discard(attempt.session_connection)
             raise
-        return self._pin_or_release(
+        return self._pins.pin_or_release(
             typing.cast(
                 statement_state.SessionConnection, attempt.session_connection
             ),
@@ -215,15 +218,20 @@
         conn = await self.connections.acquire_with_session(work)
         attempt.session_connection = conn
         if work.opens is not work_module.Opens.NOTHING:
-            begin_answer = await conn.begin(work.opens, floor)
+            with self._performance.at_server():
+                begin_answer = await conn.begin(work.opens, floor)
             if not begin_answer.is_ok:
+                self._performance.record_outcome(begin_answer.code)
                 return begin_answer
             floor = None
         attempt.was_sent = True
         return await self._run(work, conn, floor)
 
     def _answer_error(
-        self, work: work_module.Work, exc: Exception, *, was_sent: bool
+        self,
+        work: work_module.Work,
+        exc: Exception,
+        attempt: statement_state.Attempt,
     ) -> answers.Answer:
         """Return the answer for an exception; record the server failure."""
         if isinstance(exc, connection.RefusedConnectionError):
@@ -236,10 +244,13 @@
                 exc.code, str(exc), retry_after_ms=CONNECTION_REFUSED_RETRY_MS
             )
         self.activity.record_failure()
+        if attempt.session_connection is not None:
+            # The opener has recorded a connection that could not be opened.
+            self._performance.health.record(has_failed=True)
         if isinstance(exc, TimeoutError):
-            return failure_answers.timed_out(work, was_sent=was_sent)
+            return failure_answers.timed_out(work, was_sent=attempt.was_sent)
         return failure_answers.connection_broken(
-            work, str(exc), was_sent=was_sent
+            work, str(exc), was_sent=attempt.was_sent
         )
 
     async def _run(
@@ -249,31 +260,13 @@
         floor: identifiers.LogPosition | None,
     ) -> answers.Answer:
         started = self._clock.now()
-        with self.activity.running():
+        with self.activity.running(), self._performance.running() as run:
             answer = await conn.raw.run(work.statement_id, work.command, floor)
         self.activity.record_alive()
+        self._performance.record_answer(work, answer, run)
         ran = clock.to_milliseconds(self._clock.now() - started)
         return dataclasses.replace(answer, ran_ms=ran)
 
-    def _pin_or_release(
-        self,
-        conn: statement_state.SessionConnection,
-        key: statement_state.PinKey,
-        work: work_module.Work,
-        answer: answers.Answer,
-    ) -> answers.Answer:
-        """Pin the connection if a transaction is open, else release it."""
-        if answer.state is answers.TransactionState.OUTSIDE:
-            self.connections.release(conn)
-            return answer
-        self._pins[key] = statement_state.Pin(
-            session_connection=conn,
-            is_read_only=work.opens is work_module.Opens.READ_TRANSACTION,
-            used_at=self._clock.now(),
-            has_written=work.command.is_write,
-        )
-        return dataclasses.replace(answer, is_pinned=True)
-
     async def _run_pinned(
         self,
         work: work_module.Work,
@@ -295,6 +288,7 @@
                 answer = await self._attempt_pinned(work, pin, attempt)
         except _SERVER_ERRORS as error:
             self.activity.record_failure()
+            self._performance.health.record(has_failed=True)
             self.release_pin(key)
             return failure_answers.transaction_lost(
                 work,
@@ -309,7 +303,7 @@
             pin.is_busy = False
             pin.used_at = self._clock.now()
         pin.has_written = pin.has_written or work.command.is_write
-        return self._unpin_when_ended(key, pin, answer)
+        return self._pins.unpin_when_ended(key, pin, answer)
 
     async def _attempt_pinned(
         self,
@@ -321,24 +315,12 @@
             work.values, work.command.prepared
         )
         attempt.was_sent = True
-        with self._queue.charged(workspace=work.workspace, weight=1):
+        with (
+            self._queue.charged(workspace=work.workspace, weight=1),
+            self._performance.in_slot(),
+        ):
             return await self._run(work, pin.session_connection, None)
 
-    def _unpin_when_ended(
-        self,
-        key: statement_state.PinKey,
-        pin: statement_state.Pin,
-        answer: answers.Answer,
-    ) -> answers.Answer:
-        if key not in self._pins:
-            # The pin was released meanwhile, which closed the connection.
-            return answer
-        if answer.state is answers.TransactionState.OUTSIDE:
-            self._pins.pop(key)
-            self.connections.release(pin.session_connection)
-            return answer
-        return dataclasses.replace(answer, is_pinned=True)
-
     def _discard(self, conn: statement_state.SessionConnection | None) -> None:
         if conn is not None:
             self.connections.discard(conn)
--- a/src/egretstep/pooling/workspace_connections.py
+++ b/src/egretstep/pooling/workspace_connections.py
@@ -8,11 +8,17 @@
 """
 
 import asyncio
+import collections
 import contextlib
+import typing
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands, connection
-from egretstep.pooling import connection_budget, wait_queue
+from egretstep.pooling import (
+    connection_budget,
+    idle_transactions,
+    wait_queue,
+)
 from egretstep.pooling import work as work_module
 
 IDLE_TIMEOUT_SECONDS = 2.0
@@ -102,7 +108,12 @@
 
 
 class WorkspaceConnections:
-    """The idle and busy connections of this host to one server."""
+    """The idle and busy connections of this host to one server.
+
+    `make_room` is called for a workspace whose statement finds no connection
+    left. It returns whether it freed one, and may raise
+    `errors.RefusedError` instead of letting the statement wait.
+    """
 
     def __init__(
         self,
@@ -111,12 +122,20 @@
         opener: connection.Opener,
         limit: int,
         time_source: clock.Clock,
+        make_room: typing.Callable[[identifiers.WorkspaceName], bool],
     ) -> None:
         self._server = server
         self._opener = opener
+        self._make_room = make_room
+        self._limit = limit
         self._clock = time_source
         self._idle: list[SessionConnection] = []
-        self._open = 0
+        self._held: collections.Counter[identifiers.WorkspaceName] = (
+            collections.Counter()
+        )
+        self._waiting: collections.Counter[identifiers.WorkspaceName] = (
+            collections.Counter()
+        )
         self._is_reuse_stopped = False
         self._budget = connection_budget.ConnectionBudget(
             limit=limit,
@@ -127,7 +146,16 @@
     @property
     def open_count(self) -> int:
         """Return how many connections are open or being opened."""
-        return self._open
+        return self._held.total()
+
+    @property
+    def holdings(self) -> idle_transactions.Holdings:
+        """Return who holds the connections or waits for one."""
+        return idle_transactions.Holdings(
+            limit=self._limit,
+            held=self._held,
+            active=frozenset((*self._held, *self._waiting)),
+        )
 
     async def acquire(
         self,
@@ -146,15 +174,16 @@
             idle = self._take_idle(workspace)
             if idle is not None:
                 return idle
-            if not self._budget.may_keep_idle(self._open + 1):
+            if not self._budget.may_keep_idle(self.open_count + 1):
                 self._close_oldest_idle()
-            if self._budget.may_open(self._open):
+            if self._budget.may_open(self.open_count):
                 opened = await self._connect_unless_full(
                     workspace, refused_until
                 )
                 if opened is not None:
                     return opened
-            await self._wait_for_release()
+            if not self._free_connection(workspace):
+                await self._wait_for_release(workspace)
 
     async def acquire_with_session(
         self, work: work_module.Work
@@ -174,7 +203,7 @@
         if session_connection.raw.is_usable and not self._is_reuse_stopped:
             session_connection.used_at = self._clock.now()
             self._idle.append(session_connection)
-            if not self._budget.may_keep_idle(self._open):
+            if not self._budget.may_keep_idle(self.open_count):
                 self._close_oldest_idle()
         else:
             self._close(session_connection)
@@ -253,15 +282,25 @@
         except connection.RefusedConnectionError as error:
             is_full = error.code is answers.Code.TOO_MANY_CONNECTIONS
             if is_full:
-                self._budget.record_refused(self._open)
+                self._budget.record_refused(self.open_count)
             if not is_full or self._clock.now() > refused_until:
                 raise
             return None
-        self._budget.record_opened(self._open)
+        self._budget.record_opened(self.open_count)
         return opened
 
-    async def _wait_for_release(self) -> None:
-        with contextlib.suppress(TimeoutError):
+    def _free_connection(self, workspace: identifiers.WorkspaceName) -> bool:
+        """Make room for a workspace; return whether that freed one."""
+        with _counted(self._waiting, workspace):
+            return self._make_room(workspace)
+
+    async def _wait_for_release(
+        self, workspace: identifiers.WorkspaceName
+    ) -> None:
+        with (
+            _counted(self._waiting, workspace),
+            contextlib.suppress(TimeoutError),
+        ):
             async with asyncio.timeout(
                 connection_budget.PROBE_INTERVAL_SECONDS
             ):
@@ -271,15 +310,38 @@
         self,
         workspace: identifiers.WorkspaceName,
     ) -> SessionConnection:
-        self._open += 1
+        self._held[workspace] += 1
         try:
             opened = await self._opener.open(self._server, workspace)
         except BaseException:
-            self._open -= 1
+            _decrement(self._held, workspace)
             self._waiters.wake_next()
             raise
         return SessionConnection(server_connection=opened, workspace=workspace)
 
     def _close(self, session_connection: SessionConnection) -> None:
         session_connection.raw.close()
-        self._open -= 1
+        _decrement(self._held, session_connection.workspace)
+
+
+@contextlib.contextmanager
+def _counted(
+    counter: collections.Counter[identifiers.WorkspaceName],
+    workspace: identifiers.WorkspaceName,
+) -> typing.Generator[None, None, None]:
+    """Count a workspace in a counter while the block runs."""
+    counter[workspace] += 1
+    try:
+        yield
+    finally:
+        _decrement(counter, workspace)
+
+
+def _decrement(
+    counter: collections.Counter[identifiers.WorkspaceName],
+    workspace: identifiers.WorkspaceName,
+) -> None:
+    """Count a workspace once less; one at zero is removed."""
+    counter[workspace] -= 1
+    if not counter[workspace]:
+        del counter[workspace]
