Design note of concurrency limits; first trial starts without a suspicion

Cause: a new broker at a slow server took 6 s to reach its limit, and a silent server looked healthy once its connections were gone, because openings that statements gave up were not counted.

Change: the trial of a concurrency that was never observed starts at once; openings given up after half a second count as failures.

--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -60,7 +60,9 @@
         self.connections = workspace_connections.WorkspaceConnections(
             server=server,
             opener=server_performance.MeteredOpener(
-                opener=opener, performance=self._performance
+                opener=opener,
+                performance=self._performance,
+                time_source=time_source,
             ),
             limit=connection_limit,
             time_source=time_source,
--- a/src/egretstep/pooling/server_capacity.py
+++ b/src/egretstep/pooling/server_capacity.py
@@ -9,8 +9,8 @@
 The decision needs measurements of both limits at about the same time. A
 suspicion, from older measurements at the lower concurrency, therefore starts a
 trial of the lower limit for a fraction of a second. A server that is slow at
-any concurrency fails it and keeps its limit. A lowered limit is probed upwards
-in the same way.
+any concurrency fails it and keeps its limit. A lower concurrency that was never
+observed is tried once. A lowered limit is probed upwards in the same way.
 """
 
 import dataclasses
@@ -149,35 +149,31 @@
 
     def _start_trial(self) -> Change | None:
         """Start the trial of a limit that may be better, if there is one."""
-        was_suspected = self._is_suspected
-        self._is_suspected = self._suspects_lower()
-        if self._is_suspected and not was_suspected:
-            # The mean still holds samples from before the server slowed down;
-            # the trial needs one without them to compare with.
-            self._measure_anew()
-            return None
-        if self._is_suspected:
-            return self._begin_trial(_lower_limit(self._limit))
+        lower = _lower_limit(self._limit)
+        if self._limit > 1 and self._present.weight >= MIN_WEIGHT:
+            is_unknown = self._times.at_level(lower) is None
+            was_suspected = self._is_suspected
+            self._is_suspected = not is_unknown and self._suspects(lower)
+            if is_unknown or (was_suspected and self._is_suspected):
+                return self._begin_trial(lower)
+            if self._is_suspected:
+                # The mean still holds samples from before the server slowed
+                # down; the trial needs one without them to compare with.
+                self._measure_anew()
+                return None
         if self._limit < self._slots:
-            higher = self._limit + _lower_limit(self._limit)
-            return self._begin_trial(min(self._slots, higher))
+            return self._begin_trial(min(self._slots, self._limit + lower))
         return None
 
-    def _suspects_lower(self) -> bool:
-        """Tell whether a lower limit may give the same throughput.
-
-        A lower concurrency that was never observed is tried once.
-        """
-        if self._limit == 1 or self._present.weight < MIN_WEIGHT:
-            return False
+    def _suspects(self, lower: int) -> bool:
+        """Tell whether a lower limit may give the same throughput."""
         self._times.bound(
             level=self._limit,
             slowdown=self._present.value + 2 * self._present.error,
         )
-        lower = _lower_limit(self._limit)
         mean = self._times.at_level(lower)
         if mean is None:
-            return True
+            return False
         gain = math.log(self._present.concurrency / lower)
         error = math.hypot(self._present.error, mean.error)
         needed = capacity_trials.LOWERING_SHARE * gain + error
--- a/src/egretstep/pooling/server_performance.py
+++ b/src/egretstep/pooling/server_performance.py
@@ -1,7 +1,8 @@
 """What the statements of this host tell of a server's speed and failures."""
 
-import collections.abc
+import asyncio
 import contextlib
+import typing
 
 import logbook
 
@@ -17,6 +18,8 @@
 )
 from egretstep.pooling import work as work_module
 
+# An opening takes 12 ms, and up to about half a second at a full server.
+SILENT_OPENING_SECONDS = 0.5
 _FULL_CODES = frozenset((
     answers.Code.OVERLOADED,
     answers.Code.TOO_MANY_CONNECTIONS,
@@ -66,7 +69,7 @@
         )
 
     @contextlib.contextmanager
-    def in_slot(self) -> collections.abc.Generator[None, None, None]:
+    def in_slot(self) -> typing.Generator[None, None, None]:
         """Measure the block as the time of a statement in a slot."""
         started = self._clock.now()
         try:
@@ -80,7 +83,7 @@
             )
 
     @contextlib.contextmanager
-    def at_server(self) -> collections.abc.Generator[None, None, None]:
+    def at_server(self) -> typing.Generator[None, None, None]:
         """Count the block as work of the server, without a sample of it."""
         with self._meter.running():
             yield
@@ -88,7 +91,7 @@
     @contextlib.contextmanager
     def running(
         self,
-    ) -> collections.abc.Generator[concurrency_meter.Run, None, None]:
+    ) -> typing.Generator[concurrency_meter.Run, None, None]:
         """Count the block as a statement and measure its run."""
         with self._meter.running() as run:
             yield run
@@ -142,11 +145,17 @@
     """Opens connections and counts them as work of the server meanwhile.
 
     A refused or failed connection counts as a failure, a full server does not.
+    Nor does an opening that is given up early.
     """
 
     def __init__(
-        self, *, opener: connection.Opener, performance: ServerPerformance
+        self,
+        *,
+        opener: connection.Opener,
+        performance: ServerPerformance,
+        time_source: clock.Clock,
     ) -> None:
+        self._clock = time_source
         self._opener = opener
         self._performance = performance
 
@@ -156,6 +165,7 @@
         workspace: identifiers.WorkspaceName,
     ) -> connection.ServerConnection:
         """Open a connection; raises what the opener does."""
+        started = self._clock.now()
         try:
             with self._performance.at_server():
                 return await self._opener.open(server, workspace)
@@ -168,6 +178,12 @@
         except connection.ConnectionBrokenError:
             self._performance.health.record(has_failed=True)
             raise
+        except asyncio.CancelledError:
+            # Statements often have less time left than the opener waits. A
+            # server that is silent must not look healthy for that reason.
+            if self._clock.now() - started >= SILENT_OPENING_SECONDS:
+                self._performance.health.record(has_failed=True)
+            raise
 
 
 def _kind_of(work: work_module.Work) -> service_times.Kind:
--- a/src/egretstep/pooling/service_times.py
+++ b/src/egretstep/pooling/service_times.py
@@ -22,7 +22,7 @@
 KIND_MEMORY_SECONDS = 30.0
 KIND_COUNT_LIMIT = 256
 # A kind with fewer samples has no reliable mean and tells of no slowdown.
-MIN_KIND_WEIGHT = 5.0
+MIN_KIND_WEIGHT = 10.0
 # So does a level of concurrency; the trial that follows measures it again.
 MIN_LEVEL_WEIGHT = 12.0
 # A mean covers the longer of these two.
