--- a/tests/pooling/test_broker.py
+++ b/tests/pooling/test_broker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import typing
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
@@ -169,6 +170,38 @@
         self.assertIs(answer.code, answers.Code.TOO_MANY_CONNECTIONS)
         self.assertEqual(self.broker.activity.failures, 0)
 
+    async def test_each_answer_carries_the_load(self) -> None:
+        """Guards against hosts that learn nothing from a rejection."""
+        self.server.work_seconds = 0.1
+        both = [
+            asyncio.ensure_future(self.broker.execute(make_work(READ), LINK))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0)
+        no_time = dataclasses.replace(make_work(READ), timeout=0)
+        rejected = await self.broker.execute(no_time, LINK)
+        self.assertIs(rejected.code, answers.Code.OVERLOADED)
+        self.assertEqual(
+            (rejected.load.capacity, rejected.load.running), (2, 2)
+        )
+        await asyncio.gather(*both)
+
+    async def test_a_silent_server_fails(self) -> None:
+        """Guards against a silent server that looks healthy.
+
+        Its connections are gone, and statements give up before the opener.
+        """
+        self.broker = broker.Broker(
+            server=self.server.backend(),
+            opener=_SilentOpener(),
+            connection_limit=CONNECTION_LIMIT,
+            time_source=virtual_time.LoopClock(),
+        )
+        for _ in range(2):
+            answer = await self.broker.execute(make_work(READ), LINK)
+            self.assertFalse(answer.was_sent)
+        self.assertGreater(answer.load.failure_share, 0.2)
+
     async def _read_all(self) -> None:
         """Read for more workspaces than connections may stay idle."""
         for index in range(CONNECTION_LIMIT):
@@ -189,3 +222,9 @@
     async def _run_pinned(self, command: commands.Command) -> answers.Answer:
         pinned = dataclasses.replace(make_work(command), is_pinned=True)
         return await self.broker.execute(pinned, LINK)
+
+
+class _SilentOpener:
+    async def open(self, *_server_and_workspace: object) -> typing.Any:
+        """Get no answer."""
+        await asyncio.sleep(60)
