Probe a lowered limit at twice its value; a used limit is not raised

Cause: probes of one half more were rejected by chance, so that the limit stayed low for up to 7 s after a server had recovered. A limit in use was raised as unused when a trial took long.

The model server of the tests no longer counts statements that were given up as running.

--- a/src/egretstep/pooling/server_capacity.py
+++ b/src/egretstep/pooling/server_capacity.py
@@ -89,7 +89,7 @@
         self._is_suspected = False
         self._present = service_times.Mean()
         self._measured_from = time_source.now()
-        self._saturated_at = self._measured_from
+        self._used_at = self._measured_from
 
     @property
     def limit(self) -> int:
@@ -131,21 +131,22 @@
             return self._apply(Reason.RECOVERED)
         if self._trial is not None:
             return self._review_trial(self._trial)
-        if self._is_saturated():
-            self._saturated_at = self._clock.now()
-            return self._start_trial() if self._schedule.is_due else None
-        return self._return_unused()
-
-    def _is_saturated(self) -> bool:
+        if self._present.weight < 1:
+            return None
+        least = self._limit - capacity_trials.SATURATION_MARGIN
+        if self._present.concurrency < least:
+            return self._return_unused()
+        self._used_at = self._clock.now()
+        is_due = self._schedule.is_due and self._is_measured()
+        return self._start_trial() if is_due else None
+
+    def _is_measured(self) -> bool:
+        """Tell whether the mean of the present limit allows a decision."""
         seconds = self._clock.now() - self._measured_from
         is_slow = seconds >= capacity_trials.MAX_TRIAL_SECONDS
         needed = MIN_SLOW_WEIGHT if is_slow else MIN_WEIGHT
-        least = self._limit - capacity_trials.SATURATION_MARGIN
-        return (
-            seconds >= capacity_trials.MIN_WINDOW_SECONDS
-            and self._present.weight >= needed
-            and self._present.concurrency >= least
-        )
+        is_long = seconds >= capacity_trials.MIN_WINDOW_SECONDS
+        return is_long and self._present.weight >= needed
 
     def _start_trial(self) -> Change | None:
         """Start the trial of a limit that may be better, if there is one."""
@@ -162,7 +163,7 @@
                 self._measure_anew()
                 return None
         if self._limit < self._slots:
-            return self._begin_trial(min(self._slots, self._limit + lower))
+            return self._begin_trial(min(self._slots, 2 * self._limit))
         return None
 
     def _suspects(self, lower: int) -> bool:
@@ -217,6 +218,7 @@
     ) -> Change:
         self._trial = None
         self._learned = limit
+        self._used_at = self._clock.now()
         self._apply(reason)
         is_accepted = limit == trial.limit
         return Change(
@@ -230,10 +232,10 @@
 
     def _return_unused(self) -> Change | None:
         """Raise a lowered limit step by step while it is not used."""
-        unused_seconds = self._clock.now() - self._saturated_at
+        unused_seconds = self._clock.now() - self._used_at
         if self._learned == self._slots or unused_seconds < UNUSED_SECONDS:
             return None
-        self._saturated_at += UNUSED_STEP_SECONDS
+        self._used_at += UNUSED_STEP_SECONDS
         self._learned += 1
         return self._apply(Reason.UNUSED)
 
--- a/tests/pooling/server_model.py
+++ b/tests/pooling/server_model.py
@@ -78,8 +78,10 @@
             if self.random.random() < TAIL_SHARE:
                 factor *= TAIL_FACTOR
             noise = self.random.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
-            await asyncio.sleep(mean_seconds * factor * noise)
-            self._running -= 1
+            try:
+                await asyncio.sleep(mean_seconds * factor * noise)
+            finally:
+                self._running -= 1
         if self.random.random() < self.failing_share:
             return answers.Code.FAILED
         return answers.Code.OK
