Try a limit that was never observed only after a second of full use

Cause: at the start of a broker, connections being opened filled the slots for a moment, and half the slots were tried at a load of 0.6.

Change: the limit must have been in use for 1 s.

--- a/src/egretstep/pooling/server_capacity.py
+++ b/src/egretstep/pooling/server_capacity.py
@@ -29,6 +29,8 @@
 # slow server gives fewer; its limit may then only be raised.
 MIN_WEIGHT = 24.0
 MIN_SLOW_WEIGHT = 5.0
+# A limit that was in use for this long is compared with one not known yet.
+UNKNOWN_LIMIT_SECONDS = 1.0
 UNUSED_SECONDS = 3.0
 UNUSED_STEP_SECONDS = 1.0
 
@@ -90,6 +92,7 @@
         self._present = service_times.Mean()
         self._measured_from = time_source.now()
         self._used_at = self._measured_from
+        self._unused_at = self._measured_from
 
     @property
     def limit(self) -> int:
@@ -135,6 +138,7 @@
             return None
         least = self._limit - capacity_trials.SATURATION_MARGIN
         if self._present.concurrency < least:
+            self._unused_at = self._clock.now()
             return self._return_unused()
         self._used_at = self._clock.now()
         is_due = self._schedule.is_due and self._is_measured()
@@ -152,10 +156,10 @@
         """Start the trial of a limit that may be better, if there is one."""
         lower = _lower_limit(self._limit)
         if self._limit > 1 and self._present.weight >= MIN_WEIGHT:
-            is_unknown = self._times.at_level(lower) is None
             was_suspected = self._is_suspected
-            self._is_suspected = not is_unknown and self._suspects(lower)
-            if is_unknown or (was_suspected and self._is_suspected):
+            self._is_suspected = self._suspects(lower)
+            is_confirmed = was_suspected and self._is_suspected
+            if is_confirmed or self._is_unknown(lower):
                 return self._begin_trial(lower)
             if self._is_suspected:
                 # The mean still holds samples from before the server slowed
@@ -166,6 +170,15 @@
             return self._begin_trial(min(self._slots, 2 * self._limit))
         return None
 
+    def _is_unknown(self, lower: int) -> bool:
+        """Tell whether a lower limit is to be tried for the first time.
+
+        A server that was not saturated for long shows it without a trial.
+        """
+        used_seconds = self._clock.now() - self._unused_at
+        is_long = used_seconds >= UNKNOWN_LIMIT_SECONDS
+        return is_long and self._times.at_level(lower) is None
+
     def _suspects(self, lower: int) -> bool:
         """Tell whether a lower limit may give the same throughput."""
         self._times.bound(
