--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -27,8 +27,8 @@
     read_router,
     retry_policy,
     server_loads,
+    statement_attempts,
 )
-from egretstep.routing import course as course_module
 from egretstep.settings import deployment
 
 LOCAL_LINK_ID = work_module.LinkId(0)
@@ -102,20 +102,20 @@
         `retry_policy` and the retry budget allow it.
         """
         self._budget.deposit()
-        course = course_module.Course(
+        attempts = statement_attempts.StatementAttempts(
             work=work,
             deadline=self._clock.now() + work.timeout,
             may_read_replica=work.max_staleness is not None,
         )
-        target: read_router.Target | None = self._first_target(course)
+        target: read_router.Target | None = self._first_target(attempts)
         while target is not None:
-            rejection = self._reject_early(course, target)
+            rejection = self._reject_early(attempts, target)
             if rejection is not None:
                 return rejection
-            dispatched = await self._attempt(course, target)
-            target = await self._next_target(course, dispatched)
+            dispatched = await self._attempt(attempts, target)
+            target = await self._next_target(attempts, dispatched)
         return dataclasses.replace(
-            dispatched, answer=course.final(dispatched.answer)
+            dispatched, answer=attempts.final(dispatched.answer)
         )
 
     async def run_in_transaction(
@@ -153,23 +153,25 @@
         else:
             await self._peers.release(host, pin_id)
 
-    def _first_target(self, course: course_module.Course) -> read_router.Target:
-        if course.may_read_replica:
-            return self._router.first_target(course.work)
-        return self._router.primary_target(course.work.service)
+    def _first_target(
+        self, attempts: statement_attempts.StatementAttempts
+    ) -> read_router.Target:
+        if attempts.may_read_replica:
+            return self._router.first_target(attempts.work)
+        return self._router.primary_target(attempts.work.service)
 
     async def _next_target(
         self,
-        course: course_module.Course,
+        attempts: statement_attempts.StatementAttempts,
         dispatched: Dispatched,
     ) -> read_router.Target | None:
         """Return the target of a repeat, after the pause before it.
 
         None if the answer is final.
         """
-        work = course.work
+        work = attempts.work
         answer = dispatched.answer
-        remaining = course.deadline - self._clock.now()
+        remaining = attempts.deadline - self._clock.now()
         may_repeat = retry_policy.may_repeat(work, answer)
         if may_repeat:
             decisions.attempt_without_effect(
@@ -179,55 +181,55 @@
                 dispatched.server,
                 remaining,
             )
-        other = self._other_server(course, answer, remaining)
+        other = self._other_server(attempts, answer, remaining)
         if other is not None:
-            is_paid = course.pay(other.server, answer, self._budget)
+            is_paid = attempts.pay(other.server, answer, self._budget)
             return other if is_paid else None
         if not may_repeat or not retry_policy.is_worth_retrying(
             answer, waited=work.timeout - remaining, remaining=remaining
         ):
             return None
-        if not course.pay(read_router.PRIMARY, answer, self._budget):
+        if not attempts.pay(read_router.PRIMARY, answer, self._budget):
             return None
-        await asyncio.sleep(course.next_pause(answer, self._random))
+        await asyncio.sleep(attempts.next_pause(answer, self._random))
         return self._router.primary_target(work.service)
 
     def _other_server(
         self,
-        course: course_module.Course,
+        attempts: statement_attempts.StatementAttempts,
         answer: answers.Answer,
         remaining: float,
     ) -> read_router.Target | None:
         """Return another server that may serve a read at once, if any."""
-        if not course.may_read_replica:
+        if not attempts.may_read_replica:
             return None
-        work = course.work
+        work = attempts.work
         if not retry_policy.may_repeat_elsewhere(
             work, answer, remaining=remaining
         ):
             return None
         if answer.code is answers.Code.BEHIND:
-            course.may_read_replica = False
+            attempts.may_read_replica = False
             return self._router.primary_target(work.service)
-        return self._router.next_target(work, course.tried)
+        return self._router.next_target(work, attempts.tried)
 
     def _reject_early(
         self,
-        course: course_module.Course,
+        attempts: statement_attempts.StatementAttempts,
         target: read_router.Target,
     ) -> Dispatched | None:
         """Return a refusal if the only server can't answer in time.
 
         The queue of this host itself needs no forecast by load data.
         """
-        work = course.work
+        work = attempts.work
         is_own_queue = target.host == self._hosts.own.host
         if work.max_staleness is not None or is_own_queue or not target.meant:
             return None
         retry_after = self._early_rejection.retry_after(
             target.meant,
             priority=work.priority,
-            remaining=course.deadline - self._clock.now(),
+            remaining=attempts.deadline - self._clock.now(),
         )
         if retry_after is None:
             return None
@@ -242,11 +244,11 @@
 
     async def _attempt(
         self,
-        course: course_module.Course,
+        attempts: statement_attempts.StatementAttempts,
         target: read_router.Target,
     ) -> Dispatched:
         host = target.host
-        course.tried.add(target.meant)
+        attempts.tried.add(target.meant)
         if host is None or self._hosts.is_suspected(host):
             return Dispatched(
                 answer=answers.refusal(
@@ -256,11 +258,7 @@
                 ),
                 host=host or self._hosts.own.host,
             )
-        bounded_work = dataclasses.replace(
-            course.work,
-            server=target.server,
-            timeout=course.deadline - self._clock.now(),
-        )
+        bounded_work = attempts.remaining_work(target.server, self._clock.now())
         sent_id = self._router.record_sent(target)
         try:
             answer = await self._run_once(host, bounded_work, target)
--- a/src/egretstep/routing/course.py
+++ b/src/egretstep/routing/statement_attempts.py
@@ -1,4 +1,4 @@
-"""The course of one statement through its attempts."""
+"""The attempts of one statement: servers tried, pauses and paid repeats."""
 
 import dataclasses
 import random
@@ -15,7 +15,7 @@
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class Course:
+class StatementAttempts:
     """The attempts of one statement so far.
 
     `deadline` is a monotonic time. `tried` holds the servers that were asked,
@@ -31,6 +31,21 @@
     paid: set[connection.ServerId] = dataclasses.field(default_factory=set)
     is_denied: bool = False
 
+    def remaining_work(
+        self, server: connection.ServerId, now: float
+    ) -> work_module.Work:
+        """Return the work for an attempt at a server that starts now.
+
+        The attempts before have used up a part of its timeout and target.
+        """
+        remaining = self.deadline - now
+        target = self.work.target
+        if target is not None:
+            target -= self.work.timeout - remaining
+        return dataclasses.replace(
+            self.work, server=server, timeout=remaining, target=target
+        )
+
     def next_pause(self, answer: answers.Answer, rng: random.Random) -> float:
         """Return how many seconds to wait before the primary is asked again.
 
@@ -53,8 +68,8 @@
 
         All repeats at one server of a statement that was not sent there cost
         one token, because one that waits for a planned change of its primary
-        or owner is repeated many times. A read whose replica is behind is not charged: it has cost
-        no server any work, and moves to the primary only once.
+        or owner is repeated many times. A read whose replica is behind is not
+        charged: it has cost no server any work, and moves to the primary once.
         """
         is_paid = server in self.paid and not answer.was_sent
         if is_paid or answer.code is answers.Code.BEHIND:
