--- a/tests/routing/test_read_placement.py
+++ b/tests/routing/test_read_placement.py
@@ -52,12 +52,21 @@
         self.assertLess(busy_share, 0.6)
 
     def test_hosts_do_not_move_to_a_returning_replica_together(self) -> None:
-        servers = virtual_time.run(self._returning_replica())
+        servers = virtual_time.run(self._returning_replica(later_rate=400))
+        returned = servers[1]
+        self._check_equal_use(servers)
+        self.assertLess(returned.most_held, 5 * returned.backend.slots)
+
+    def test_a_returning_replica_is_used_in_calm(self) -> None:
+        servers = virtual_time.run(self._returning_replica(later_rate=100))
+        self._check_equal_use(servers)
+
+    def _check_equal_use(
+        self, servers: list[simulated_fleet.SimulatedServer]
+    ) -> None:
         total = sum(server.received for server in servers)
         for server in servers:
             self.assertGreater(server.received, 0.25 * total)
-        returned = servers[1]
-        self.assertLess(returned.most_held, 5 * returned.backend.slots)
 
     def test_a_planned_change_refuses_no_statement(self) -> None:
         for rate in (10, 1000):
@@ -137,7 +146,9 @@
         moved = sum(replica.received for replica in servers[:2]) - seen
         return calm_share, 1 - moved / (len(fleet.answers) - calm_count)
 
-    async def _returning_replica(self) -> list[simulated_fleet.SimulatedServer]:
+    async def _returning_replica(
+        self, *, later_rate: float
+    ) -> list[simulated_fleet.SimulatedServer]:
         servers = self._servers()
         servers[1].loses_links = True
         fleet = self._fleet(*servers)
@@ -146,7 +157,7 @@
         for server in servers:
             server.received = 0
             server.most_held = 0
-        await self._send_reads(fleet, rate=400)
+        await self._send_reads(fleet, rate=later_rate)
         return servers[:2]
 
     async def _planned_change(self, rate: int) -> simulated_fleet.Fleet:
