Count statements of workspaces and report them by windows

Cause: a deployment may owe the platform one report of usage for each window, with at most one content, from one holder at a time.

Change: brokers pass each statement that they send through a counter. Hosts send cumulative counts by window to the holder of the task `usage` (reportUsage @10). The holder records each report in the store, by a conditional write, before it sends it; a later holder sends the record. Its own counts are copied to a deputy. The feature is off unless the settings state `report_window_s` and the duty `usage`.

--- a/src/egretstep/json_fields.py
+++ b/src/egretstep/json_fields.py
@@ -52,6 +52,10 @@
         """Tell whether there is a field with a value other than null."""
         return self._fields.get(name) is not None
 
+    def names(self) -> list[str]:
+        """Return the names of all fields."""
+        return list(self._fields)
+
     def text(self, name: str, *, default: str | None = None) -> str:
         """Return a text."""
         if default is not None and name not in self._fields:
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -116,6 +116,20 @@
     'Polls of other hosts for changes of tables that were of no use, by reason.',
     ('reason',),
 )
+usage_reports = BufferedCounter(
+    'egretstep_usage_reports_total',
+    'Reports of usage sent to the platform, by outcome.',
+    ('outcome',),
+)
+waiting_usage_reports = aioprometheus.Gauge(
+    'egretstep_waiting_usage_reports',
+    'Reports of usage that the platform has not accepted yet.',
+)
+late_usage_counts = BufferedCounter(
+    'egretstep_late_usage_counts_total',
+    'Counts of usage that came after the report of their window, by host.',
+    ('host',),
+)
 
 
 def publish_all() -> None:
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -57,6 +57,8 @@
 struct TableChanges { table @0 :Text; version @1 :UInt64; rows @2 :List(Row); isWhole @3 :Bool; keys @4 :List(Text); era @5 :UInt64; }
 struct Demand { workspace @0 :Text; wanted @1 :UInt32; }
 struct Lot { workspace @0 :Text; granted @1 :UInt32; retryAfterMs @2 :UInt32; waitMs @3 :UInt32; }
+struct WorkspaceUsage { workspace @0 :Text; count @1 :UInt32; }
+struct WindowUsage { host @0 :Text; boot @1 :UInt64; window @2 :UInt64; counts @3 :List(WorkspaceUsage); }
 
 interface Host {
   execute @0 (work :Work) -> (result :Result);
@@ -69,4 +71,5 @@
   changes @7 (known :List(TableVersion)) -> (ageMs :UInt64, tables :List(TableChanges), era :UInt64);
   laterConfiguration @8 (version :UInt64) -> (content :Data);
   takePooledTokens @9 (demands :List(Demand), caller :Text) -> (lots :List(Lot));
+  reportUsage @10 (caller :Text, windows :List(WindowUsage), recordedUntil :UInt64, timeMs :UInt64) -> (serving :Bool, recordedUntil :UInt64, timeMs :UInt64);
 }
--- a/src/egretstep/platform/process_settings.py
+++ b/src/egretstep/platform/process_settings.py
@@ -16,6 +16,9 @@
 DEFAULT_STOP_GRACE_SECONDS = 6.0
 DEFAULT_MAX_SETTINGS_DELAY_MS = 3000
 DEFAULT_DRAIN_MS = 5000
+DEFAULT_USAGE_LATE_SECONDS = 10.0
+DEFAULT_LEASE_MS = 3000
+_USAGE_DUTY = 'usage'
 _DRAIN_BOUNDS = ('drain_ms', 'evac_ms')
 
 
@@ -71,6 +74,33 @@
             bounds.get('config_apply_ms', DEFAULT_MAX_SETTINGS_DELAY_MS)
         ),
         drain_seconds=_decode_drain_limit(bounds),
+        usage=_decode_usage(bounds, fields['cloud_api'].get('duties', ())),
+    )
+
+
+def _decode_usage(
+    bounds: dict[str, typing.Any],
+    duties: typing.Sequence[str],
+) -> node.UsageSettings | None:
+    """Return the rules for reports of usage, None if none are owed.
+
+    Raises `ValueError` for a window that is not longer than zero.
+    """
+    if 'report_window_s' not in bounds or _USAGE_DUTY not in duties:
+        return None
+    window_seconds = float(bounds['report_window_s'])
+    if not window_seconds > 0:
+        raise ValueError(
+            f'report_window_s is {window_seconds}; it must be above 0',
+        )
+    return node.UsageSettings(
+        window_seconds=window_seconds,
+        late_seconds=float(
+            bounds.get('usage_late_s', DEFAULT_USAGE_LATE_SECONDS)
+        ),
+        lease_seconds=clock.to_seconds(
+            bounds.get('lease_ms', DEFAULT_LEASE_MS)
+        ),
     )
 
 
--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -18,6 +18,7 @@
     interruptions,
     server_activity,
     statement_state,
+    usage_hook,
     workspace_connections,
 )
 from egretstep.pooling import work as work_module
@@ -45,8 +46,10 @@
         opener: connection.Opener,
         connection_limit: int,
         time_source: clock.Clock,
+        usage: usage_hook.UsageRecorder = usage_hook.UNCOUNTED,
     ) -> None:
         self._clock = time_source
+        self._usage = usage
         self._queue = fair_queue.FairQueue(
             slots=server.slots, time_source=time_source
         )
@@ -250,7 +253,8 @@
     ) -> answers.Answer:
         started = self._clock.now()
         with self.activity.running():
-            answer = await conn.raw.run(work.statement_id, work.command, floor)
+            running = conn.raw.run(work.statement_id, work.command, floor)
+            answer = await self._usage.counted(work, running)
         self.activity.record_alive()
         ran = clock.to_milliseconds(self._clock.now() - started)
         return dataclasses.replace(answer, ran_ms=ran)
--- a/src/egretstep/pooling/brokers.py
+++ b/src/egretstep/pooling/brokers.py
@@ -4,7 +4,7 @@
 
 from egretstep import clock
 from egretstep.backends import connection
-from egretstep.pooling import broker
+from egretstep.pooling import broker, usage_hook
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
 
@@ -15,7 +15,8 @@
 class BrokerTable:
     """Creates brokers on first use and closes idle ones.
 
-    `current_deployment` returns the configuration in force.
+    `current_deployment` returns the configuration in force, and `usage` counts
+    the statements of workspaces.
     """
 
     def __init__(
@@ -24,8 +25,10 @@
         opener: connection.Opener,
         current_deployment: typing.Callable[[], deployment.Deployment],
         time_source: clock.Clock,
+        usage: usage_hook.UsageRecorder = usage_hook.UNCOUNTED,
     ) -> None:
         self._opener = opener
+        self._usage = usage
         self._current_deployment = current_deployment
         self._clock = time_source
         self._brokers: dict[connection.ServerId, broker.Broker] = {}
@@ -50,6 +53,7 @@
             opener=self._opener,
             connection_limit=limit,
             time_source=self._clock,
+            usage=self._usage,
         )
         self._brokers[server.server] = created
         return created
--- a/src/egretstep/programs/fleet_queries.py
+++ b/src/egretstep/programs/fleet_queries.py
@@ -49,6 +49,10 @@
         self._clock = time_source
         self._is_isolated = False
         self._unresponsive_claim: claims.Claim | None = None
+        self._positions: dict[
+            deployment.ServiceName,
+            evidence.AcknowledgedPositions,
+        ] = {}
         self._standby_failed_at = float('-inf')
 
     @property
@@ -56,6 +60,20 @@
         """Return whether no probed host answered at the last check."""
         return self._is_isolated
 
+    def positions_of(
+        self,
+        service: deployment.ServiceName,
+    ) -> evidence.AcknowledgedPositions:
+        """Return the acknowledged positions of a service."""
+        positions = self._positions.get(service)
+        if positions is None:
+            positions = evidence.AcknowledgedPositions(
+                query_owner=lambda: self.query_acknowledged_position(service),
+                time_source=self._clock,
+            )
+            self._positions[service] = positions
+        return positions
+
     async def query_acknowledged_position(
         self,
         service: deployment.ServiceName,
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -5,7 +5,7 @@
 from egretstep import clock, identifiers
 from egretstep.limits import grants
 from egretstep.membership import fleet_links, leases
-from egretstep.peers import fleet_messages, fleet_schema
+from egretstep.peers import fleet_messages, fleet_schema, usage_messages
 from egretstep.pooling import brokers, local_host
 from egretstep.pooling import work as work_module
 from egretstep.programs import tasks
@@ -140,6 +140,22 @@
             granted_lots.append(_encode_grant(workspace, grant))
         _context.results.lots = granted_lots
 
+    async def reportUsage(
+        self,
+        caller: str,
+        windows: typing.Any,
+        recordedUntil: int,
+        timeMs: int,
+        _context: typing.Any,
+        **_kwargs: typing.Any,
+    ) -> None:
+        """Take counts of usage, for the report if this host composes it."""
+        call = usage_messages.decode_call(
+            caller, windows, recordedUntil, timeMs
+        )
+        reply = self._tasks.take_usage(call)
+        usage_messages.encode_reply(reply, _context.results)
+
     async def changes(
         self,
         known: typing.Any,
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -1,7 +1,8 @@
 """The tasks that this host runs for the fleet while it holds their leases.
 
-There is one task for the ownership of each service, and the counting task,
-which limits the rates of the workspaces.
+There is one task for the ownership of each service, the counting task, which
+limits the rates of the workspaces, and the usage task, which reports their
+usage to the platform.
 """
 
 import asyncio
@@ -20,13 +21,18 @@
     registry,
     task_ranking,
 )
+from egretstep.peers import usage_messages
 from egretstep.pooling import brokers
+from egretstep.programs import usage_service
 from egretstep.replication import failover, primary
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
 from egretstep.supervision import supervisor
+from egretstep.usage import reporter
 
 COUNTING_TASK = claims.TaskName('counting')
+USAGE_TASK = reporter.TASK
+_FLEET_WIDE_TASKS = frozenset((COUNTING_TASK, USAGE_TASK))
 HAND_OVER_TIMEOUT_SECONDS = 2.0
 # The ranking may include this host, which cannot be its own successor.
 MAX_CANDIDATES = 2
@@ -54,6 +60,7 @@
         current_deployment: typing.Callable[[], deployment.Deployment],
         time_source: clock.Clock,
     ) -> None:
+        self._usage: usage_service.UsageService = usage_service.DISABLED
         self._keeper = keeper
         self._renewal = renewal
         self._hosts = hosts
@@ -76,6 +83,10 @@
         self._wanted: tuple[task_ranking.Task, ...] = ()
         self._wanted_inputs: tuple[deployment.Deployment, int] | None = None
 
+    def report_usage(self, usage: usage_service.UsageService) -> None:
+        """Run the usage task as well, with a service that may be disabled."""
+        self._usage = usage
+
     def wanted(self) -> tuple[task_ranking.Task, ...]:
         """Return the tasks that the fleet has to run.
 
@@ -106,6 +117,8 @@
                 tasks.append(task_ranking.Task(name=name, zone=zone))
         if current.workspaces:
             tasks.append(task_ranking.Task(name=COUNTING_TASK, zone=_ANY_ZONE))
+        if self._usage.is_enabled:
+            tasks.append(task_ranking.Task(name=USAGE_TASK, zone=_ANY_ZONE))
         return tuple(tasks)
 
     def start(self, claim: claims.Claim) -> None:
@@ -117,6 +130,9 @@
         if claim.task == COUNTING_TASK:
             self._start_counting(claim)
             return
+        if claim.task == USAGE_TASK:
+            self._usage.start(claim)
+            return
         service = dispatcher.owned_service(claim.task)
         owner = primary.PrimaryOwner(
             service=service,
@@ -202,6 +218,12 @@
             return None
         return self._rate_limiter.take(workspace, wanted, caller)
 
+    def take_usage(
+        self, call: usage_messages.UsageCall
+    ) -> usage_messages.UsageReply:
+        """Take the counts of usage that another host sent."""
+        return self._usage.accept(call)
+
     def record_contact(self, caller: identifiers.HostName) -> None:
         """Record that a host reached this one as the counting host."""
         if self._rate_limiter is not None:
@@ -247,6 +269,9 @@
         owner = self._owner_for_claim(claim)
         if owner is not None:
             await owner.stop(longest_wait=HAND_OVER_TIMEOUT_SECONDS)
+        if claim.task == USAGE_TASK:
+            # No call may be under way when the successor begins.
+            await self._usage.stop()
         own = self._hosts.own.host
         ranked = successors.get(claim.task, ())
         candidates = [host for host in ranked if host.host != own]
@@ -258,7 +283,7 @@
     def _owner_for_claim(
         self, claim: claims.Claim
     ) -> primary.PrimaryOwner | None:
-        if claim.task == COUNTING_TASK:
+        if claim.task in _FLEET_WIDE_TASKS:
             return None
         return self._owners.get(dispatcher.owned_service(claim.task))
 
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -28,6 +28,7 @@
     readiness,
     registrations,
     store,
+    usage_reports,
 )
 from egretstep.pooling import brokers, local_host
 from egretstep.pooling import work as work_module
@@ -39,8 +40,9 @@
     store_watches,
     sweeper,
     tasks,
+    usage_service,
 )
-from egretstep.replication import evidence, failover
+from egretstep.replication import failover
 from egretstep.routing import dispatcher
 from egretstep.settings import age_monitor, deployment, node
 from egretstep.storage import row_decoding, watching
@@ -75,6 +77,10 @@
             address=settings.promotions,
             host=settings.host,
         )
+        self._usage_platform = usage_reports.PlatformUsageReports(
+            address=settings.promotions,
+            host=settings.host,
+        )
         self._watches = store_watches.StoreWatches(
             settings=settings,
             store=platform_store,
@@ -136,10 +142,20 @@
         return self._pending_registration.fleet.version.era
 
     def _make_pooling(self) -> None:
+        self._usage = usage_service.make(
+            settings=self._settings.usage,
+            store=self._store,
+            platform=self._usage_platform,
+            hosts=self._hosts,
+            keeper=self._keeper,
+            peers=self._peers,
+            time_source=self._clock,
+        )
         self._brokers = brokers.BrokerTable(
             opener=self._opener,
             current_deployment=self._current_deployment,
             time_source=self._clock,
+            usage=self._usage.recorder,
         )
         self._tasks = tasks.FleetTasks(
             keeper=self._keeper,
@@ -151,6 +167,7 @@
             current_deployment=self._current_deployment,
             time_source=self._clock,
         )
+        self._tasks.report_usage(self._usage)
         self._queries = fleet_queries.FleetQueries(
             hosts=self._hosts,
             keeper=self._keeper,
@@ -159,15 +176,11 @@
             current_deployment=self._current_deployment,
             time_source=self._clock,
         )
-        self._acknowledged_positions: dict[
-            deployment.ServiceName,
-            evidence.AcknowledgedPositions,
-        ] = {}
         self._local = local_host.LocalHost(
             broker_table=self._brokers,
             servers=self._servers,
             owners=self._tasks,
-            floors=self._positions_of,
+            floors=self._queries.positions_of,
         )
         self._claimant = claiming.Claimant(
             keeper=self._keeper,
@@ -255,6 +268,7 @@
             'claimant': self._claimant.run,
             'sweep': self._sweeper.run,
             'counted': self._queries.maintain_contact,
+            'usage': self._usage.run,
             'callers': self._ingress.run,
             'readiness': self._readiness.run,
             'metrics': metrics_page.make_endpoint(
@@ -309,21 +323,6 @@
             return False
         return self._watches.configuration.version > 0
 
-    def _positions_of(
-        self,
-        service: deployment.ServiceName,
-    ) -> evidence.AcknowledgedPositions:
-        positions = self._acknowledged_positions.get(service)
-        if positions is None:
-            positions = evidence.AcknowledgedPositions(
-                query_owner=lambda: self._queries.query_acknowledged_position(
-                    service
-                ),
-                time_source=self._clock,
-            )
-            self._acknowledged_positions[service] = positions
-        return positions
-
     def _release_here(self, pin_id: identifiers.PinId) -> None:
         self._brokers.release(dispatcher.LOCAL_LINK_ID, pin_id)
 
@@ -345,5 +344,5 @@
         )
         await stop.drain()
         self._brokers.close()
-        await stop.linger()
+        await asyncio.gather(stop.linger(), self._usage.flush())
         _logger.info('host {} has stopped', self._settings.host)
--- a/src/egretstep/settings/node.py
+++ b/src/egretstep/settings/node.py
@@ -21,6 +21,20 @@
         return f'{self.host}:{self.port}'
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UsageSettings:
+    """Rules for the reports of usage; all times are in seconds.
+
+    A report is due `late_seconds` after the end of its window, which is
+    `window_seconds` long. A new holder waits `lease_seconds` before its first
+    report.
+    """
+
+    window_seconds: float
+    late_seconds: float
+    lease_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeSettings:
     """Addresses, CPU share and time limits of one host.
@@ -28,7 +42,8 @@
     `stop_grace_seconds` limits a planned stop. A new configuration must be
     in force within `max_settings_delay_seconds`. A server that is taken out
     of service may get work for `drain_seconds`. `processor` is the CPU
-    capacity of the host as a share of one core.
+    capacity of the host as a share of one core. `usage` is None if no usage
+    is reported; the reports go to the address of `promotions`.
     """
 
     host: identifiers.HostName
@@ -45,6 +60,7 @@
     stop_grace_seconds: float
     max_settings_delay_seconds: float
     drain_seconds: float
+    usage: UsageSettings | None = None
 
 
 def parse_address(text: str) -> Address:
--- /dev/null
+++ b/src/egretstep/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counts the statements of each workspace and reports them to the platform."""
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -37,7 +37,8 @@
 
     `first_port` is the first of `_PORTS_PER_HOST` ports of each host. `rate`
     is the rate limit of each workspace in requests per second, and `sync_replicas`
-    is that of each service. The routes of `added_databases` come with the next version of the configuration.
+    is that of each service. Hosts report usage for windows of
+    `report_window` seconds, if it is given. The routes of `added_databases` come with the next version of the configuration.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         services: typing.Sequence[str] = ('ledger',),
         rate: float = 500,
         sync_replicas: int = 0,
+        report_window: float | None = None,
     ) -> None:
         self.groups = [
             platform_sessions.make_group(
@@ -65,6 +67,7 @@
         self._host_count = hosts
         self._first_port = first_port
         self._rate = rate
+        self._report_window = report_window
         self._directory = tempfile.TemporaryDirectory()
         self._processes: dict[int, asyncio.subprocess.Process] = {}
 
@@ -220,13 +223,26 @@
                 'config_apply_ms': 3000,
                 'drain_ms': 7000,
                 'evac_ms': 5000,
+                **self._usage_bounds(),
             },
             'platform': {
                 'address': f'127.0.0.1:{self.store_port(index)}',
                 'row_bytes': 65536,
                 'history_s': 20,
             },
-            'cloud_api': {'address': f'127.0.0.1:{self.store_port(index)}'},
+            'cloud_api': {
+                'address': f'127.0.0.1:{self.store_port(index)}',
+                'duties': ['failover', 'usage'],
+            },
+        }
+
+    def _usage_bounds(self) -> dict[str, float]:
+        if self._report_window is None:
+            return {}
+        return {
+            'report_window_s': self._report_window,
+            'usage_late_s': 10,
+            'lease_ms': 1000,
         }
 
     def _configuration(self) -> dict[str, typing.Any]:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -63,6 +63,17 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UsageReport:
+    """The usage of a window that a host reported; `at` is the loop's time."""
+
+    window: int
+    counts: dict[str, int]
+    holder: str
+    token: int
+    at: float
+
+
 class PlatformStore:
     """Versioned rows with a change feed, and promotions.
 
@@ -80,6 +91,7 @@
         self.era = 1
         self.faults = StoreFaults()
         self.promotion_requests: list[PromotionRequest] = []
+        self.usage_reports: list[UsageReport] = []
         self.request_count = 0
         self.page_size = MAX_PAGE_ROWS
         self.port = 0
@@ -103,6 +115,7 @@
         application.router.add_get('/v1/rows-feed', self._poll_changes)
         application.router.add_post('/v1/rows-tx', self._transact)
         application.router.add_post('/promotion', self._accept_promotion)
+        application.router.add_post('/usage', self._accept_usage)
         self._runner = web.AppRunner(
             application,
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
@@ -267,6 +280,19 @@
         await asyncio.sleep(self.faults.promotion_answer_delay)
         return web.Response(status=200 if accepted else 409)
 
+    async def _accept_usage(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.usage_reports.append(
+            UsageReport(
+                window=body['window_id'],
+                counts=body['counts'],
+                holder=request.headers['Egretstep-Lease-Holder'],
+                token=int(request.headers['Egretstep-Fencing-Token']),
+                at=asyncio.get_running_loop().time(),
+            ),
+        )
+        return web.Response()
+
     def _describe_row(self, key: RowKey) -> dict[str, typing.Any]:
         content, version = self.rows[key]
         return {
--- a/tests/platform/test_process_settings.py
+++ b/tests/platform/test_process_settings.py
@@ -64,8 +64,34 @@
         with self.assertRaises(errors.SettingsError):
             self._load({'grace_s': 'soon'})
 
-    def _load(self, bounds: dict[str, typing.Any]) -> node.NodeSettings:
+    def test_usage_is_reported_if_it_is_owed(self) -> None:
+        bounds = {'report_window_s': 5, 'usage_late_s': 8, 'lease_ms': 2500}
+        self.assertEqual(
+            self._load(bounds, duties=['failover', 'usage']).usage,
+            node.UsageSettings(
+                window_seconds=5, late_seconds=8, lease_seconds=2.5
+            ),
+        )
+
+    def test_no_usage_is_reported_if_none_is_owed(self) -> None:
+        """A deployment without the duty must not be sent reports."""
+        self.assertIsNone(self._load({'report_window_s': 5}).usage)
+        without_window = self._load({'lease_ms': 3000}, duties=['usage'])
+        self.assertIsNone(without_window.usage)
+
+    def test_a_window_without_length_is_refused(self) -> None:
+        with self.assertRaises(errors.SettingsError):
+            self._load({'report_window_s': 0}, duties=['usage'])
+
+    def _load(
+        self,
+        bounds: dict[str, typing.Any],
+        duties: typing.Sequence[str] | None = None,
+    ) -> node.NodeSettings:
+        fields = {**FIELDS, 'bounds': bounds}
+        if duties is not None:
+            fields['cloud_api'] = {'address': '127.0.0.1:7', 'duties': duties}
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'node.json'
-            path.write_bytes(orjson.dumps({**FIELDS, 'bounds': bounds}))
+            path.write_bytes(orjson.dumps(fields))
             return process_settings.load(path, METRICS_PORT)
