--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -155,6 +155,20 @@
     'Statements refused because their workspace holds too many connections.',
     ('workspace',),
 )
+usage_reports = BufferedCounter(
+    'egretstep_usage_reports_total',
+    'Reports of usage sent to the platform, by outcome.',
+    ('outcome',),
+)
+waiting_usage_reports = aioprometheus.Gauge(
+    'egretstep_waiting_usage_reports',
+    'Reports of usage that the platform has not accepted yet.',
+)
+late_usage_counts = BufferedCounter(
+    'egretstep_late_usage_counts_total',
+    'Counts of usage that came after the report of their window, by host.',
+    ('host',),
+)
 
 
 def publish_all() -> None:
