--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -38,6 +38,7 @@
     `first_port` is the first of `_PORTS_PER_HOST` ports of each host. `rate`
     is the rate limit of each workspace in requests per second, and `sync_replicas`
     is that of each service. The routes of `added_databases` come with the next version of the configuration.
+    `limits` are added to those of the hosts' settings files.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         services: typing.Sequence[str] = ('ledger',),
         rate: float = 500,
         sync_replicas: int = 0,
+        limits: typing.Mapping[str, int] | None = None,
     ) -> None:
         self.groups = [
             platform_sessions.make_group(
@@ -65,6 +67,7 @@
         self._host_count = hosts
         self._first_port = first_port
         self._rate = rate
+        self._limits = limits or {}
         self._directory = tempfile.TemporaryDirectory()
         self._processes: dict[int, asyncio.subprocess.Process] = {}
 
@@ -117,6 +120,10 @@
         """Return the exit code of a host's process, None while it runs."""
         return self._processes[index].returncode
 
+    def process_id(self, index: int) -> int:
+        """Return the operating system's id of a host's process."""
+        return self._processes[index].pid
+
     def read_log(self, index: int) -> str:
         """Return the log of a host."""
         return self._log_path(index).read_text()
@@ -140,8 +147,7 @@
         with self._log_path(index).open('ab') as log:
             self._processes[index] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                '-m',
-                'egretstep.programs.node',
+                str(processes.ROOT / 'src' / 'node.py'),
                 '--metrics-port',
                 str(self.metrics_port(index)),
                 env={**os.environ, 'EGRETSTEP_CONFIG': str(path)},
@@ -213,7 +219,12 @@
             },
             'internal_ports': [port + 2, port + 6],
             'bootstrap': True,
-            'limits': {'cpu_share': 1, 'cores': 1, 'link_mbps': 1000},
+            'limits': {
+                'cpu_share': 1,
+                'cores': 1,
+                'link_mbps': 1000,
+                **self._limits,
+            },
             'heartbeat_ms': 1200,
             'bounds': {
                 'grace_s': 6,
--- a/standins/platform_servers.py
+++ b/standins/platform_servers.py
@@ -12,6 +12,7 @@
 
 PROMOTION_DELAY_SECONDS = 0.2
 RECEIVE_POLL_SECONDS = 0.005
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 
 # Term and index of a log entry; (1, 0) is the position before the first entry.
 Position = tuple[int, int]
@@ -69,6 +70,7 @@
     in seconds. `is_silent` delays all answers until it is off. `is_down` is
     set by `Server.stop`. The next `lost_answers` statements with an id are
     executed but not answered. A replica that `is_deaf` receives no commits.
+    A READ returns `row_count` rows of `row_bytes` bytes if that is set.
     """
 
     is_silent: bool = False
@@ -77,6 +79,8 @@
     lag: float = 0.02
     work: float = 0.002
     lost_answers: int = 0
+    row_bytes: int = 0
+    row_count: int = 1
     connection_limit: int = 22
 
 
@@ -124,6 +128,7 @@
             self._serve,
             '127.0.0.1',
             self.port,
+            limit=MAX_MESSAGE_BYTES,
         )
         self.port = self._listener.sockets[0].getsockname()[1]
         self.faults.is_down = False
--- a/standins/platform_sessions.py
+++ b/standins/platform_sessions.py
@@ -201,6 +201,10 @@
     def _apply(
         self, verb: str, words: list[str], statement_id: str
     ) -> list[str]:
+        faults = self._server.faults
+        if verb == 'READ' and faults.row_bytes:
+            row = 'r' * faults.row_bytes
+            return [f'ROW {row}' for _ in range(faults.row_count)]
         if verb == 'READ':
             return [f'ROW {self._read(words[1])}']
         if verb == 'WRITE':
