Limits on what clients can make a host hold

Change: callers/client_limits.py derives the limits from limits.memory_mb and limits.max_fds (without them: 512 MB and the process's own number), and decides who is refused: a byte budget shared by large messages, unread answers and large statements of other hosts, one for session values, and a cap of connections. platform/client_stream.py charges them; wire.read_line reads a message over 4 KiB in pieces.

--- a/src/egretstep/callers/platform_session.py
+++ b/src/egretstep/callers/platform_session.py
@@ -49,6 +49,11 @@
         """Tell whether no transaction is open."""
         return self._transaction_state is _State.OUTSIDE
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the session's values and prepared statements."""
+        return self._session_state.held_bytes
+
     def authorize(self) -> tuple[deployment.Route, identifiers.WorkspaceName]:
         """Return the route and workspace that the session may use now.
 
--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -79,6 +79,11 @@
     'egretstep_caller_connections',
     'Open caller connections.',
 )
+limited_clients = BufferedCounter(
+    'egretstep_limited_clients_total',
+    'Client connections that were refused or closed, by the limit they met.',
+    ('limit',),
+)
 retries = BufferedCounter(
     'egretstep_retries_total',
     'Statements sent again, by reason.',
--- a/src/egretstep/platform/process_settings.py
+++ b/src/egretstep/platform/process_settings.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import resource
 import typing
 
 import orjson
@@ -16,6 +17,8 @@
 DEFAULT_STOP_GRACE_SECONDS = 6.0
 DEFAULT_MAX_SETTINGS_DELAY_MS = 3000
 DEFAULT_DRAIN_MS = 5000
+DEFAULT_MEMORY_MB = 512
+MAX_FDS_WITHOUT_LIMIT = 65536
 _DRAIN_BOUNDS = ('drain_ms', 'evac_ms')
 
 
@@ -71,9 +74,32 @@
             bounds.get('config_apply_ms', DEFAULT_MAX_SETTINGS_DELAY_MS)
         ),
         drain_seconds=_decode_drain_limit(bounds),
+        memory_mb=_decode_positive(
+            fields['limits'], 'memory_mb', DEFAULT_MEMORY_MB
+        ),
+        max_fds=_decode_max_fds(fields['limits']),
     )
 
 
+def _decode_positive(
+    limits: dict[str, typing.Any],
+    name: str,
+    default: int,
+) -> int:
+    stated = int(limits.get(name, default))
+    if stated <= 0:
+        raise ValueError(f'{name} is {stated}; write a number above zero')
+    return stated
+
+
+def _decode_max_fds(limits: dict[str, typing.Any]) -> int:
+    """Return the stated number of descriptors, if the process has as many."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = MAX_FDS_WITHOUT_LIMIT
+    return min(allowed, _decode_positive(limits, 'max_fds', allowed))
+
+
 def _decode_drain_limit(bounds: dict[str, typing.Any]) -> float:
     """Return the shortest stated limit for work on a server that leaves.
 
--- a/src/egretstep/platform/wire.py
+++ b/src/egretstep/platform/wire.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import typing
 
 from egretstep import identifiers
 from egretstep.backends import answers, commands
@@ -104,22 +105,63 @@
         )
 
 
-async def read_line(reader: asyncio.StreamReader) -> bytes | None:
+async def read_line(
+    reader: asyncio.StreamReader,
+    charge: typing.Callable[[int], None] | None = None,
+) -> bytes | None:
     """Return the next message without its line end, or None at end of file.
 
-    Raises `MalformedError` for a message that is too long.
+    With `charge`, a message may be longer than the limit of the reader. It is
+    then read in pieces, and `charge` is called with the size of each before
+    the next is read; it may raise an error. Raises `MalformedError` for a
+    message that is too long.
     """
     try:
         line = await reader.readuntil(LINE_END)
     except asyncio.IncompleteReadError:
         return None
     except asyncio.LimitOverrunError as error:
-        raise MalformedError(
-            f'a message is longer than {MAX_MESSAGE_BYTES} bytes',
-        ) from error
+        if charge is None:
+            raise _too_long() from error
+        return await _read_in_pieces(reader, charge, error.consumed)
     return line[: -len(LINE_END)]
 
 
+async def _read_in_pieces(
+    reader: asyncio.StreamReader,
+    charge: typing.Callable[[int], None],
+    available: int,
+) -> bytes | None:
+    """Read a message of which `available` bytes are in the reader."""
+    pieces: list[bytes] = []
+    size = 0
+    while available:
+        size += available
+        if size > MAX_MESSAGE_BYTES:
+            raise _too_long()
+        charge(available)
+        pieces.append(await reader.readexactly(available))
+        try:
+            pieces.append(await reader.readuntil(LINE_END))
+        except asyncio.IncompleteReadError:
+            return None
+        except asyncio.LimitOverrunError as error:
+            available = error.consumed
+        else:
+            available = 0
+    charge(len(pieces[-1]))
+    line = b''.join(pieces)[: -len(LINE_END)]
+    if len(line) > MAX_MESSAGE_BYTES:
+        raise _too_long()
+    return line
+
+
+def _too_long() -> MalformedError:
+    return MalformedError(
+        f'a message is longer than {MAX_MESSAGE_BYTES} bytes',
+    )
+
+
 def parse_position(field: bytes) -> identifiers.LogPosition | None:
     """Parse `TERM.OFFSET`; return None for an absent or malformed position."""
     term_text, _, offset_text = field.partition(b'.')
@@ -201,6 +243,18 @@
 def format_answer(answer: answers.Answer) -> bytes:
     """Return the messages of an answer to a caller."""
     lines = [b'ROW %s' % row for row in answer.rows]
+    lines.append(format_answer_end(answer))
+    return LINE_END.join(lines)
+
+
+def format_row(row: bytes) -> bytes:
+    """Return the message of one row of an answer."""
+    return b'ROW %s\r\n' % row
+
+
+def format_answer_end(answer: answers.Answer) -> bytes:
+    """Return the messages of an answer that follow its rows."""
+    lines = []
     if answer.is_ok:
         lines.append(b'COMPLETE %s' % (answer.proof or NO_VALUE))
     else:
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -5,9 +5,9 @@
 from egretstep import clock, identifiers
 from egretstep.membership import fleet_links, leases
 from egretstep.peers import fleet_messages, fleet_schema
-from egretstep.pooling import brokers, local_host
+from egretstep.pooling import brokers
 from egretstep.pooling import work as work_module
-from egretstep.programs import tasks
+from egretstep.programs import remote_statements, tasks
 from egretstep.settings import configuration_follower, deployment
 from egretstep.storage import change_feed
 
@@ -19,7 +19,7 @@
         self,
         *,
         link: work_module.LinkId,
-        local: local_host.LocalHost,
+        local: remote_statements.RemoteStatements,
         broker_table: brokers.BrokerTable,
         keeper: leases.LeaseKeeper,
         peers: fleet_links.FleetLinks,
--- /dev/null
+++ b/src/egretstep/programs/remote_statements.py
@@ -0,0 +1,52 @@
+"""Statements that other hosts send here, charged to the clients' budget.
+
+Load pattern: clients send large messages through many hosts at once, and all
+of them are for a service that this host owns.
+"""
+
+from egretstep.backends import answers
+from egretstep.callers import client_limits
+from egretstep.pooling import local_host
+from egretstep.pooling import work as work_module
+
+
+class RemoteStatements:
+    """Runs statements of other hosts while there is room for them."""
+
+    def __init__(
+        self,
+        *,
+        local: local_host.LocalHost,
+        budget: client_limits.ByteBudget,
+    ) -> None:
+        self._local = local
+        self._budget = budget
+
+    async def execute(
+        self,
+        work: work_module.Work,
+        link: work_module.LinkId,
+    ) -> answers.Answer:
+        """Run a statement and return its answer.
+
+        A large one is refused if there is no room for it beside the messages
+        of the callers of this host.
+        """
+        size = len(work.command.text)
+        if size <= client_limits.SMALL_MESSAGE_BYTES:
+            return await self._local.execute(work, link)
+        account = self._budget.open(_keep)
+        if not account.charge(size):
+            return answers.refusal(
+                answers.Code.OVERLOADED,
+                'large messages take too much memory',
+                retry_after_ms=client_limits.RETRY_AFTER_MS,
+            )
+        try:
+            return await self._local.execute(work, link)
+        finally:
+            account.release()
+
+
+def _keep() -> None:
+    """Keep a statement that runs; its account never waits for a client."""
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -7,7 +7,7 @@
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.callers import session_services
+from egretstep.callers import client_limits, session_services
 from egretstep.limits import grants
 from egretstep.membership import (
     claiming,
@@ -36,6 +36,7 @@
     graceful_shutdown,
     host_endpoint,
     host_report,
+    remote_statements,
     store_watches,
     sweeper,
     tasks,
@@ -108,8 +109,7 @@
             hosts=self._hosts,
         )
         self._peers = fleet_links.FleetLinks(
-            hosts=self._hosts,
-            time_source=self._clock,
+            hosts=self._hosts, time_source=self._clock
         )
         self._keeper = leases.LeaseKeeper(
             store=self._store,
@@ -160,8 +160,7 @@
             time_source=self._clock,
         )
         self._acknowledged_positions: dict[
-            deployment.ServiceName,
-            evidence.AcknowledgedPositions,
+            deployment.ServiceName, evidence.AcknowledgedPositions
         ] = {}
         self._local = local_host.LocalHost(
             broker_table=self._brokers,
@@ -211,10 +210,10 @@
         self._ingress = ingress.Ingress(
             address=self._settings.callers,
             services=services,
+            limits=client_limits.of_process(self._settings),
         )
         self._readiness = readiness.make_endpoint(
-            address=self._settings.readiness,
-            is_ready=self._is_ready,
+            address=self._settings.readiness, is_ready=self._is_ready
         )
 
     def _make_reporter(self) -> None:
@@ -292,7 +291,9 @@
     def _make_host_endpoint(self) -> host_endpoint.HostEndpoint:
         return host_endpoint.HostEndpoint(
             link=work_module.LinkId(next(self._link_ids)),
-            local=self._local,
+            local=remote_statements.RemoteStatements(
+                local=self._local, budget=self._ingress.budget
+            ),
             broker_table=self._brokers,
             keeper=self._keeper,
             peers=self._peers,
@@ -310,8 +311,7 @@
         return self._watches.configuration.version > 0
 
     def _positions_of(
-        self,
-        service: deployment.ServiceName,
+        self, service: deployment.ServiceName
     ) -> evidence.AcknowledgedPositions:
         positions = self._acknowledged_positions.get(service)
         if positions is None:
--- a/src/egretstep/settings/node.py
+++ b/src/egretstep/settings/node.py
@@ -28,7 +28,8 @@
     `stop_grace_seconds` limits a planned stop. A new configuration must be
     in force within `max_settings_delay_seconds`. A server that is taken out
     of service may get work for `drain_seconds`. `processor` is the CPU
-    capacity of the host as a share of one core.
+    capacity of the host as a share of one core. The process may use
+    `memory_mb` of memory and `max_fds` file descriptors.
     """
 
     host: identifiers.HostName
@@ -45,6 +46,8 @@
     stop_grace_seconds: float
     max_settings_delay_seconds: float
     drain_seconds: float
+    memory_mb: float
+    max_fds: int
 
 
 def parse_address(text: str) -> Address:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -10,7 +10,7 @@
 import unittest.mock
 
 from egretstep import identifiers
-from egretstep.callers import session_services
+from egretstep.callers import client_limits, session_services
 from egretstep.platform import ingress
 from egretstep.settings import deployment, node
 from tests import platform_fakes
@@ -46,6 +46,7 @@
         self.current = deployment.EMPTY
         self.is_configured = asyncio.Event()
         server = ingress.Ingress(
+            limits=client_limits.derive(memory_mb=512, max_fds=4300),
             address=node.Address(host=ADDRESS, port=port),
             services=session_services.SessionServices(
                 current_deployment=lambda: self.current,
--- a/tests/storage/fleet_fakes.py
+++ b/tests/storage/fleet_fakes.py
@@ -176,4 +176,6 @@
         stop_grace_seconds=6.0,
         max_settings_delay_seconds=max_settings_delay,
         drain_seconds=7.0,
+        memory_mb=512,
+        max_fds=4300,
     )
