A refused client reads why; tests of the limits; client tests run last

Cause: the kernel resets a connection that is closed with unread bytes, so that a client in the middle of a message may not see the refusal. The tests of tests/clients take seconds each and load the machine.

Change: after an error amid a message, the rest is read and dropped for up to 1 s. A message that was refused is not run even if its end arrives meanwhile.

--- a/src/egretstep/platform/client_stream.py
+++ b/src/egretstep/platform/client_stream.py
@@ -14,6 +14,7 @@
 LINE_BYTES = client_limits.SMALL_MESSAGE_BYTES
 # Answers below this size are written in one piece.
 ROW_BY_ROW_BYTES = 65536
+DISCARD_SECONDS = 1.0
 
 
 class BusyError(Exception):
@@ -47,6 +48,7 @@
         self._transport: asyncio.Transport | None = None
         self._unread_bytes = 0
         self._is_reading = False
+        self.is_discarding = False
 
     def attach(self, transport: asyncio.Transport) -> None:
         """Use a connection that was made."""
@@ -76,8 +78,10 @@
         line = await wire.read_line(reader, charge)
         self._is_reading = False
         self.account.waiting_since = None
-        if line is not None:
-            self._unread_bytes -= len(line) + len(wire.LINE_END)
+        if line is None or self.is_discarding:
+            # The client may have been told that the message has not run.
+            return None
+        self._unread_bytes -= len(line) + len(wire.LINE_END)
         return line
 
     def release(self) -> None:
@@ -113,6 +117,26 @@
         if self.account.has_unread_answer:
             self.account.release()
 
+    def interrupt(self, answer: answers.Answer) -> None:
+        """Send an error amid a message, and close the connection.
+
+        What the client still sends is read and dropped for a moment: the
+        kernel would reset a connection with unread bytes, and the client
+        might not see the error.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.get_write_buffer_size():
+            self.drop()
+            return
+        transport.write(wire.format_refusal(answer))
+        transport.write_eof()
+        transport.resume_reading()
+        self.is_discarding = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(DISCARD_SECONDS, transport.abort)
+
     def refuse(self, answer: answers.Answer) -> None:
         """Send an error without waiting, and close the connection."""
         transport = self._transport
@@ -124,10 +148,17 @@
         self.drop()
 
     def refuse_busy(self, limit: str, reason: str) -> None:
-        """Close the connection because its client meets a limit."""
-        self._limits.record(limit, held_bytes=self.account.held_bytes)
+        """Close the connection at once because of a limit of this host."""
+        self._limits.record(limit)
         self.refuse(BusyError(reason).answer)
 
+    def interrupt_overdue(self) -> None:
+        """Close the connection if its client takes too long for a transfer."""
+        if self.account.is_overdue:
+            self._limits.record('time', held_bytes=self.account.held_bytes)
+            self.account.release()
+            self.interrupt(BusyError('the message took too long').answer)
+
     def close(self) -> None:
         """Close the connection when what was written is sent."""
         if self._transport is not None:
@@ -138,7 +169,7 @@
         self.account.release()
         self._session_account.release()
         transport = self._transport
-        if transport is None:
+        if transport is None or self.is_discarding:
             return
         if transport.get_write_buffer_size():
             transport.abort()
@@ -166,7 +197,8 @@
             raise BusyError('large messages take too much memory')
 
     def _give_up(self) -> None:
-        self.refuse_busy('memory', 'other clients need the memory')
+        self._limits.record('memory')
+        self.interrupt(BusyError('other clients need the memory').answer)
 
 
 class Connection(typing.Protocol):
@@ -217,11 +249,19 @@
         self._connection.lose()
         super().connection_lost(exc)
 
+    def eof_received(self) -> bool | None:
+        """End the stream; returns False to close the connection."""
+        if self._connection.stream.is_discarding:
+            return False
+        return super().eof_received()
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next bytes."""
         return self._view
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass the bytes that arrived to the stream."""
+        if self._connection.stream.is_discarding:
+            return
         self._connection.stream.record_bytes(nbytes)
         self.data_received(bytes(self._view[:nbytes]))
--- a/src/egretstep/platform/ingress.py
+++ b/src/egretstep/platform/ingress.py
@@ -121,9 +121,6 @@
         self._connections.add(connection)
         try:
             await connection.run(reader, writer)
-        except wire.MalformedError as error:
-            refusal = answers.refusal(answers.Code.MALFORMED, str(error))
-            connection.stream.refuse(refusal)
         except OSError as error:
             _logger.debug('lost the connection to a caller: {}', error)
         finally:
@@ -198,15 +195,32 @@
 
     def close_if_overdue(self) -> None:
         """Close the connection if the caller takes too long for a transfer."""
-        if self.stream.account.is_overdue:
-            self.stream.refuse_busy('time', 'the message took too long')
+        self.stream.interrupt_overdue()
 
     async def run(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Serve the session until the caller or this host ends it."""
+        """Serve the session until the caller or this host ends it.
+
+        After an error amid a message, returns when the connection is closed.
+        """
+        try:
+            await self._run_session(reader, writer)
+        except wire.MalformedError as error:
+            refusal = answers.refusal(answers.Code.MALFORMED, str(error))
+            self.stream.interrupt(refusal)
+        except client_stream.BusyError as error:
+            self.stream.interrupt(error.answer)
+        if self.stream.is_discarding:
+            await writer.wait_closed()
+
+    async def _run_session(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         sockets.detect_dead_peer(writer.get_extra_info('socket'))
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
             line = await self.stream.read_message(reader, may_be_large=False)
@@ -219,8 +233,6 @@
         self._session = session
         try:
             await self._serve_statements(session, reader, writer)
-        except client_stream.BusyError as error:
-            self.stream.refuse(error.answer)
         finally:
             await session.close()
 
--- /dev/null
+++ b/tests/callers/test_client_limits.py
@@ -0,0 +1,166 @@
+"""Guards against clients that use up the memory or descriptors of a host.
+
+Load pattern: a crowd sends most of a large message each and then stops, or
+does not read its answers, while ordinary clients come and go.
+"""
+
+import unittest
+
+from egretstep import clock
+from egretstep.backends import commands
+from egretstep.callers import client_limits, session_state
+from egretstep.platform import wire
+
+MIB = client_limits.MIB
+TOTAL_BYTES = 8 * MIB
+CROWD = 400
+PIECE_BYTES = 8 * client_limits.KIB
+
+
+class DeriveTest(unittest.TestCase):
+    def test_small_hosts_serve_the_sessions_of_others(self) -> None:
+        for memory_mb in (200, 552):
+            limits = client_limits.derive(memory_mb=memory_mb, max_fds=4300)
+            self.assertGreaterEqual(limits.max_connections, 2000)
+
+    def test_the_process_stays_within_its_limits(self) -> None:
+        for memory_mb in (50, 200, 552, 4096):
+            for max_fds in (256, 500, 1024, 4300, 65536):
+                with self.subTest(memory_mb=memory_mb, max_fds=max_fds):
+                    limits = client_limits.derive(
+                        memory_mb=memory_mb, max_fds=max_fds
+                    )
+                    self.assertLess(
+                        limits.max_connections + client_limits.FILE_DESCRIPTORS,
+                        max_fds,
+                    )
+                    self.assertLess(_most_bytes(limits), memory_mb * MIB)
+                    self.assertGreater(limits.buffered_bytes, MIB)
+
+
+def _most_bytes(limits: client_limits.ClientLimits) -> int:
+    connections = limits.max_connections * client_limits.CONNECTION_BYTES
+    copies = client_limits.MESSAGE_COPIES * limits.buffered_bytes
+    return connections + copies + limits.session_bytes
+
+
+class ByteBudgetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock()
+        self.budget = client_limits.ByteBudget(
+            total_bytes=TOTAL_BYTES, time_source=self.clock
+        )
+        self.given_up: list[int] = []
+
+    def _open(self, number: int) -> client_limits.Account:
+        return self.budget.open(lambda: self.given_up.append(number))
+
+    def _half_send(self, number: int) -> client_limits.Account:
+        account = self._open(number)
+        account.start_waiting()
+        for _ in range(MIB // PIECE_BYTES - 1):
+            if not account.charge(PIECE_BYTES):
+                account.release()
+        return account
+
+    def test_a_crowd_that_stops_halfway_makes_room(self) -> None:
+        crowd = [self._half_send(number) for number in range(CROWD)]
+        self.assertLessEqual(self.budget.held_bytes, TOTAL_BYTES)
+        self.assertGreater(self.budget.held_bytes, TOTAL_BYTES - MIB)
+        ordinary = self._open(-1)
+        self.assertFalse(ordinary.charge(MIB))
+        self.assertEqual(self.given_up, [])
+        self.clock.advance(client_limits.PATIENCE_SECONDS)
+        self.assertTrue(ordinary.charge(MIB))
+        self.assertLessEqual(len(self.given_up), 2)
+        self.assertLessEqual(self.budget.held_bytes, TOTAL_BYTES)
+        for account in (*crowd, ordinary):
+            account.release()
+        self.assertEqual(self.budget.held_bytes, 0)
+
+    def test_a_statement_that_runs_is_never_given_up(self) -> None:
+        running = self._open(1)
+        self.assertTrue(running.charge(TOTAL_BYTES))
+        self.clock.advance(client_limits.TRANSFER_SECONDS * 2)
+        self.assertFalse(self._open(2).charge(1))
+        self.assertFalse(running.is_overdue)
+        self.assertEqual(self.given_up, [])
+
+    def test_the_answer_that_waits_longest_is_given_up(self) -> None:
+        for number in range(TOTAL_BYTES // MIB):
+            account = self._open(number)
+            account.start_waiting()
+            account.charge_answer(MIB)
+            self.clock.advance(0.01)
+        self._open(-1).charge_answer(MIB)
+        self.assertEqual(self.given_up, [0])
+        self.assertEqual(self.budget.held_bytes, TOTAL_BYTES)
+
+    def test_an_answer_larger_than_the_budget_is_delivered(self) -> None:
+        self._open(1).charge_answer(2 * TOTAL_BYTES)
+        self.assertEqual(self.given_up, [])
+
+    def test_a_connection_lost_halfway_holds_nothing(self) -> None:
+        lost = self._half_send(1)
+        lost.release()
+        lost.release()
+        self.assertEqual(self.budget.held_bytes, 0)
+        self.clock.advance(client_limits.TRANSFER_SECONDS * 2)
+        self.assertFalse(lost.is_overdue)
+
+    def test_a_transfer_has_a_time_limit(self) -> None:
+        account = self._half_send(1)
+        self.clock.advance(client_limits.TRANSFER_SECONDS)
+        self.assertFalse(account.is_overdue)
+        self.clock.advance(1)
+        self.assertTrue(account.is_overdue)
+
+
+class _Connection:
+    def __init__(self) -> None:
+        self.is_refused = False
+
+    def refuse(self) -> None:
+        self.is_refused = True
+
+
+class ConnectionCapTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cap = client_limits.ConnectionCap(max_connections=3)
+        self.connections = [_Connection() for _ in range(5)]
+
+    def test_the_oldest_without_a_session_makes_room(self) -> None:
+        for connection in self.connections[:3]:
+            self.assertTrue(self.cap.admit(connection))
+        self.cap.record_session(self.connections[0])
+        for connection in self.connections[3:]:
+            self.assertTrue(self.cap.admit(connection))
+        refused = [each.is_refused for each in self.connections]
+        self.assertEqual(refused, [False, True, True, False, False])
+
+    def test_sessions_are_kept_and_new_connections_refused(self) -> None:
+        for connection in self.connections[:3]:
+            self.cap.admit(connection)
+            self.cap.record_session(connection)
+        self.assertFalse(self.cap.admit(self.connections[3]))
+        self.cap.remove(self.connections[3])
+        self.cap.remove(self.connections[0])
+        self.assertTrue(self.cap.admit(self.connections[4]))
+
+
+class SessionBytesTest(unittest.TestCase):
+    def test_replaced_and_dropped_values_are_not_counted(self) -> None:
+        """Guards against sessions that are refused for what they dropped."""
+        state = session_state.SessionState(parse_prepared=wire.parse_prepared)
+        self._apply(state, b'SET name xyz')
+        one = state.held_bytes
+        self._apply(state, b'SET name abc')
+        self.assertEqual(state.held_bytes, one)
+        self._apply(state, b'PREPARE p READ shape')
+        self._apply(state, b'PREPARE p READ shape')
+        self._apply(state, b'DEALLOC p')
+        self.assertEqual(state.held_bytes, one)
+
+    def _apply(self, state: session_state.SessionState, text: bytes) -> None:
+        command: commands.Command = wire.parse_command(text)
+        state.apply(command)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -11,13 +11,14 @@
 
 from egretstep import identifiers
 from egretstep.callers import client_limits, session_services
-from egretstep.platform import ingress
+from egretstep.platform import ingress, wire
 from egretstep.settings import deployment, node
 from tests import platform_fakes
 
 ADDRESS = '127.0.0.1'
 DATABASE = identifiers.DatabaseName('loans')
 KEY = 'key-of-depot'
+LIMITS = client_limits.derive(memory_mb=512, max_fds=4300)
 CONFIGURED = deployment.Deployment(
     version=identifiers.SettingsVersion(1),
     routes={
@@ -45,8 +46,8 @@
             port = probe.getsockname()[1]
         self.current = deployment.EMPTY
         self.is_configured = asyncio.Event()
-        server = ingress.Ingress(
-            limits=client_limits.derive(memory_mb=512, max_fds=4300),
+        self.server = ingress.Ingress(
+            limits=LIMITS,
             address=node.Address(host=ADDRESS, port=port),
             services=session_services.SessionServices(
                 current_deployment=lambda: self.current,
@@ -57,7 +58,7 @@
                 is_configured=self.is_configured,
             ),
         )
-        self.server_task = asyncio.ensure_future(server.run())
+        self.server_task = asyncio.ensure_future(self.server.run())
         await asyncio.sleep(0.05)
         streams = await asyncio.open_connection(ADDRESS, port)
         self.reader = streams[0]
@@ -65,6 +66,8 @@
 
     async def asyncTearDown(self) -> None:
         self.writer.close()
+        while self.server.close_idle():
+            await asyncio.sleep(0.01)
         self.server_task.cancel()
 
     async def test_a_caller_waits_until_the_host_is_configured(self) -> None:
@@ -76,6 +79,65 @@
         self.is_configured.set()
         self.assertEqual(await reply, b'READY I -\r\n')
 
+    async def _start(self) -> None:
+        self.current = CONFIGURED
+        self.is_configured.set()
+        self.writer.write(f'START {DATABASE} {KEY}\r\n'.encode())
+        await self.reader.readline()
+
+    async def test_the_longest_message_is_served(self) -> None:
+        await self._start()
+        head = b'QUERY 1 SET name '
+        self.writer.write(head.ljust(wire.MAX_MESSAGE_BYTES, b'x'))
+        self.writer.write(wire.LINE_END)
+        self.assertIn(b'COMPLETE', await self.reader.readline())
+        self.writer.write(b'QUERY 2 SET name 1\r\n')
+        self.assertIn(b'READY', await self.reader.readline())
+        self.assertIn(b'COMPLETE', await self.reader.readline())
+
+    async def test_a_longer_message_is_refused(self) -> None:
+        await self._start()
+        self.writer.write(b'QUERY 1 SET name '.ljust(2 * 1024 * 1024, b'x'))
+        self.assertIn(b'MALFORMED', await self.reader.readline())
+
+    async def test_only_large_messages_are_refused_for_want_of_room(
+        self,
+    ) -> None:
+        await self._start()
+        running = self.server.budget.open(lambda: None)
+        running.charge(LIMITS.buffered_bytes)
+        self.writer.write(b'QUERY 1 SET name 1\r\n')
+        self.assertIn(b'COMPLETE', await self.reader.readline())
+        self.assertIn(b'READY', await self.reader.readline())
+        self.writer.write(b'QUERY 2 SET name '.ljust(20000, b'x'))
+        self.assertIn(b'ERROR BUSY', await self.reader.readline())
+        self.assertEqual(await self.reader.read(), b'')
+
+    async def test_a_refused_client_that_goes_on_sending_reads_why(
+        self,
+    ) -> None:
+        """Guards against a reset that hides the refusal from the client."""
+        await self._start()
+        self.server.budget.open(lambda: None).charge(LIMITS.buffered_bytes)
+        for _ in range(5):
+            self.writer.write(b'x' * 100000)
+            await asyncio.sleep(0.02)
+        self.assertIn(b'ERROR BUSY', await self.reader.readline())
+        self.assertEqual(await self.reader.read(), b'')
+
+    async def test_a_half_sent_message_has_a_time_limit(self) -> None:
+        await self._start()
+        self.writer.write(b'QUERY 1 SET na')
+        with unittest.mock.patch.object(client_limits, 'TRANSFER_SECONDS', 0.1):
+            self.assertIn(b'ERROR BUSY', await self.reader.readline())
+
+    async def test_a_session_may_rest_between_statements(self) -> None:
+        with unittest.mock.patch.object(client_limits, 'TRANSFER_SECONDS', 0.1):
+            await self._start()
+            await asyncio.sleep(1.3)
+            self.writer.write(b'QUERY 1 SET name 1\r\n')
+            self.assertIn(b'COMPLETE', await self.reader.readline())
+
     async def test_an_unknown_database_is_refused(self) -> None:
         self.current = CONFIGURED
         self.is_configured.set()
--- a/tests/platform/test_process_settings.py
+++ b/tests/platform/test_process_settings.py
@@ -1,6 +1,7 @@
 """Decoding of the settings file that the platform writes for a process."""
 
 import pathlib
+import resource
 import tempfile
 import typing
 import unittest
@@ -18,7 +19,7 @@
     'drain_ms': 7000,
     'evac_ms': 5000,
 }
-FIELDS = {
+FIELDS: dict[str, typing.Any] = {
     'node_name': 'host-1',
     'ip': '127.0.0.1',
     'zone': 'north',
@@ -64,8 +65,31 @@
         with self.assertRaises(errors.SettingsError):
             self._load({'grace_s': 'soon'})
 
-    def _load(self, bounds: dict[str, typing.Any]) -> node.NodeSettings:
+    def test_limits_of_the_process(self) -> None:
+        limits = {'memory_mb': 200, 'max_fds': 100}
+        settings = self._load({}, limits)
+        self.assertEqual((settings.memory_mb, settings.max_fds), (200, 100))
+        with self.assertRaises(errors.SettingsError):
+            self._load({}, {'memory_mb': 0})
+
+    def test_the_process_limit_counts_without_a_stated_one(self) -> None:
+        """Guards against a stated number that the process can not open."""
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        for limits in ({}, {'max_fds': allowed + 1}):
+            settings = self._load({}, limits)
+            self.assertEqual(settings.max_fds, allowed)
+            self.assertEqual(
+                settings.memory_mb, process_settings.DEFAULT_MEMORY_MB
+            )
+
+    def _load(
+        self,
+        bounds: dict[str, typing.Any],
+        limits: typing.Mapping[str, int] | None = None,
+    ) -> node.NodeSettings:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'node.json'
-            path.write_bytes(orjson.dumps({**FIELDS, 'bounds': bounds}))
+            all_limits = {**FIELDS['limits'], **(limits or {})}
+            fields = {**FIELDS, 'bounds': bounds, 'limits': all_limits}
+            path.write_bytes(orjson.dumps(fields))
             return process_settings.load(path, METRICS_PORT)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -73,6 +73,38 @@
         with self.assertRaises(wire.MalformedError):
             await wire.read_line(reader)
 
+    async def test_a_long_message_is_read_in_pieces(self) -> None:
+        """Guards against bytes lost where a piece ends, also in a line end."""
+        for seed in range(20):
+            generator = random.Random(seed)
+            lines = [
+                b'x' * generator.choice((0, 10, 63, 64, 65, 128, 1000))
+                for _ in range(20)
+            ]
+            reader = asyncio.StreamReader(limit=64)
+            feeding = asyncio.ensure_future(_feed(reader, lines, generator))
+            charged: list[int] = []
+            for line in lines:
+                charged.clear()
+                self.assertEqual(
+                    await wire.read_line(reader, charged.append), line
+                )
+                if charged:
+                    self.assertEqual(sum(charged), len(line) + 2)
+            await feeding
+
+    async def test_a_message_has_a_longest_size(self) -> None:
+        for excess in (0, 1):
+            reader = asyncio.StreamReader(limit=64)
+            reader.feed_data(b'x' * (wire.MAX_MESSAGE_BYTES + excess))
+            reader.feed_data(wire.LINE_END)
+            read = wire.read_line(reader, lambda _size: None)
+            if excess:
+                with self.assertRaises(wire.MalformedError):
+                    await read
+            else:
+                self.assertEqual(len(await read), wire.MAX_MESSAGE_BYTES)
+
     def test_random_messages_are_parsed_or_refused(self) -> None:
         generator = random.Random(FUZZ_SEED)
         fields = [
@@ -96,6 +128,19 @@
                 wire.AnswerReader().add(line)
 
 
+async def _feed(
+    reader: asyncio.StreamReader,
+    lines: list[bytes],
+    generator: random.Random,
+) -> None:
+    content = b''.join(b'%s\r\n' % line for line in lines)
+    while content:
+        size = generator.randrange(1, 100)
+        reader.feed_data(content[:size])
+        content = content[size:]
+        await asyncio.sleep(0)
+
+
 def _row(content: bytes) -> tables.Row:
     return tables.Row(
         key='i-1', content=content, version=platform_fakes.version(1)
--- a/tests/run.py
+++ b/tests/run.py
@@ -25,6 +25,9 @@
     'features',
 )
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+CLIENT_TESTS = 'tests.clients'
+UNIT_TEST_COUNT = r'^Ran (\d+) tests?'
+FAILED_UNIT_TEST = r'^(?:FAIL|ERROR): \S+ \((\S+)\)'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +54,15 @@
     known: int = 0
 
 
+def _unit_tests() -> list[str]:
+    """Return the names of all test modules and packages but the client tests."""
+    folder = ROOT / 'tests'
+    packages = [path.parent.name for path in folder.glob('*/__init__.py')]
+    modules = [path.stem for path in folder.glob('test*.py')]
+    names = sorted(f'tests.{name}' for name in (*packages, *modules))
+    return [name for name in names if name != CLIENT_TESTS]
+
+
 STEPS = (
     Step('format', (str(BIN / 'ruff'), 'format', '--check', *SOURCES)),
     Step('lint', (str(BIN / 'ruff'), 'check', *SOURCES)),
@@ -83,11 +95,11 @@
             '.',
             '-t',
             '.',
-            'tests',
+            *_unit_tests(),
             'properties',
         ),
-        count=r'^Ran (\d+) tests?',
-        failed_name=r'^(?:FAIL|ERROR): \S+ \((\S+)\)',
+        count=UNIT_TEST_COUNT,
+        failed_name=FAILED_UNIT_TEST,
     ),
     Step(
         'scenarios',
@@ -95,6 +107,24 @@
         count=r'^(\d+) scenarios passed in all',
         failed_name=r'^\s*(features/\S+:\d+)\s',
     ),
+    # These load the machine, and run one at a time after all others.
+    Step(
+        'client tests',
+        (
+            sys.executable,
+            '-W',
+            'ignore',
+            '-m',
+            'nose2',
+            '-s',
+            '.',
+            '-t',
+            '.',
+            CLIENT_TESTS,
+        ),
+        count=UNIT_TEST_COUNT,
+        failed_name=FAILED_UNIT_TEST,
+    ),
 )
 
 
@@ -134,7 +164,7 @@
     totals.known += len(failed & known)
     totals.failed += len(unexpected)
     # Other steps count only the tests that passed.
-    counts_failed = step.name == 'unit tests'
+    counts_failed = step.failed_name == FAILED_UNIT_TEST
     totals.passed += count - len(failed) if counts_failed else count
     if not step.count and not completed.returncode:
         totals.passed += 1
