--- a/src/egretstep/platform/client_stream.py
+++ b/src/egretstep/platform/client_stream.py
@@ -74,7 +74,7 @@
         self._is_reading = True
         if self._unread_bytes:
             self.account.start_waiting()
-        charge = self._charge if may_be_large else None
+        charge = self._charge if may_be_large else _refuse_large
         line = await wire.read_line(reader, charge)
         self._is_reading = False
         self.account.waiting_since = None
@@ -201,6 +201,10 @@
         self.interrupt(BusyError('other clients need the memory').answer)
 
 
+def _refuse_large(_size: int) -> None:
+    raise wire.MalformedError(f'this message may have {LINE_BYTES} bytes')
+
+
 class Connection(typing.Protocol):
     """A client connection that is served once it is open."""
 
--- a/tests/callers/test_client_limits.py
+++ b/tests/callers/test_client_limits.py
@@ -5,16 +5,21 @@
 """
 
 import unittest
+import unittest.mock
 
 from egretstep import clock
-from egretstep.backends import commands
+from egretstep.backends import answers, commands
 from egretstep.callers import client_limits, session_state
 from egretstep.platform import wire
+from egretstep.pooling import work as work_module
+from egretstep.programs import remote_statements
+from tests import platform_fakes
 
 MIB = client_limits.MIB
 TOTAL_BYTES = 8 * MIB
 CROWD = 400
 PIECE_BYTES = 8 * client_limits.KIB
+_LINK = work_module.LinkId(1)
 
 
 class DeriveTest(unittest.TestCase):
@@ -164,3 +169,38 @@
     def _apply(self, state: session_state.SessionState, text: bytes) -> None:
         command: commands.Command = wire.parse_command(text)
         state.apply(command)
+
+
+class RemoteStatementsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_large_statements_of_other_hosts_need_room(self) -> None:
+        """Guards against a statement that runs and is reported as refused."""
+        budget = client_limits.ByteBudget(
+            total_bytes=TOTAL_BYTES, time_source=clock.ManualClock()
+        )
+        local = unittest.mock.AsyncMock()
+        statements = remote_statements.RemoteStatements(
+            local=local, budget=budget
+        )
+        other = budget.open(lambda: None)
+        other.charge(TOTAL_BYTES)
+        refused = await statements.execute(_work(MIB), _LINK)
+        self.assertIs(refused.code, answers.Code.OVERLOADED)
+        self.assertFalse(refused.was_sent)
+        local.execute.assert_not_awaited()
+        await statements.execute(_work(100), _LINK)
+        other.release()
+        local.execute.side_effect = ConnectionResetError
+        with self.assertRaises(ConnectionResetError):
+            await statements.execute(_work(MIB), _LINK)
+        self.assertEqual(local.execute.await_count, 2)
+        self.assertEqual(budget.held_bytes, 0)
+
+
+def _work(size: int) -> work_module.Work:
+    return work_module.Work(
+        statement_id=b'1',
+        command=wire.parse_command(b'READ '.ljust(size, b'x')),
+        workspace=platform_fakes.DEPOT,
+        service=platform_fakes.SERVICE,
+        timeout=1,
+    )
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -113,6 +113,12 @@
         self.assertIn(b'ERROR BUSY', await self.reader.readline())
         self.assertEqual(await self.reader.read(), b'')
 
+    async def test_a_session_begins_with_a_small_message(self) -> None:
+        """Guards against clients without a key that fill the budget."""
+        self.writer.write(b'START '.ljust(20000, b'x'))
+        self.assertIn(b'MALFORMED', await self.reader.readline())
+        self.assertEqual(self.server.budget.held_bytes, 0)
+
     async def test_a_refused_client_that_goes_on_sending_reads_why(
         self,
     ) -> None:
