A client that reads at once keeps its connection under pressure

Cause: with the budget used up by large answers, the next answer closed the client that waited longest, even if that was only some milliseconds, as it is for every client whose answer exceeds the kernel's buffer.

Change: only an answer that has waited for 0.25 s is given up for another; until then answers may exceed the budget. Found by reading the change, no test of a whole host failed for it.

--- a/src/egretstep/callers/client_limits.py
+++ b/src/egretstep/callers/client_limits.py
@@ -38,6 +38,9 @@
 # Under pressure, a connection that has kept the host waiting for longer than
 # this is closed in favour of another one. 1 MiB takes 0.8 s at 10 Mbit/s.
 PATIENCE_SECONDS = 2.0
+# An unread answer may exceed the budget for this long, so that a client that
+# reads at once keeps its connection while many get large answers.
+ANSWER_PATIENCE_SECONDS = 0.25
 # A client may take this long for a message or an answer while there is room.
 TRANSFER_SECONDS = 30.0
 RETRY_AFTER_MS = 1000
@@ -124,8 +127,8 @@
     def charge_answer(self, amount: int) -> None:
         """Charge an answer that exists already and is not taken at once.
 
-        Room is made by giving up the unread answers that wait longest; the
-        answer is charged even if there is none left.
+        Room is made by giving up the unread answers that wait longest, if
+        they wait too long; the answer is charged even if there is no room.
         """
         self.has_unread_answer = True
         self._budget.charge_answer(self, amount)
@@ -180,7 +183,7 @@
         while self._held + amount > self._total:
             unread = [each for each in self._holders if each.has_unread_answer]
             holder = self._longest_awaited(account, unread)
-            if holder is None:
+            if holder is None or self.waits(holder) < ANSWER_PATIENCE_SECONDS:
                 break
             self._give_up(holder)
         self._add(account, amount)
