--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -7,7 +7,7 @@
 import logbook
 
 from egretstep import clock, identifiers
-from egretstep.callers import session_services
+from egretstep.callers import client_limits, session_services
 from egretstep.limits import host_limiter
 from egretstep.membership import (
     claiming,
@@ -37,6 +37,7 @@
     graceful_shutdown,
     host_endpoint,
     host_report,
+    remote_statements,
     store_watches,
     sweeper,
     tasks,
@@ -114,8 +115,7 @@
             hosts=self._hosts,
         )
         self._peers = fleet_links.FleetLinks(
-            hosts=self._hosts,
-            time_source=self._clock,
+            hosts=self._hosts, time_source=self._clock
         )
         self._keeper = leases.LeaseKeeper(
             store=self._store,
@@ -224,10 +224,10 @@
         self._ingress = ingress.Ingress(
             address=self._settings.callers,
             services=services,
+            limits=client_limits.of_process(self._settings),
         )
         self._readiness = readiness.make_endpoint(
-            address=self._settings.readiness,
-            is_ready=self._is_ready,
+            address=self._settings.readiness, is_ready=self._is_ready
         )
 
     def _make_reporter(self) -> None:
@@ -306,7 +306,9 @@
     def _make_host_endpoint(self) -> host_endpoint.HostEndpoint:
         return host_endpoint.HostEndpoint(
             link=work_module.LinkId(next(self._link_ids)),
-            local=self._local,
+            local=remote_statements.RemoteStatements(
+                local=self._local, budget=self._ingress.budget
+            ),
             broker_table=self._brokers,
             keeper=self._keeper,
             peers=self._peers,
--- a/src/egretstep/settings/node.py
+++ b/src/egretstep/settings/node.py
@@ -43,7 +43,8 @@
     in force within `max_settings_delay_seconds`. A server that is taken out
     of service may get work for `drain_seconds`. `processor` is the CPU
     capacity of the host as a share of one core. `usage` is None if no usage
-    is reported; the reports go to the address of `promotions`.
+    is reported; the reports go to the address of `promotions`. The process may
+    use `memory_mb` of memory and `max_fds` file descriptors.
     """
 
     host: identifiers.HostName
@@ -60,6 +61,8 @@
     stop_grace_seconds: float
     max_settings_delay_seconds: float
     drain_seconds: float
+    memory_mb: float
+    max_fds: int
     usage: UsageSettings | None = None
 
 
