--- a/src/egretstep/observability/metrics.py
+++ b/src/egretstep/observability/metrics.py
@@ -2,6 +2,7 @@
 
 import aioprometheus
 
+_REASON = 'reason'
 LATENCY_BUCKETS_SECONDS = (
     0.0005,
     0.001,
@@ -68,7 +69,7 @@
 admission_rejections = BufferedCounter(
     'egretstep_admission_rejections_total',
     'Statements that a server queue rejected, by reason and priority level.',
-    ('reason', 'level'),
+    (_REASON, 'level'),
 )
 late_statements = BufferedCounter(
     'egretstep_late_statements_total',
@@ -97,17 +98,17 @@
 retries = BufferedCounter(
     'egretstep_retries_total',
     'Statements sent again, by reason.',
-    ('reason',),
+    (_REASON,),
 )
 denied_retries = BufferedCounter(
     'egretstep_denied_retries_total',
     'Internal retries denied by the retry budget, by outcome of the attempt.',
-    ('reason',),
+    (_REASON,),
 )
 placed_reads = BufferedCounter(
     'egretstep_placed_reads_total',
     'Reads that may use a replica, by role of the chosen server and reason.',
-    ('role', 'reason'),
+    ('role', _REASON),
 )
 early_rejections = BufferedCounter(
     'egretstep_early_rejections_total',
@@ -117,7 +118,7 @@
 server_trust_changes = BufferedCounter(
     'egretstep_server_trust_changes_total',
     'Changes of whether a server is trusted, by new state and reason.',
-    ('state', 'reason'),
+    ('state', _REASON),
 )
 settings_version = aioprometheus.Gauge(
     'egretstep_settings_version',
@@ -139,7 +140,7 @@
 feed_failures = BufferedCounter(
     'egretstep_feed_failures_total',
     'Polls of other hosts for changes of tables that were of no use, by reason.',
-    ('reason',),
+    (_REASON,),
 )
 server_capacity = aioprometheus.Gauge(
     'egretstep_server_capacity',
@@ -148,7 +149,7 @@
 capacity_changes = BufferedCounter(
     'egretstep_capacity_changes_total',
     'Changes of the concurrency limit of a server, by server and reason.',
-    ('server', 'reason'),
+    ('server', _REASON),
 )
 idle_transactions_ended = BufferedCounter(
     'egretstep_idle_transactions_ended_total',
