Review waiting statements regularly; bound what queues remember

Cause: a review ran only when a statement arrived or ended, so that statements waiting for a silent server stayed until their deadline. The virtual times of workspaces were removed only while statements waited, and never for a workspace that was ahead. Mean service times of workspaces were never removed. A broker that was closed while a statement ran kept the statement's connection idle for ever, and one whose only statement waited for a connection counted as idle.

A closed broker closes connections once they are released.

--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -87,8 +87,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether nothing runs and no transaction is open."""
-        return not self.activity.is_running and not self._pins
+        """Tell whether nothing runs or waits and no transaction is open."""
+        is_busy = self.activity.is_running or self.load
+        return not is_busy and not self._pins
 
     async def execute(
         self,
@@ -137,18 +138,25 @@
         """Roll back every transaction."""
         self._pins.roll_back_all()
 
-    def end_idle_transactions(self, idle_limit_seconds: float) -> None:
-        """Roll back transactions idle for more than a number of seconds."""
+    def sweep(self, idle_limit_seconds: float) -> None:
+        """Do the regular work that no statement causes.
+
+        Rolls back transactions idle for more than a number of seconds, closes
+        connections that were idle for long, and rejects waiting statements
+        that can't be served in time.
+        """
         self._pins.roll_back_idle(idle_limit_seconds)
+        self.connections.close_expired()
+        self._queue.sweep()
 
     def stop_reuse(self) -> None:
         """Close connections once idle; leave their limit to the owning host."""
         self.connections.stop_reuse()
 
     def close(self) -> None:
-        """Roll back transactions and close the idle connections."""
+        """Roll back transactions; close connections, busy ones once idle."""
         self.release_all()
-        self.connections.close_idle()
+        self.connections.stop_reuse()
 
     async def _execute(
         self,
--- a/src/egretstep/pooling/brokers.py
+++ b/src/egretstep/pooling/brokers.py
@@ -92,12 +92,11 @@
                 existing.connections.allow_reuse()
 
     def sweep(self) -> None:
-        """Roll back idle transactions and close idle brokers."""
+        """Sweep the brokers and close the idle ones."""
         idle_limit_seconds = self._current_deployment().transaction_idle
         limit = self._clock.now() - BROKER_IDLE_SECONDS
         for name, each in list(self._brokers.items()):
-            each.end_idle_transactions(idle_limit_seconds)
-            each.connections.close_expired()
+            each.sweep(idle_limit_seconds)
             if each.is_idle and each.used_at < limit:
                 each.close()
                 del self._brokers[name]
--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -85,6 +85,15 @@
         self._policy.forget_rates()
         self._dispatch()
 
+    def sweep(self) -> None:
+        """Review the waiting statements although none arrives or ends.
+
+        Called regularly. Without it, the statements that wait for a silent
+        server stay until their deadline if nothing else happens.
+        """
+        self._policy.forget_idle()
+        self._review()
+
     def load_now(self) -> QueueLoad:
         """Return the present load of the queue."""
         return QueueLoad(
--- a/src/egretstep/pooling/first_come.py
+++ b/src/egretstep/pooling/first_come.py
@@ -95,6 +95,9 @@
         """Forget the rate of grants because the number of slots changed."""
         self._forecast.restart()
 
+    def forget_idle(self) -> None:
+        """Forget nothing."""
+
     def expected_wait(
         self,
         *,
--- a/src/egretstep/pooling/service_times.py
+++ b/src/egretstep/pooling/service_times.py
@@ -1,5 +1,6 @@
 """Recent mean time that statements spend in a slot."""
 
+import collections
 import dataclasses
 
 from egretstep import identifiers
@@ -9,6 +10,9 @@
 NEWEST_SAMPLE_SHARE = 0.2
 # Means over many workspaces get more samples and may change more slowly.
 NEWEST_LEVEL_SAMPLE_SHARE = 0.05
+# Means of workspaces and levels that are kept. A workspace that sends again
+# after its mean was dropped starts with that of the level.
+MAX_WORKSPACE_MEANS = 4096
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -45,9 +49,9 @@
             _Mean(newest_share=NEWEST_LEVEL_SAMPLE_SHARE)
             for _ in range(server_load.PRIORITY_LEVEL_COUNT)
         ]
-        self._workspaces: dict[
+        self._workspaces: collections.OrderedDict[
             tuple[int, identifiers.WorkspaceName], _Mean
-        ] = {}
+        ] = collections.OrderedDict()
 
     @property
     def mean_seconds(self) -> float:
@@ -61,10 +65,7 @@
         seconds: float,
     ) -> None:
         """Record the service time of one statement."""
-        mean = self._workspaces.get((level, workspace))
-        if mean is None:
-            mean = _Mean(newest_share=NEWEST_SAMPLE_SHARE)
-            self._workspaces[level, workspace] = mean
+        mean = self._workspace_mean(level, workspace)
         for each in (mean, self._levels[level], self._server):
             each.add(seconds)
 
@@ -79,3 +80,16 @@
         """Return the mean of a level's statements, in seconds."""
         mean = self._levels[level]
         return mean.seconds if mean.sample_count else self._server.seconds
+
+    def _workspace_mean(
+        self, level: int, workspace: identifiers.WorkspaceName
+    ) -> _Mean:
+        """Return a mean to update; the least recent one above the limit goes."""
+        key = (level, workspace)
+        mean = self._workspaces.pop(key, None)
+        if mean is None:
+            mean = _Mean(newest_share=NEWEST_SAMPLE_SHARE)
+        self._workspaces[key] = mean
+        if len(self._workspaces) > MAX_WORKSPACE_MEANS:
+            self._workspaces.popitem(last=False)
+        return mean
--- a/src/egretstep/pooling/slot_policy.py
+++ b/src/egretstep/pooling/slot_policy.py
@@ -144,6 +144,11 @@
         for band in itertools.chain(self._timely.bands, self._late.bands):
             band.rate.restart()
 
+    def forget_idle(self) -> None:
+        """Forget the workspaces that sent nothing for a long time."""
+        for band in itertools.chain(self._timely.bands, self._late.bands):
+            band.forget_idle()
+
     def expected_wait(
         self,
         *,
--- a/src/egretstep/pooling/slot_requests.py
+++ b/src/egretstep/pooling/slot_requests.py
@@ -92,6 +92,9 @@
     def forget_rates(self) -> None:
         """Forget the rates of grants because the number of slots changed."""
 
+    def forget_idle(self) -> None:
+        """Forget the workspaces that sent nothing for a long time."""
+
     def expected_wait(
         self,
         *,
--- a/src/egretstep/pooling/wait_band.py
+++ b/src/egretstep/pooling/wait_band.py
@@ -30,10 +30,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Flow:
-    """Waiting statements and virtual time of one workspace."""
+    """Waiting statements and virtual time of one workspace.
+
+    `used_at` is the monotonic time at which the latest statement arrived or
+    began to run, `latest_arrival_at` that of one which takes a slot.
+    """
 
     workspace: identifiers.WorkspaceName
     account: fair_share.Account
+    used_at: float = -math.inf
     latest_arrival_at: float = -math.inf
     requests: collections.deque[slot_requests.SlotRequest] = dataclasses.field(
         default_factory=collections.deque,
@@ -135,7 +140,6 @@
         workspaces are expected to send. A statement that the receiver
         removes does not count for the later ones.
         """
-        self._remove_idle_flows()
         entries = self._entries(self._clock.now())
         entries.sort(key=lambda entry: entry[0])
         ahead = 0
@@ -152,6 +156,17 @@
             )
             ahead += self.waiting == count_before
 
+    def forget_idle(self) -> None:
+        """Forget workspaces that sent nothing for `IDLE_FLOW_SECONDS`."""
+        limit = self._clock.now() - IDLE_FLOW_SECONDS
+        idle = [
+            flow
+            for flow in self._flows.values()
+            if flow.used_at < limit and not flow.requests
+        ]
+        for flow in idle:
+            self._flows.pop(flow.workspace)
+
     def charge(
         self,
         workspace: identifiers.WorkspaceName,
@@ -197,21 +212,9 @@
             flow = _Flow(workspace=workspace, account=fair_share.Account())
             self._flows[workspace] = flow
         flow.account.weight = weight
+        flow.used_at = self._clock.now()
         return flow
 
-    def _remove_idle_flows(self) -> None:
-        """Forget workspaces that sent nothing lately and are not ahead."""
-        limit = self._clock.now() - IDLE_FLOW_SECONDS
-        idle = [
-            flow
-            for flow in self._flows.values()
-            if flow.latest_arrival_at < limit
-            and not flow.requests
-            and not self._share.lead_of(flow.account)
-        ]
-        for flow in idle:
-            self._flows.pop(flow.workspace)
-
     def _step_of(self, flow: _Flow) -> float:
         seconds = self._times.of_workspace(self.level, flow.workspace)
         return seconds / flow.account.weight
--- a/tests/pooling/test_broker.py
+++ b/tests/pooling/test_broker.py
@@ -116,9 +116,23 @@
     async def test_idle_transactions_end(self) -> None:
         await self._open_transaction(WRITE)
         self.clock.advance(4)
-        self.broker.end_idle_transactions(idle_limit_seconds=3)
+        self.broker.sweep(idle_limit_seconds=3)
         self.assertEqual(self.broker.pinned_count, 0)
 
+    async def test_a_closed_broker_keeps_no_connection(self) -> None:
+        """Guards against connections that nobody closes any more.
+
+        A statement was still running when the broker was closed.
+        """
+        running = asyncio.create_task(
+            self.broker.execute(make_work(READ), LINK)
+        )
+        await asyncio.sleep(0)
+        self.assertFalse(self.broker.is_idle)
+        self.broker.close()
+        self.assertTrue((await running).is_ok)
+        self.assertTrue(self.server.connections[0].is_closed)
+
     async def test_connections_of_a_dead_host_fill_the_server(self) -> None:
         """Guards against refusals after a takeover.
 
--- a/tests/pooling/test_fair_queue.py
+++ b/tests/pooling/test_fair_queue.py
@@ -3,8 +3,11 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.pooling import fair_queue, queueing
+from tests import virtual_time
 
 SERVICE_SECONDS = 0.002
+SWEEP_SECONDS = 0.5
+LIMIT_SECONDS = 10.0
 SHORT = identifiers.WorkspaceName('short')
 LONG = identifiers.WorkspaceName('long')
 
@@ -81,3 +84,30 @@
         tasks[1].cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.assertEqual((len(order), queue.load), (2, 0))
+
+
+class SilentServerTest(virtual_time.VirtualTimeTestCase):
+    async def test_a_waiting_statement_is_rejected_before_its_deadline(
+        self,
+    ) -> None:
+        """Guards against a wait until the deadline while nothing arrives."""
+        time_source = virtual_time.LoopClock()
+        queue = fair_queue.FairQueue(slots=1, time_source=time_source)
+        running = asyncio.create_task(self._use(queue))
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(self._use(queue))
+        while not waiting.done():
+            await asyncio.sleep(SWEEP_SECONDS)
+            queue.sweep()
+        self.assertIsInstance(waiting.exception(), errors.RefusedError)
+        self.assertLess(time_source.now(), 0.6 * LIMIT_SECONDS)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(queue.load, 0)
+
+    async def _use(self, queue: fair_queue.FairQueue) -> None:
+        now = virtual_time.LoopClock().now()
+        async with queue.slot(
+            workspace=SHORT, weight=1, deadline=now + LIMIT_SECONDS
+        ):
+            await asyncio.sleep(10 * LIMIT_SECONDS)
--- a/tests/pooling/test_slot_policy.py
+++ b/tests/pooling/test_slot_policy.py
@@ -6,7 +6,12 @@
 import unittest
 
 from egretstep import clock, identifiers
-from egretstep.pooling import slot_policy, slot_requests
+from egretstep.pooling import (
+    service_times,
+    slot_policy,
+    slot_requests,
+    wait_band,
+)
 
 SLOTS = 6
 SERVICE_SECONDS = 0.03
@@ -120,3 +125,30 @@
         rejected = self.policy.review(SLOTS)
         self.assertGreater(len(rejected), 8)
         self.assertEqual(self.policy.waiting, 15 - len(rejected))
+
+    def test_workspaces_that_left_are_forgotten(self) -> None:
+        """Guards against an entry for each workspace that ever sent."""
+        for number in range(100):
+            self.policy.charge(
+                workspace=identifiers.WorkspaceName(f'w{number}'),
+                weight=1,
+                level=0,
+            ).settle(SERVICE_SECONDS)
+        band = self.policy._timely.bands[0]
+        self.assertGreater(len(band._flows), 100)
+        self.clock.advance(wait_band.IDLE_FLOW_SECONDS + 1)
+        self.policy.forget_idle()
+        self.assertEqual(len(band._flows), 0)
+
+
+class ServiceTimesTest(unittest.TestCase):
+    def test_the_means_of_workspaces_are_bounded(self) -> None:
+        """Guards against a mean for each workspace that ever sent."""
+        times = service_times.ServiceTimes()
+        times.record(0, DEPOT, 0.01)
+        for number in range(service_times.MAX_WORKSPACE_MEANS):
+            times.record(0, identifiers.WorkspaceName(f'w{number}'), 0.05)
+        self.assertEqual(
+            len(times._workspaces), service_times.MAX_WORKSPACE_MEANS
+        )
+        self.assertEqual(times.of_workspace(0, DEPOT), times.of_level(0))
