Reject trials of a lower limit at a concurrency that is not lower

Cause: statements of open transactions never wait and can hold the concurrency above the limit on trial. The growth of the times was divided by a gain of the wrong sign, so that times which grew counted as an advantage of the lower limit.

Change: such a trial has no advantage and ends as futile.

Tests: tests.pooling.test_server_capacity passes; TrialTest fails before.

--- a/src/egretstep/pooling/capacity_trials.py
+++ b/src/egretstep/pooling/capacity_trials.py
@@ -65,10 +65,12 @@
     def slowed_share(self) -> float:
         """Return the growth of the times as a share of the concurrency's.
 
-        Shares are of logarithms. With the same mean concurrency as before,
-        the share is 0 for a lower limit, which then has no advantage.
+        Shares are of logarithms. The share is 0 for a lower limit whose mean
+        concurrency is not lower than before: it has no advantage.
         """
         gain = math.log(self._mean_concurrency / self.reference.concurrency)
+        if self.is_lower and gain > 0:
+            return 0
         return (self.mean - self.reference.value) / gain if gain else 0
 
     @property
--- a/tests/pooling/test_server_capacity.py
+++ b/tests/pooling/test_server_capacity.py
@@ -12,6 +12,7 @@
 
 from egretstep.backends import server_load
 from egretstep.pooling import broker as broker_module
+from egretstep.pooling import capacity_trials, concurrency_times
 from tests import virtual_time
 from tests.pooling import server_model
 
@@ -183,3 +184,26 @@
     replay = _Replay(seconds=seconds)
     virtual_time.run(replay.run(changes))
     return replay
+
+
+class TrialTest(unittest.TestCase):
+    def test_a_lower_limit_without_lower_concurrency_is_not_accepted(
+        self,
+    ) -> None:
+        """Guards against a limit lowered for times that grew in the trial.
+
+        Statements of open transactions held the concurrency above the limit.
+        """
+        trial = capacity_trials.Trial(
+            limit=3,
+            before=6,
+            reference=concurrency_times.Mean(
+                value=0, concurrency=4, weight=capacity_trials.MIN_SAMPLES
+            ),
+            started_at=0,
+        )
+        for _ in range(capacity_trials.MIN_SAMPLES):
+            trial.add(slowdown=0.5, concurrency=5)
+        self.assertFalse(trial.is_accepted)
+        self.assertFalse(trial.is_clear)
+        self.assertTrue(trial.is_futile)
