Return times without a place are not before the caller's forecast

Cause: a caller without a place got a random time in the last 1.5 s before the longest one. At the highest level, whose longest time is 1.5 s, that began at zero, and the earliest time by the forecast was dropped.

Change: the random time starts at the earliest one, and at the latest a tenth before the longest.

--- a/src/egretstep/pooling/return_times.py
+++ b/src/egretstep/pooling/return_times.py
@@ -71,10 +71,21 @@
         seconds *= 1 + SPREAD_SHARE * self._random()
         longest_seconds = MAX_RETURN_SECONDS[level]
         if seconds > longest_seconds:
-            seconds = longest_seconds - OVERFLOW_SECONDS * self._random()
+            seconds = self._time_without_place(level, earliest_seconds)
         heapq.heappush(self._due_times[level], now + seconds)
         return seconds
 
+    def _time_without_place(self, level: int, earliest_seconds: float) -> float:
+        """Return a random time before the longest one of a level.
+
+        It is not before `earliest_seconds` if the longest time allows.
+        """
+        longest = MAX_RETURN_SECONDS[level]
+        latest_start = (1 - SPREAD_SHARE) * longest
+        start = max(earliest_seconds, longest - OVERFLOW_SECONDS)
+        start = min(start, latest_start)
+        return longest - (longest - start) * self._random()
+
     def _next_place(
         self, level: int, now: float, outlook: slot_requests.Outlook
     ) -> float:
--- a/tests/pooling/test_return_times.py
+++ b/tests/pooling/test_return_times.py
@@ -77,6 +77,19 @@
         high = [self.times.book(0, OUTLOOK) for _ in range(20)]
         self.assertGreater(self.times.book(2, OUTLOOK), max(high))
 
+    def test_callers_without_a_place_wait_for_room(self) -> None:
+        """Guards against random times before the queue has room."""
+        times = return_times.ReturnTimes(
+            time_source=self.clock, rng=lambda: 0.99
+        )
+        for earliest_seconds in (0.8, 9.0):
+            told = [
+                times.book(0, OUTLOOK, earliest_seconds=earliest_seconds)
+                for _ in range(50)
+            ]
+            self.assertGreaterEqual(min(told), 0.8)
+            self.assertLessEqual(max(told), return_times.MAX_RETURN_SECONDS[0])
+
     def test_a_caller_is_not_told_to_return_before_there_is_room(self) -> None:
         told = self.times.book(2, OUTLOOK, earliest_seconds=2.5)
         self.assertGreaterEqual(told, 2.5)
