Bound the charge of long statements in open transactions

Cause: the charge in advance put a workspace at most 1 s of service behind the others, but the correction at the end was not bounded. A statement that had waited 30 s for a lock kept its workspace from all slots of its level for 30 s of service.

Change: the correction keeps the same bound.

Tests: tests.pooling.test_slot_policy, 11 pass. The new one served none of the workspace's statements before. test_admission, test_hot_workspace, test_overload, test_fair_queue, test_idle_transactions, test_broker and test_connections pass.

--- a/src/egretstep/pooling/fair_share.py
+++ b/src/egretstep/pooling/fair_share.py
@@ -67,3 +67,12 @@
         finish = self.start_of(account) + seconds / account.weight
         limit = self._virtual_time + MAX_LEAD_SECONDS / account.weight
         account.virtual_finish = max(account.virtual_finish, min(finish, limit))
+
+    def correct_out_of_order(self, account: Account, seconds: float) -> None:
+        """Add what a statement that ran out of order took beyond its charge.
+
+        `seconds` is negative if it took less.
+        """
+        limit = self._virtual_time + MAX_LEAD_SECONDS / account.weight
+        finish = account.virtual_finish + seconds / account.weight
+        account.virtual_finish = min(finish, max(limit, account.virtual_finish))
--- a/src/egretstep/pooling/slot_policy.py
+++ b/src/egretstep/pooling/slot_policy.py
@@ -37,9 +37,14 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _FairCharge:
-    """A charge to a class, a level and a workspace."""
+    """A charge to a workspace of a band.
 
-    accounts: tuple[fair_share.Account, ...]
+    `shared_accounts` are those of its class and level, if they are charged.
+    """
+
+    band: wait_band.WaitBand
+    account: fair_share.Account
+    shared_accounts: tuple[fair_share.Account, ...]
     estimated_seconds: float
     level: int
     workspace: identifiers.WorkspaceName
@@ -49,8 +54,11 @@
     def settle(self, served_seconds: float) -> None:
         """Replace the estimated by the measured service time."""
         difference = served_seconds - self.estimated_seconds
-        for account in self.accounts:
-            account.virtual_finish += difference / account.weight
+        if self.shared_accounts:
+            for account in (self.account, *self.shared_accounts):
+                account.virtual_finish += difference / account.weight
+        else:
+            self.band.correct_charge(self.account, difference)
         self.times.record(self.level, self.workspace, served_seconds)
         self.silence.record_end()
 
@@ -186,13 +194,16 @@
         band = group.bands[level]
         seconds = self._times.of_workspace(level, workspace)
         self._silence.record_start()
-        accounts = [band.charge(workspace, weight, seconds, has_waited)]
+        account = band.charge(workspace, weight, seconds, has_waited)
+        shared_accounts: tuple[fair_share.Account, ...] = ()
         if has_waited:
             self._classes.charge(group.account, seconds)
             group.charge(band, seconds)
-            accounts += [group.account, band.account]
+            shared_accounts = (group.account, band.account)
         return _FairCharge(
-            accounts=tuple(accounts),
+            band=band,
+            account=account,
+            shared_accounts=shared_accounts,
             estimated_seconds=seconds,
             level=level,
             workspace=workspace,
--- a/src/egretstep/pooling/wait_band.py
+++ b/src/egretstep/pooling/wait_band.py
@@ -187,6 +187,12 @@
             self._share.charge_out_of_order(flow.account, seconds)
         return flow.account
 
+    def correct_charge(
+        self, account: fair_share.Account, seconds: float
+    ) -> None:
+        """Correct the charge of a statement that ran out of order."""
+        self._share.correct_out_of_order(account, seconds)
+
     def _turn_of(self, flow: _Flow) -> tuple[float, float, int]:
         """Return the key by which the next workspace is chosen.
 
--- a/tests/pooling/test_slot_policy.py
+++ b/tests/pooling/test_slot_policy.py
@@ -126,6 +126,26 @@
         self.assertGreater(len(rejected), 8)
         self.assertEqual(self.policy.waiting, 15 - len(rejected))
 
+    def test_a_long_transaction_does_not_starve_its_workspace(self) -> None:
+        """Guards against a charge without a bound for a statement at a lock.
+
+        Its time is known only when it ends, after the charge in advance.
+        """
+        charge = self.policy.charge(
+            workspace=BUSY, weight=1, level=0, has_waited=False
+        )
+        for _ in range(100):
+            self._admit(0, workspace=BUSY)
+            self._admit(0, workspace=QUIET)
+        charge.settle(30)
+        workspaces = []
+        for _ in range(80):
+            workspaces.append(self.policy.take_next().workspace)
+            self.policy.charge(
+                workspace=workspaces[-1], weight=1, level=0
+            ).settle(SERVICE_SECONDS)
+        self.assertGreater(workspaces.count(BUSY), 15)
+
     def test_workspaces_that_left_are_forgotten(self) -> None:
         """Guards against an entry for each workspace that ever sent."""
         for number in range(100):
