Do not pause beyond a statement's time limit

Cause: the pause before a repeat can be longer than the answer asks for. A statement near its time limit was held beyond it and then sent with no time left.

Change: the answer is final if the pause would not end in time.

Tests: tests.routing.test_read_placement passes; the new test saw 0.937 s for a limit of 0.9 s before.

--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -189,9 +189,12 @@
             answer, waited=work.timeout - remaining, remaining=remaining
         ):
             return None
+        pause = attempts.next_pause(answer, self._random)
+        if pause >= remaining:
+            return None
         if not attempts.pay(read_router.PRIMARY, answer, self._budget):
             return None
-        await asyncio.sleep(attempts.next_pause(answer, self._random))
+        await asyncio.sleep(pause)
         return self._router.primary_target(work.service)
 
     def _other_server(
--- a/tests/routing/test_read_placement.py
+++ b/tests/routing/test_read_placement.py
@@ -18,6 +18,7 @@
 CALM_READS_PER_SECOND = 50
 SECONDS = 10.0
 FAILURE_SHARE = 0.45
+SHORT_LIMIT_SECONDS = 0.9
 
 
 class ReadPlacementTest(unittest.TestCase):
@@ -73,6 +74,11 @@
             fleet = virtual_time.run(self._planned_change(rate))
             self.assertEqual(fleet.failed_count(), 0)
 
+    def test_no_pause_ends_after_the_time_limit(self) -> None:
+        """Guards against statements held until their limit, and sent then."""
+        fleet = virtual_time.run(self._long_change())
+        self.assertLess(max(fleet.seconds), SHORT_LIMIT_SECONDS)
+
     def test_the_loss_of_all_servers_does_not_multiply_attempts(self) -> None:
         fleet, servers = virtual_time.run(self._lost_servers())
         attempts = sum(server.received for server in servers)
@@ -168,6 +174,16 @@
         await fleet.send(simulated_fleet.WRITE, rate=rate, seconds=2)
         return fleet
 
+    async def _long_change(self) -> simulated_fleet.Fleet:
+        primary = self._server('primary', is_primary=True)
+        fleet = self._fleet(primary, host_count=1)
+        fleet.moved_until = SECONDS * 2
+        write = dataclasses.replace(
+            simulated_fleet.WRITE, timeout=SHORT_LIMIT_SECONDS
+        )
+        await fleet.send(write, rate=100, seconds=SECONDS)
+        return fleet
+
     async def _lost_servers(
         self,
     ) -> tuple[simulated_fleet.Fleet, list[simulated_fleet.SimulatedServer]]:
