Bound what a host remembers of servers

Cause: the times until which replicas are avoided and the levels of early rejection had an entry for each server that was ever seen. The number of statements sent since the latest load data was counted from all unanswered ones, for each candidate of each read; a silent server has thousands.

--- a/src/egretstep/routing/early_rejection.py
+++ b/src/egretstep/routing/early_rejection.py
@@ -25,6 +25,7 @@
 RETURN_INTERVAL_SECONDS = PASS_INTERVAL_SECONDS
 RETURN_JITTER = 0.5
 MAX_RETRY_AFTER_SECONDS = 5.0
+MAX_LEVELS = 20_000
 _Level = tuple[connection.ServerId, int]
 _logger = logbook.Logger('placement')
 
@@ -43,7 +44,7 @@
     """Rejects statements whose only server has too long a queue.
 
     One statement each `PASS_INTERVAL_SECONDS` passes for each server and
-    priority level.
+    priority level. Of more than `MAX_LEVELS` levels, the oldest is forgotten.
     """
 
     def __init__(
@@ -102,6 +103,8 @@
         state = self._levels.get(level)
         if state is None:
             self._levels[level] = _LevelState(passed_at=now)
+            if len(self._levels) > MAX_LEVELS:
+                self._levels.pop(next(iter(self._levels)))
             return True
         if now - state.passed_at < PASS_INTERVAL_SECONDS:
             return False
--- a/src/egretstep/routing/read_router.py
+++ b/src/egretstep/routing/read_router.py
@@ -13,10 +13,14 @@
 from egretstep.membership import directory, registry
 from egretstep.observability import metrics
 from egretstep.pooling import work as work_module
-from egretstep.routing import placement, server_loads, server_trust
+from egretstep.routing import (
+    cooldowns,
+    placement,
+    server_loads,
+    server_trust,
+)
 from egretstep.settings import deployment
 
-COOLDOWN_SECONDS = 1.0
 PRIMARY = connection.ServerId('')
 _SERVER_FAILURES = frozenset((
     answers.Code.ABORTED,
@@ -60,11 +64,10 @@
         self._servers = servers
         self._owner_of = owner_of
         self._loads = loads
-        self._clock = time_source
         self._random = rng
         self._trust = server_trust.ServerTrust(time_source=time_source)
-        self._behind_until: dict[connection.ServerId, float] = {}
-        self._failing_until: dict[connection.ServerId, float] = {}
+        self._behind = cooldowns.Cooldowns(time_source=time_source)
+        self._failing = cooldowns.Cooldowns(time_source=time_source)
 
     def primary_target(self, service: deployment.ServiceName) -> Target:
         """Return the target for statements that only the primary may run."""
@@ -155,7 +158,7 @@
         if target.is_probe:
             self._trust.record_probe_answer(target.meant, is_good=False)
         if target.server:
-            self._start_cooldown(self._failing_until, target.server)
+            self._failing.start(target.server)
 
     def _record_refusal(
         self,
@@ -169,50 +172,40 @@
         if answer.is_ok or not answer.has_no_effect:
             return
         if answer.code is answers.Code.BEHIND:
-            self._start_cooldown(self._behind_until, server)
+            self._behind.start(server)
         elif answer.code is not answers.Code.OVERLOADED or answer.was_sent:
-            self._start_cooldown(self._failing_until, server)
-
-    def _start_cooldown(
-        self,
-        until: dict[connection.ServerId, float],
-        server: connection.ServerId,
-    ) -> None:
-        until[server] = self._clock.now() + COOLDOWN_SECONDS
+            self._failing.start(server)
 
     def _candidates(
         self,
         service: deployment.ServiceName,
     ) -> list[placement.Candidate]:
-        now = self._clock.now()
         owner = self._usable_owner(service)
         return [
-            self._candidate(server, owner, now)
+            self._candidate(server, owner)
             for server in self._servers.of_service(service)
-            if self._may_run(server, owner, now)
+            if self._may_run(server, owner)
         ]
 
     def _may_run(
         self,
         server: connection.BackendServer,
         owner: identifiers.HostName | None,
-        now: float,
     ) -> bool:
         if server.role is connection.Role.PRIMARY:
             return owner is not None
-        is_behind = self._behind_until.get(server.server, 0) > now
+        is_behind = self._behind.is_active(server.server)
         return self._servers.takes_work(server) and not is_behind
 
     def _candidate(
         self,
         server: connection.BackendServer,
         owner: identifiers.HostName | None,
-        now: float,
     ) -> placement.Candidate:
         server_id = server.server
         is_primary = server.role is connection.Role.PRIMARY
         host = owner if is_primary else self._replica_host(server)
-        is_failing = self._failing_until.get(server_id, 0) > now
+        is_failing = self._failing.is_active(server_id)
         return placement.Candidate(
             server=server,
             is_primary=is_primary,
--- a/src/egretstep/routing/server_loads.py
+++ b/src/egretstep/routing/server_loads.py
@@ -55,7 +55,8 @@
     def __init__(self, *, time_source: clock.Clock) -> None:
         self._clock = time_source
         self._arrived: dict[connection.ServerId, _Arrived] = {}
-        self._unanswered: dict[connection.ServerId, dict[SentId, float]] = {}
+        # Statements sent since the latest load data arrived.
+        self._unanswered: dict[connection.ServerId, set[SentId]] = {}
         self._sent_ids = itertools.count(1)
 
     def record(self, load: server_load.ServerLoad) -> None:
@@ -64,6 +65,7 @@
         The data that arrived earliest is dropped above `MAX_SERVERS`.
         """
         server = connection.ServerId(load.server)
+        self._unanswered.pop(server, None)
         self._arrived.pop(server, None)
         self._arrived[server] = _Arrived(
             load=load, arrived_at=self._clock.now()
@@ -74,8 +76,7 @@
     def record_sent(self, server: connection.ServerId) -> SentId:
         """Record that a statement is sent; return a number for its answer."""
         sent_id = SentId(next(self._sent_ids))
-        unanswered = self._unanswered.setdefault(server, {})
-        unanswered[sent_id] = self._clock.now()
+        self._unanswered.setdefault(server, set()).add(sent_id)
         return sent_id
 
     def record_answered(
@@ -84,10 +85,12 @@
         sent_id: SentId,
     ) -> None:
         """Record that a statement was answered, or that its answer is lost."""
-        unanswered = self._unanswered.get(server, {})
-        unanswered.pop(sent_id, None)
+        unanswered = self._unanswered.get(server)
+        if unanswered is None:
+            return
+        unanswered.discard(sent_id)
         if not unanswered:
-            self._unanswered.pop(server, None)
+            self._unanswered.pop(server)
 
     def report(self, server: connection.ServerId) -> LoadReport | None:
         """Return the latest load data; None if it is of no use any more."""
@@ -104,12 +107,4 @@
 
         They were sent since it arrived.
         """
-        unanswered = self._unanswered.get(server)
-        if not unanswered:
-            return 0
-        arrived = self._arrived.get(server)
-        if arrived is None:
-            return len(unanswered)
-        return sum(
-            sent_at >= arrived.arrived_at for sent_at in unanswered.values()
-        )
+        return len(self._unanswered.get(server, ()))
