Log a missed target only on routes with a target

Cause: a route without a target has the target 0, so that each of its statements was logged as late.

Tests: tests.callers.test_platform_target passes; the new test saw one line without a target before.

--- a/src/egretstep/callers/platform_work.py
+++ b/src/egretstep/callers/platform_work.py
@@ -76,5 +76,5 @@
         decisions.failed(
             statement_id, database, elapsed, answer, current.version
         )
-    elif route is not None and elapsed > route.target:
+    elif route is not None and 0 < route.target < elapsed:
         decisions.late(statement_id, database, elapsed, answer)
--- a/tests/callers/test_platform_target.py
+++ b/tests/callers/test_platform_target.py
@@ -10,6 +10,7 @@
 from egretstep import identifiers
 from egretstep.backends import answers
 from egretstep.callers import platform_session, session_services
+from egretstep.observability import decisions
 from egretstep.platform import wire
 from egretstep.pooling import work as work_module
 from egretstep.routing import dispatcher
@@ -104,3 +105,13 @@
         session = self._start_session(dataclasses.replace(ROUTE, target=0))
         await self._run(session, b'BEGIN', b'READ a')
         self.assertEqual(self.dispatcher.targets, [None])
+
+    async def test_only_a_missed_target_is_logged(self) -> None:
+        """Guards against a log line for each statement without a target."""
+        for target, count in ((0, 0), (TARGET_SECONDS, 0), (0.05, 1)):
+            session = self._start_session(
+                dataclasses.replace(ROUTE, target=target)
+            )
+            with unittest.mock.patch.object(decisions, 'late') as late:
+                await self._run(session, b'READ a')
+            self.assertEqual(late.call_count, count, target)
