Group servers by service once; forget services without statements

Cause: after each update of the registry, each service that was asked for scanned all servers again and got its own list, also under an unknown name. LocalHost kept a counter at zero for each service.

Change: the first question after a change groups all servers. A counter at zero is removed.

Tests: tests.membership.test_registry and tests.replication.test_hand_over, 19 pass. test_hand_over got one assertion more, which fails before.

--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -28,9 +28,10 @@
         self._removed: ServersById = {}
         self._missing_since: dict[connection.ServerId, float] = {}
         self._revision = 0
-        self._of_service: dict[
+        self._by_service: dict[
             deployment.ServiceName, list[connection.BackendServer]
         ] = {}
+        self._grouped_revision = 0
         self._zones_out: frozenset[identifiers.ZoneName] = frozenset()
         self._no_work_since: dict[connection.ServerId, float] = {}
 
@@ -60,7 +61,6 @@
                 self._revision += 1
             self._removed.pop(name, None)
         self._servers = {**self._servers, **current}
-        self._of_service.clear()
         self._record_leaving()
 
     def update_zones_out(self, zones: frozenset[identifiers.ZoneName]) -> None:
@@ -79,18 +79,13 @@
     ) -> list[connection.BackendServer]:
         """Return the registered servers of a service.
 
-        The list is kept until the servers change: each statement asks for it.
+        Each statement asks for them, so that all servers are grouped once
+        after a change.
         """
         self._forget_missing()
-        found = self._of_service.get(service)
-        if found is None:
-            found = [
-                server
-                for server in self._servers.values()
-                if server.service == service
-            ]
-            self._of_service[service] = found
-        return list(found)
+        if self._grouped_revision != self._revision:
+            self._group_by_service()
+        return list(self._by_service.get(service, ()))
 
     def find(
         self,
@@ -149,6 +144,12 @@
             return server
         return known
 
+    def _group_by_service(self) -> None:
+        self._by_service = {}
+        for server in self._servers.values():
+            self._by_service.setdefault(server.service, []).append(server)
+        self._grouped_revision = self._revision
+
     def _forget_missing(self) -> None:
         limit = self._clock.now() - MISSING_ENTRY_SECONDS
         for server, since in list(self._missing_since.items()):
@@ -158,7 +159,6 @@
                 )
                 del self._missing_since[server]
                 self._revision += 1
-                self._of_service.clear()
                 self._removed[server] = self._servers.pop(server)
                 if len(self._removed) > MAX_REMOVED_SERVERS:
                     del self._removed[next(iter(self._removed))]
--- a/src/egretstep/pooling/local_host.py
+++ b/src/egretstep/pooling/local_host.py
@@ -111,7 +111,13 @@
         try:
             return await self._execute(work, link)
         finally:
-            self._held[work.service] -= 1
+            self._release(work.service)
+
+    def _release(self, service: deployment.ServiceName) -> None:
+        """Count a statement less; a service without one is forgotten."""
+        self._held[service] -= 1
+        if not self._held[service]:
+            del self._held[service]
 
     def _held_limit(self, service: deployment.ServiceName) -> int:
         """Return how many statements of a service this host holds at most."""
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -5,6 +5,7 @@
 from egretstep import clock, identifiers
 from egretstep.backends import connection
 from egretstep.membership import registry
+from egretstep.settings import deployment
 from tests import platform_fakes
 
 
@@ -40,6 +41,13 @@
         self.clock.advance(registry.MISSING_ENTRY_SECONDS + 0.1)
         self.assertEqual(self.registry.of_service(service), [])
 
+    def test_services_that_are_only_asked_for_are_not_kept(self) -> None:
+        """Guards against a scan of all servers, and a list, for each."""
+        for number in range(10):
+            name = deployment.ServiceName(f'service-{number}')
+            self.assertEqual(self.registry.of_service(name), [])
+        self.assertLessEqual(len(self.registry._by_service), 1)
+
     def test_draining_servers_and_zones_that_are_out_take_no_work(self) -> None:
         self.assertTrue(self.registry.takes_work(self.server))
         draining = dataclasses.replace(self.server, is_draining=True)
--- a/tests/replication/test_hand_over.py
+++ b/tests/replication/test_hand_over.py
@@ -174,6 +174,7 @@
             self.assertIs(held.code, answers.Code.MOVED)
         last = await self.local.execute(WRITE, LINK)
         self.assertIs(last.code, answers.Code.MOVED)
+        self.assertEqual(dict(self.local._held), {})
 
     async def test_a_task_that_is_handed_over_is_claimed_at_once(self) -> None:
         started: list[claims.Claim] = []
