Roll back a transaction whose first statement failed

Cause: the broker pinned the connection of a transaction that a failed first statement had opened. If the answer told that the statement had no effect, for example because the server was full, the dispatcher repeated it, and the second pin replaced the first one under the same key. The first connection stayed open for ever and counted against the server's limit.

Change: such a transaction is rolled back at once. Sessions rolled it back after a failed answer in any case.

Tests: tests.pooling.test_broker, test_idle_transactions, test_connections, tests.callers.test_platform_target and tests.replication.test_hand_over, 39 pass. The new test got a pinned answer before.

--- a/src/egretstep/pooling/pinned_transactions.py
+++ b/src/egretstep/pooling/pinned_transactions.py
@@ -59,10 +59,17 @@
         work: work_module.Work,
         answer: answers.Answer,
     ) -> answers.Answer:
-        """Pin the connection if a transaction is open, else release it."""
+        """Pin the connection if a transaction is open, else release it.
+
+        A transaction whose first statement failed is rolled back: its caller
+        may repeat the statement, which opens another one.
+        """
         if answer.state is answers.TransactionState.OUTSIDE:
             self.connections.release(conn)
             return answer
+        if not answer.is_ok:
+            self.connections.discard(conn)
+            return answer
         self._pins[key] = statement_state.Pin(
             session_connection=conn,
             is_read_only=work.opens is work_module.Opens.READ_TRANSACTION,
--- a/tests/pooling/test_broker.py
+++ b/tests/pooling/test_broker.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import typing
+from unittest import mock
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
@@ -113,6 +114,31 @@
         answer = await self._run_pinned(COMMIT)
         self.assertIs(answer.code, answers.Code.ABORTED)
 
+    async def test_a_transaction_that_failed_at_once_is_not_kept(self) -> None:
+        """Guards against lost connections: the opening is repeated.
+
+        The server is full between BEGIN and the first statement.
+        """
+        opening = dataclasses.replace(
+            make_work(WRITE), opens=work_module.Opens.TRANSACTION
+        )
+        full = answers.Answer(
+            code=answers.Code.OVERLOADED,
+            state=answers.TransactionState.FAILED,
+            was_sent=True,
+        )
+        with mock.patch.object(
+            platform_fakes.FakeConnection,
+            'run',
+            mock.AsyncMock(side_effect=[answers.Answer(), full] * 2),
+        ):
+            for _ in range(2):
+                answer = await self.broker.execute(opening, LINK)
+                self.assertIs(answer.code, answers.Code.OVERLOADED)
+                self.assertFalse(answer.is_pinned)
+        self.assertEqual(self.broker.pinned_count, 0)
+        self.assertEqual(self.broker.connections.open_count, 0)
+
     async def test_idle_transactions_end(self) -> None:
         await self._open_transaction(WRITE)
         self.clock.advance(4)
