--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -102,16 +102,6 @@
             waits=self._waits(),
         )
 
-    def expected_wait(
-        self, *, workspace: identifiers.WorkspaceName, weight: float
-    ) -> float:
-        """Return the estimated wait of a new statement, in seconds."""
-        if self._has_room:
-            return 0
-        return self._policy.expected_wait(
-            workspace=workspace, weight=weight, slots=self._slots.for_queue
-        )
-
     @contextlib.asynccontextmanager
     async def slot(
         self,
--- a/src/egretstep/pooling/first_come.py
+++ b/src/egretstep/pooling/first_come.py
@@ -55,7 +55,7 @@
         self, request: slot_requests.SlotRequest, slots: float
     ) -> slot_requests.Rejection | None:
         """Let a request wait, or return why it is rejected."""
-        wait_seconds = self.expected_wait(
+        wait_seconds = self._expected_wait(
             workspace=request.workspace, weight=request.weight, slots=slots
         )
         if wait_seconds > request.deadline - self._clock.now():
@@ -98,23 +98,6 @@
     def forget_idle(self) -> None:
         """Forget nothing."""
 
-    def expected_wait(
-        self,
-        *,
-        workspace: identifiers.WorkspaceName,
-        weight: float,
-        slots: float,
-    ) -> float:
-        """Return the wait of a new statement by the workspace's share."""
-        own = self._workspaces.get(workspace, _Workspace())
-        total_weight = weight + sum(
-            other.weight
-            for name, other in self._workspaces.items()
-            if other.waiting and name != workspace
-        )
-        slot_share = slots * weight / total_weight
-        return (own.waiting + 1) * own.service_seconds / slot_share
-
     def outlook(self, slots: float) -> tuple[slot_requests.Outlook, ...]:
         """Return the same outlook for each priority level."""
         position = self.waiting + 1
@@ -137,6 +120,23 @@
         """Return a charge that measures the service time."""
         return _FirstComeCharge(self._get_workspace(workspace, weight))
 
+    def _expected_wait(
+        self,
+        *,
+        workspace: identifiers.WorkspaceName,
+        weight: float,
+        slots: float,
+    ) -> float:
+        """Return the wait of a new statement by the workspace's share."""
+        own = self._workspaces.get(workspace, _Workspace())
+        total_weight = weight + sum(
+            other.weight
+            for name, other in self._workspaces.items()
+            if other.waiting and name != workspace
+        )
+        slot_share = slots * weight / total_weight
+        return (own.waiting + 1) * own.service_seconds / slot_share
+
     def _get_workspace(
         self, name: identifiers.WorkspaceName, weight: float
     ) -> _Workspace:
--- a/src/egretstep/pooling/slot_policy.py
+++ b/src/egretstep/pooling/slot_policy.py
@@ -157,18 +157,6 @@
         for band in itertools.chain(self._timely.bands, self._late.bands):
             band.forget_idle()
 
-    def expected_wait(
-        self,
-        *,
-        workspace: identifiers.WorkspaceName,
-        weight: float,
-        slots: float,
-    ) -> float:
-        """Return the forecast wait of a new statement, in seconds."""
-        band = self._timely.bands[0]
-        forecast = self._forecast(self._timely, band, slots)
-        return forecast.wait(band.position_of_new(workspace))
-
     def outlook(self, slots: float) -> tuple[slot_requests.Outlook, ...]:
         """Return the outlook of each priority level."""
         return tuple(
--- a/src/egretstep/pooling/slot_requests.py
+++ b/src/egretstep/pooling/slot_requests.py
@@ -95,15 +95,6 @@
     def forget_idle(self) -> None:
         """Forget the workspaces that sent nothing for a long time."""
 
-    def expected_wait(
-        self,
-        *,
-        workspace: identifiers.WorkspaceName,
-        weight: float,
-        slots: float,
-    ) -> float:
-        """Return the forecast wait of a new statement, in seconds."""
-
     def outlook(self, slots: float) -> tuple[Outlook, ...]:
         """Return the outlook of each priority level."""
 
--- a/src/egretstep/routing/early_rejection.py
+++ b/src/egretstep/routing/early_rejection.py
@@ -21,7 +21,7 @@
 PASS_INTERVAL_SECONDS = 0.05
 LOG_INTERVAL_SECONDS = 1.0
 # Rejected statements return one by one, as often as one is sent in any case.
-# Times of 20 to 40 ms, by the wait alone, brought them into the same peak.
+# By the wait alone, all would return within 20 to 40 ms, in the same peak.
 RETURN_INTERVAL_SECONDS = PASS_INTERVAL_SECONDS
 RETURN_JITTER = 0.5
 MAX_RETRY_AFTER_SECONDS = 5.0
--- a/src/egretstep/routing/retry_policy.py
+++ b/src/egretstep/routing/retry_policy.py
@@ -4,8 +4,8 @@
 statement is retried until a planned handover ends, because that takes less
 than the caller's timeout even if the statement has already waited while the
 former owner drained. It is retried only briefly if a host or server can't be
-reached: the caller's own retry goes to another host, which may reach it. A read that a full
-or failing server did not serve goes on to another server at once.
+reached: the caller's own retry goes to another host, which may reach it. A read
+that a full or failing server did not serve goes on to another server at once.
 """
 
 from egretstep.backends import answers
