Plainer names in routing, pooling and client limits

Target.meant is now intended, concurrency_times.ServiceTimes is Slowdowns (another ServiceTimes exists), PATIENCE_SECONDS is MAX_STALL_SECONDS.

--- a/src/egretstep/callers/client_limits.py
+++ b/src/egretstep/callers/client_limits.py
@@ -35,12 +35,13 @@
 MESSAGE_COPIES = 5
 MIN_BUFFERED_BYTES = 2 * MIB
 SESSION_VALUES_DIVISOR = 4
-# Under pressure, a connection that has kept the host waiting for longer than
-# this is closed in favour of another one. 1 MiB takes 0.8 s at 10 Mbit/s.
-PATIENCE_SECONDS = 2.0
+# While the budget is used up, a connection that has kept the host waiting for
+# longer than this is closed in favour of another one. 1 MiB takes 0.8 s at
+# 10 Mbit/s.
+MAX_STALL_SECONDS = 2.0
 # An unread answer may exceed the budget for this long, so that a client that
 # reads at once keeps its connection while many get large answers.
-ANSWER_PATIENCE_SECONDS = 0.25
+MAX_ANSWER_STALL_SECONDS = 0.25
 # A client may take this long for a message or an answer while there is room.
 TRANSFER_SECONDS = 30.0
 RETRY_AFTER_MS = 1000
@@ -172,7 +173,7 @@
         """Charge bytes to an account; returns False if there is no room."""
         while self._held + amount > self._total:
             holder = self._longest_awaited(account, self._holders)
-            if holder is None or self.waits(holder) < PATIENCE_SECONDS:
+            if holder is None or self.waits(holder) < MAX_STALL_SECONDS:
                 return False
             self._give_up(holder)
         self._add(account, amount)
@@ -183,7 +184,7 @@
         while self._held + amount > self._total:
             unread = [each for each in self._holders if each.has_unread_answer]
             holder = self._longest_awaited(account, unread)
-            if holder is None or self.waits(holder) < ANSWER_PATIENCE_SECONDS:
+            if holder is None or self.waits(holder) < MAX_ANSWER_STALL_SECONDS:
                 break
             self._give_up(holder)
         self._add(account, amount)
--- a/src/egretstep/callers/platform_session.py
+++ b/src/egretstep/callers/platform_session.py
@@ -99,7 +99,7 @@
     ) -> answers.Answer:
         if self._transaction_state is _State.FAILED:
             return await self._handle_failed(command)
-        if command.action in _LOCAL_ACTIONS:
+        if command.action in session_state.LOCAL_ACTIONS:
             return self._session_state.apply(command) or self._refuse(command)
         if command.action is _Action.ROLLBACK:
             return await self._roll_back()
@@ -282,9 +282,10 @@
         transaction: session_services.Transaction,
         work: work_module.Work,
     ) -> answers.Answer:
-        dispatched = await self._services.dispatcher.dispatch(
-            platform_work.opening(work, is_read_only=transaction.is_read_only),
+        work = platform_work.opening(
+            work, is_read_only=transaction.is_read_only
         )
+        dispatched = await self._services.dispatcher.dispatch(work)
         if dispatched.answer.is_pinned:
             transaction.host = dispatched.host
             transaction.server = dispatched.server
@@ -341,11 +342,3 @@
             values=self._session_state.session_values,
             floor=self._floor if reads_own_writes else identifiers.LOG_START,
         )
-
-
-_LOCAL_ACTIONS = frozenset((
-    _Action.SET,
-    _Action.PREPARE,
-    _Action.DEALLOCATE,
-    _Action.UNKNOWN,
-))
--- a/src/egretstep/callers/session_state.py
+++ b/src/egretstep/callers/session_state.py
@@ -7,6 +7,13 @@
 
 # Objects of a value or prepared statement beside its bytes.
 ENTRY_BYTES = 200
+# Commands that are never sent to a server.
+LOCAL_ACTIONS = frozenset((
+    commands.Action.SET,
+    commands.Action.PREPARE,
+    commands.Action.DEALLOCATE,
+    commands.Action.UNKNOWN,
+))
 ParsePrepared = typing.Callable[[bytes], commands.Prepared | None]
 
 
--- a/src/egretstep/pooling/concurrency_times.py
+++ b/src/egretstep/pooling/concurrency_times.py
@@ -78,13 +78,13 @@
     weight: float = 0.0
 
 
-class ServiceTimes:
+class Slowdowns:
     """The slowdown of a server at each concurrency from 1 to its slots.
 
     A slowdown is the logarithm of a factor. Its zero is arbitrary; only
     differences between two levels of concurrency have a meaning.
 
-    >>> times = ServiceTimes(slots=2, time_source=clock.ManualClock())
+    >>> times = Slowdowns(slots=2, time_source=clock.ManualClock())
     >>> for _ in range(50):
     ...     _ = times.record(
     ...         kind=('read',),
--- a/src/egretstep/pooling/server_capacity.py
+++ b/src/egretstep/pooling/server_capacity.py
@@ -78,7 +78,7 @@
     def __init__(self, *, slots: int, time_source: clock.Clock) -> None:
         self._clock = time_source
         self._slots = max(1, slots)
-        self._times = concurrency_times.ServiceTimes(
+        self._times = concurrency_times.Slowdowns(
             slots=self._slots, time_source=time_source
         )
         self._ceiling = busy_ceiling.BusyCeiling(
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -227,10 +227,14 @@
         """
         work = attempts.work
         is_own_queue = target.host == self._hosts.own.host
-        if work.max_staleness is not None or is_own_queue or not target.meant:
+        if (
+            work.max_staleness is not None
+            or is_own_queue
+            or not target.intended
+        ):
             return None
         retry_after = self._early_rejection.retry_after(
-            target.meant,
+            target.intended,
             priority=work.priority,
             remaining=attempts.deadline - self._clock.now(),
         )
@@ -239,7 +243,7 @@
         return Dispatched(
             answer=answers.refusal(
                 answers.Code.OVERLOADED,
-                f'the queue of server {target.meant} is too long',
+                f'the queue of server {target.intended} is too long',
                 retry_after_ms=clock.to_milliseconds(retry_after),
             ),
             host=target.host or self._hosts.own.host,
@@ -251,7 +255,7 @@
         target: read_router.Target,
     ) -> Dispatched:
         host = target.host
-        attempts.tried.add(target.meant)
+        attempts.tried.add(target.intended)
         if host is None or self._hosts.is_suspected(host):
             return Dispatched(
                 answer=answers.refusal(
--- a/src/egretstep/routing/read_router.py
+++ b/src/egretstep/routing/read_router.py
@@ -36,14 +36,14 @@
 class Target:
     """Where an attempt goes.
 
-    `server` is the replica, `PRIMARY` for the primary; `meant` is the id of
+    `server` is the replica, `PRIMARY` for the primary; `intended` is the id of
     the server also if it is the primary, empty if none is registered. `host`
     is None if no host owns the service.
     """
 
     host: identifiers.HostName | None
     server: connection.ServerId = PRIMARY
-    meant: connection.ServerId = PRIMARY
+    intended: connection.ServerId = PRIMARY
     is_probe: bool = False
 
 
@@ -78,7 +78,7 @@
         ]
         return Target(
             host=self._owner_of(service),
-            meant=primaries[0] if primaries else PRIMARY,
+            intended=primaries[0] if primaries else PRIMARY,
         )
 
     def first_target(self, work: work_module.Work) -> Target:
@@ -118,8 +118,8 @@
     def record_sent(self, target: Target) -> server_loads.SentId:
         """Record that a statement is sent; return a number for its answer."""
         if target.is_probe:
-            self._trust.record_probe_sent(target.meant)
-        return self._loads.record_sent(target.meant)
+            self._trust.record_probe_sent(target.intended)
+        return self._loads.record_sent(target.intended)
 
     def record_answered(
         self,
@@ -127,18 +127,18 @@
         sent_id: server_loads.SentId,
     ) -> None:
         """Record that a statement has ended, with or without an answer."""
-        self._loads.record_answered(target.meant, sent_id)
+        self._loads.record_answered(target.intended, sent_id)
 
     def record_outcome(self, target: Target, answer: answers.Answer) -> None:
         """Learn from an answer to a statement that reached its host."""
         is_bad = answer.code in _SERVER_FAILURES
         self.record_load(answer)
         if is_bad and answer.was_sent and answer.load is None:
-            self._trust.record_lost(target.meant)
+            self._trust.record_lost(target.intended)
         else:
-            self._trust.record_answered(target.meant)
+            self._trust.record_answered(target.intended)
         if target.is_probe and (is_bad or answer.is_ok):
-            self._trust.record_probe_answer(target.meant, is_good=not is_bad)
+            self._trust.record_probe_answer(target.intended, is_good=not is_bad)
         if target.server:
             self._record_refusal(target.server, answer)
 
@@ -154,9 +154,9 @@
 
     def record_lost(self, target: Target) -> None:
         """Learn that the link was lost before the answer arrived."""
-        self._trust.record_lost(target.meant)
+        self._trust.record_lost(target.intended)
         if target.is_probe:
-            self._trust.record_probe_answer(target.meant, is_good=False)
+            self._trust.record_probe_answer(target.intended, is_good=False)
         if target.server:
             self._failing.start(target.server)
 
@@ -224,13 +224,13 @@
         if choice.candidate.is_primary:
             return Target(
                 host=self._owner_of(server.service),
-                meant=server.server,
+                intended=server.server,
                 is_probe=is_probe,
             )
         return Target(
             host=self._replica_host(server),
             server=server.server,
-            meant=server.server,
+            intended=server.server,
             is_probe=is_probe,
         )
 
--- a/tests/callers/test_client_limits.py
+++ b/tests/callers/test_client_limits.py
@@ -75,7 +75,7 @@
         ordinary = self._open(-1)
         self.assertFalse(ordinary.charge(MIB))
         self.assertEqual(self.given_up, [])
-        self.clock.advance(client_limits.PATIENCE_SECONDS)
+        self.clock.advance(client_limits.MAX_STALL_SECONDS)
         self.assertTrue(ordinary.charge(MIB))
         self.assertLessEqual(len(self.given_up), 2)
         self.assertLessEqual(self.budget.held_bytes, TOTAL_BYTES)
@@ -100,7 +100,7 @@
         self._open(-1).charge_answer(MIB)
         self.assertEqual(self.given_up, [])
         # The first two have waited too long then, the third has not.
-        self.clock.advance(client_limits.ANSWER_PATIENCE_SECONDS - 0.065)
+        self.clock.advance(client_limits.MAX_ANSWER_STALL_SECONDS - 0.065)
         self._open(-1).charge_answer(MIB)
         self.assertEqual(self.given_up, [0, 1])
         self.assertEqual(self.budget.held_bytes, TOTAL_BYTES)
