--- a/src/egretstep/pooling/fair_queue.py
+++ b/src/egretstep/pooling/fair_queue.py
@@ -85,6 +85,15 @@
         self._policy.forget_rates()
         self._dispatch()
 
+    def sweep(self) -> None:
+        """Review the waiting statements although none arrives or ends.
+
+        Called regularly. Without it, the statements that wait for a silent
+        server stay until their deadline if nothing else happens.
+        """
+        self._policy.forget_idle()
+        self._review()
+
     def load_now(self) -> QueueLoad:
         """Return the present load of the queue."""
         return QueueLoad(
@@ -93,16 +102,6 @@
             waits=self._waits(),
         )
 
-    def expected_wait(
-        self, *, workspace: identifiers.WorkspaceName, weight: float
-    ) -> float:
-        """Return the estimated wait of a new statement, in seconds."""
-        if self._has_room:
-            return 0
-        return self._policy.expected_wait(
-            workspace=workspace, weight=weight, slots=self._slots.for_queue
-        )
-
     @contextlib.asynccontextmanager
     async def slot(
         self,
--- a/src/egretstep/pooling/slot_requests.py
+++ b/src/egretstep/pooling/slot_requests.py
@@ -92,14 +92,8 @@
     def forget_rates(self) -> None:
         """Forget the rates of grants because the number of slots changed."""
 
-    def expected_wait(
-        self,
-        *,
-        workspace: identifiers.WorkspaceName,
-        weight: float,
-        slots: float,
-    ) -> float:
-        """Return the forecast wait of a new statement, in seconds."""
+    def forget_idle(self) -> None:
+        """Forget the workspaces that sent nothing for a long time."""
 
     def outlook(self, slots: float) -> tuple[Outlook, ...]:
         """Return the outlook of each priority level."""
--- a/tests/pooling/test_broker.py
+++ b/tests/pooling/test_broker.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import typing
+from unittest import mock
 
 from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
@@ -113,12 +114,51 @@
         answer = await self._run_pinned(COMMIT)
         self.assertIs(answer.code, answers.Code.ABORTED)
 
+    async def test_a_transaction_that_failed_at_once_is_not_kept(self) -> None:
+        """Guards against lost connections: the opening is repeated.
+
+        The server is full between BEGIN and the first statement.
+        """
+        opening = dataclasses.replace(
+            make_work(WRITE), opens=work_module.Opens.TRANSACTION
+        )
+        full = answers.Answer(
+            code=answers.Code.OVERLOADED,
+            state=answers.TransactionState.FAILED,
+            was_sent=True,
+        )
+        with mock.patch.object(
+            platform_fakes.FakeConnection,
+            'run',
+            mock.AsyncMock(side_effect=[answers.Answer(), full] * 2),
+        ):
+            for _ in range(2):
+                answer = await self.broker.execute(opening, LINK)
+                self.assertIs(answer.code, answers.Code.OVERLOADED)
+                self.assertFalse(answer.is_pinned)
+        self.assertEqual(self.broker.pinned_count, 0)
+        self.assertEqual(self.broker.connections.open_count, 0)
+
     async def test_idle_transactions_end(self) -> None:
         await self._open_transaction(WRITE)
         self.clock.advance(4)
-        self.broker.end_idle_transactions(idle_limit_seconds=3)
+        self.broker.sweep(idle_limit_seconds=3)
         self.assertEqual(self.broker.pinned_count, 0)
 
+    async def test_a_closed_broker_keeps_no_connection(self) -> None:
+        """Guards against connections that nobody closes any more.
+
+        A statement was still running when the broker was closed.
+        """
+        running = asyncio.create_task(
+            self.broker.execute(make_work(READ), LINK)
+        )
+        await asyncio.sleep(0)
+        self.assertFalse(self.broker.is_idle)
+        self.broker.close()
+        self.assertTrue((await running).is_ok)
+        self.assertTrue(self.server.connections[0].is_closed)
+
     async def test_connections_of_a_dead_host_fill_the_server(self) -> None:
         """Guards against refusals after a takeover.
 
