A client that was refused once is not refused again

Cause: a refused connection stays open for up to one second. To give it up again, for memory, its time limit or the cap of connections, wrote after the end of the stream, which raises RuntimeError in the task that needs the room: the session of another client, the accept of a new connection, which then stayed open and uncounted, or the check of time limits, which ended for good. An answer of which the kernel has just taken a row could also be continued by an error that says that nothing has run.

Change: a refusal that is under way is not repeated, and the cap closes such a connection at once. The refused message's bytes are released at once. A client amid an answer is closed without an error. A failure for one connection does not end the check of the others.

Tests: three new ones in tests.platform.test_ingress failed before and pass.

--- a/src/egretstep/platform/client_stream.py
+++ b/src/egretstep/platform/client_stream.py
@@ -48,6 +48,7 @@
         self._transport: asyncio.Transport | None = None
         self._unread_bytes = 0
         self._is_reading = False
+        self._is_sending = False
         self.is_discarding = False
 
     def attach(self, transport: asyncio.Transport) -> None:
@@ -107,6 +108,7 @@
     ) -> None:
         """Send an answer; returns when the kernel has taken it."""
         size = sum(map(len, answer.rows))
+        self._is_sending = True
         if size < ROW_BY_ROW_BYTES:
             await self._write(writer, wire.format_answer(answer), size)
         else:
@@ -114,6 +116,7 @@
                 await self._write(writer, wire.format_row(row), size)
             end = wire.format_answer_end(answer)
             await self._write(writer, end, size)
+        self._is_sending = False
         if self.account.has_unread_answer:
             self.account.release()
 
@@ -122,12 +125,14 @@
 
         What the client still sends is read and dropped for a moment: the
         kernel would reset a connection with unread bytes, and the client
-        might not see the error.
+        might not see the error. Does nothing if that is under way already.
         """
         transport = self._transport
-        if transport is None or transport.is_closing():
+        if transport is None or transport.is_closing() or self.is_discarding:
             return
-        if transport.get_write_buffer_size():
+        self.account.release()
+        # An unread answer must not be continued by an error.
+        if self._is_sending or transport.get_write_buffer_size():
             self.drop()
             return
         transport.write(wire.format_refusal(answer))
@@ -142,6 +147,10 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        if self.is_discarding:
+            # The client was sent an error already.
+            transport.abort()
+            return
         # An unread answer must not be continued by an error.
         if not transport.get_write_buffer_size():
             transport.write(wire.format_refusal(answer))
@@ -156,7 +165,6 @@
         """Close the connection if its client takes too long for a transfer."""
         if self.account.is_overdue:
             self._limits.record('time', held_bytes=self.account.held_bytes)
-            self.account.release()
             self.interrupt(BusyError('the message took too long').answer)
 
     def close(self) -> None:
--- a/src/egretstep/platform/ingress.py
+++ b/src/egretstep/platform/ingress.py
@@ -132,7 +132,10 @@
         while True:
             await asyncio.sleep(OVERDUE_CHECK_SECONDS)
             for connection in list(self._connections):
-                connection.close_if_overdue()
+                try:
+                    connection.close_if_overdue()
+                except Exception:
+                    _logger.exception('a slow caller could not be closed')
 
 
 def _listen(address: node.Address) -> socket.socket:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -9,9 +9,10 @@
 import unittest
 import unittest.mock
 
-from egretstep import identifiers
+from egretstep import clock, identifiers
+from egretstep.backends import answers
 from egretstep.callers import client_limits, session_services
-from egretstep.platform import ingress, wire
+from egretstep.platform import client_stream, ingress, wire
 from egretstep.settings import deployment, node
 from tests import platform_fakes
 
@@ -144,6 +145,50 @@
             self.writer.write(b'QUERY 1 SET name 1\r\n')
             self.assertIn(b'COMPLETE', await self.reader.readline())
 
+    async def test_a_client_that_was_refused_is_given_up_once_more(
+        self,
+    ) -> None:
+        """Guards against an error that reaches the client that needs room."""
+        await self._start()
+        self.server.budget.open(lambda: None).charge(LIMITS.buffered_bytes)
+        self.writer.write(b'x' * 20000)
+        self.assertIn(b'ERROR BUSY', await self.reader.readline())
+        (connection,) = self.server._connections
+        connection.stream._give_up()
+        connection.refuse()
+        self.assertEqual(await self.reader.read(), b'')
+
+    async def test_a_half_sent_answer_is_not_continued_by_an_error(
+        self,
+    ) -> None:
+        """The kernel has taken the first row when the client is given up."""
+        budget = client_limits.ByteBudget(
+            total_bytes=0, time_source=clock.ManualClock()
+        )
+        stream = client_stream.ClientStream(
+            budget=budget, session_budget=budget, limits=unittest.mock.Mock()
+        )
+        transport = unittest.mock.Mock()
+        transport.is_closing.return_value = False
+        transport.get_write_buffer_size.return_value = 0
+        stream.attach(transport)
+        writer = unittest.mock.Mock(transport=transport)
+        writer.write.side_effect = lambda _message: stream._give_up()
+        row = b'r' * client_stream.ROW_BY_ROW_BYTES
+        await stream.send(writer, answers.Answer(rows=(row,)))
+        transport.write.assert_not_called()
+        transport.close.assert_called()
+
+    async def test_the_time_limit_survives_a_failure(self) -> None:
+        await self._start()
+        (connection,) = self.server._connections
+        failing = unittest.mock.Mock(side_effect=[ValueError, None])
+        with unittest.mock.patch.object(
+            connection, 'close_if_overdue', failing
+        ):
+            await asyncio.sleep(2.5)
+        self.assertEqual(failing.call_count, 2)
+
     async def test_an_unknown_database_is_refused(self) -> None:
         self.current = CONFIGURED
         self.is_configured.set()
