Roll back a transaction whose large statement has no room

Cause: the refusal of a large statement of another host said that the transaction is no longer open. The calling host then did not release it, and its connection and locks stayed until the transaction was idle for too long.

Change: the refusal of a statement of an open transaction keeps it open, so that the calling host rolls it back.

Test: extended tests.callers.test_client_limits failed before and passes.

--- a/src/egretstep/programs/remote_statements.py
+++ b/src/egretstep/programs/remote_statements.py
@@ -4,6 +4,8 @@
 of them are for a service that this host owns.
 """
 
+import dataclasses
+
 from egretstep.backends import answers
 from egretstep.callers import client_limits
 from egretstep.pooling import local_host
@@ -37,11 +39,13 @@
             return await self._local.execute(work, link)
         account = self._budget.open(_keep)
         if not account.charge(size):
-            return answers.refusal(
+            refusal = answers.refusal(
                 answers.Code.OVERLOADED,
                 'large messages take too much memory',
                 retry_after_ms=client_limits.RETRY_AFTER_MS,
             )
+            # An open transaction stays open until the other host ends it.
+            return dataclasses.replace(refusal, is_pinned=work.is_pinned)
         try:
             return await self._local.execute(work, link)
         finally:
--- a/tests/callers/test_client_limits.py
+++ b/tests/callers/test_client_limits.py
@@ -4,6 +4,7 @@
 does not read its answers, while ordinary clients come and go.
 """
 
+import dataclasses
 import unittest
 import unittest.mock
 
@@ -191,6 +192,11 @@
         self.assertIs(refused.code, answers.Code.OVERLOADED)
         self.assertFalse(refused.was_sent)
         local.execute.assert_not_awaited()
+        self.assertFalse(refused.is_pinned)
+        # The transaction must be rolled back by the host that was refused.
+        pinned = dataclasses.replace(_work(MIB), is_pinned=True)
+        refused = await statements.execute(pinned, _LINK)
+        self.assertTrue(refused.is_pinned)
         await statements.execute(_work(100), _LINK)
         other.release()
         local.execute.side_effect = ConnectionResetError
