The counting host adds no share to the standby's pool

Cause: the counting host has no other counting host to call, and therefore called the standby every 0.7 s. Its share was in the pool, and in the rate that it grants itself, as it counts itself as calling. With three hosts, one of which is cut off, about a quarter of a workspace's rate was granted twice.

Change: a host that holds the lease on the counting task does not call.

Test: the new test in tests.test_fleet_queries failed before and passes.

--- a/src/egretstep/programs/fleet_queries.py
+++ b/src/egretstep/programs/fleet_queries.py
@@ -220,7 +220,8 @@
             await asyncio.sleep(CONTACT_INTERVAL_SECONDS)
             claim = self._keeper.known.get(tasks.COUNTING_TASK)
             reply = await self._call_counting_host([])
-            if reply is None:
+            # The share of the counting host is in the rate that it grants.
+            if reply is None and not self._tasks.is_counting:
                 await self._call_standby([])
             own = self._hosts.own.host
             if reply is not None or claim is None or claim.host == own:
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -83,6 +83,14 @@
         self._wanted: tuple[task_ranking.Task, ...] = ()
         self._wanted_inputs: tuple[deployment.Deployment, int] | None = None
 
+    @property
+    def is_counting(self) -> bool:
+        """Return whether this host holds the lease on the counting task."""
+        claim = self._counting_claim
+        if claim is None:
+            return False
+        return self._keeper.is_held(COUNTING_TASK, claim.epoch)
+
     def report_usage(self, usage: usage_service.UsageService) -> None:
         """Run the usage task as well, with a service that may be disabled."""
         self._usage = usage
@@ -211,10 +219,7 @@
 
         Returns None unless this host holds the lease on the counting task.
         """
-        claim = self._counting_claim
-        if claim is None or self._rate_limiter is None:
-            return None
-        if not self._keeper.is_held(COUNTING_TASK, claim.epoch):
+        if self._rate_limiter is None or not self.is_counting:
             return None
         return self._rate_limiter.take(workspace, wanted, caller)
 
--- a/tests/test_fleet_queries.py
+++ b/tests/test_fleet_queries.py
@@ -5,6 +5,8 @@
 requests must not wait again for a counting host that failed to answer.
 """
 
+import asyncio
+import contextlib
 import unittest
 import unittest.mock
 
@@ -64,11 +66,12 @@
             hosts=hosts.up_host_names,
             time_source=clock.ManualClock(),
         )
+        self.tasks = unittest.mock.Mock(standby=self.standby, is_counting=False)
         self.queries = fleet_queries.FleetQueries(
             hosts=hosts,
             keeper=self.keeper,
             peers=self.peers,
-            fleet_tasks=unittest.mock.Mock(standby=self.standby),
+            fleet_tasks=self.tasks,
             current_deployment=lambda: deployment.EMPTY,
             time_source=clock.ManualClock(),
         )
@@ -76,6 +79,26 @@
     async def test_a_host_that_reaches_nobody_is_isolated(self) -> None:
         self.assertTrue(await self.queries._reaches_no_host())
 
+    async def test_the_counting_host_adds_no_share_to_the_pool(self) -> None:
+        """Guards against a share that it and the standby both grant."""
+        self.keeper.hold('own', 1)
+        self.tasks.is_counting = True
+        await self._contact_once()
+        self.assertEqual(self.peers.called, [])
+        self.tasks.is_counting = False
+        await self._contact_once()
+        self.assertEqual(self.peers.called, [self.queries._standby_host()])
+
+    async def _contact_once(self) -> None:
+        pauses = unittest.mock.AsyncMock(
+            side_effect=[None, asyncio.CancelledError]
+        )
+        with (
+            unittest.mock.patch.object(asyncio, 'sleep', pauses),
+            contextlib.suppress(asyncio.CancelledError),
+        ):
+            await self.queries.maintain_contact()
+
     async def test_one_lost_holder_does_not_isolate(self) -> None:
         self.peers.reached = {'b', 'c', 'd'}
         self.assertFalse(await self.queries._reaches_no_host())
