A caller that leaves before START is not kept

Cause: a host without a configuration waited for it for up to 10 s also for connections whose client had closed them, and counted them as sessions, which the cap never closes.

Change: the connection ends with the client's end of the stream.

Test: the new test in tests.platform.test_ingress failed before and passes.

--- a/src/egretstep/platform/ingress.py
+++ b/src/egretstep/platform/ingress.py
@@ -227,10 +227,12 @@
         sockets.detect_dead_peer(writer.get_extra_info('socket'))
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
             line = await self.stream.read_message(reader, may_be_large=False)
+            if line is None:
+                return
             self._cap.record_session(self)
             # A host that has just started has not read routes and keys yet.
             await self._services.is_configured.wait()
-        session = self._start_session(line or b'', writer)
+        session = self._start_session(line, writer)
         if session is None:
             return
         self._session = session
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -80,6 +80,12 @@
         self.is_configured.set()
         self.assertEqual(await reply, b'READY I -\r\n')
 
+    async def test_a_caller_that_leaves_is_not_kept_until_then(self) -> None:
+        """Guards against descriptors of callers that are gone."""
+        self.writer.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.server._connections, set())
+
     async def _start(self) -> None:
         self.current = CONFIGURED
         self.is_configured.set()
