A holder that was cut off waits for counts before it composes

Cause: the holder of the usage task composed windows while its lease was not renewed. The counts that hosts sent afterwards were late.

Change: windows are composed after the lease has been held for as long as hosts need to send, or when hosts no longer have the counts (60 s).

Test: the new test in tests.usage.test_reports failed before and passes; all 33 tests of it and tests.usage.test_decisions pass.

--- a/src/egretstep/usage/reporter.py
+++ b/src/egretstep/usage/reporter.py
@@ -81,6 +81,7 @@
         self._running: asyncio.Task[None] | None = None
         self._claim: claims.Claim | None = None
         self._recorded_until = 0
+        self._lapsed_at = float('-inf')
 
     @property
     def recorded_until(self) -> int:
@@ -207,13 +208,25 @@
     def _compose_due(
         self, queue: report_queue.ReportQueue, claim: claims.Claim
     ) -> None:
+        if not self._keeper.is_held(TASK, claim.epoch):
+            self._lapsed_at = self._clock.now()
         settle_seconds = self._settle_seconds()
-        while (
-            self._windows.seconds_since_end(queue.next_window) >= settle_seconds
-        ):
+        while self._is_settled(queue.next_window, settle_seconds):
             counts = self._collector.compose(queue.next_window)
             queue.compose(counts, claim.epoch)
 
+    def _is_settled(self, window: int, settle_seconds: float) -> bool:
+        """Return whether all hosts have sent their counts of a window.
+
+        Hosts may not have reached this one while its lease was not renewed.
+        They then send again what they keep.
+        """
+        age = self._windows.seconds_since_end(window)
+        if age >= counter.RETENTION_SECONDS:
+            return True
+        since_lapse = self._clock.now() - self._lapsed_at
+        return min(age, since_lapse) >= settle_seconds
+
     async def _record_next(
         self, queue: report_queue.ReportQueue, claim: claims.Claim
     ) -> bool:
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -158,6 +158,17 @@
         later = self.platform.accepted[accepted_count:]
         self.assertEqual({each.holder for each in later}, {'b'})
 
+    async def test_a_holder_is_cut_off_and_returns(self) -> None:
+        """The counts that could not reach it are in its reports."""
+        await usage_case.run_for(11)
+        self.fleet.unreachable = 'a'
+        self.fleet.hosts['a'].keeper.held_epoch = None
+        await usage_case.run_for(12)
+        self.fleet.unreachable = None
+        self.fleet.hosts['a'].keeper.held_epoch = 1
+        await usage_case.run_for(20)
+        self._assert_accurate(8)
+
     async def test_a_time_of_day_that_jumps(self) -> None:
         """Also while the host composes: no count moves to another window."""
         await usage_case.run_for(11)
--- a/tests/usage/usage_case.py
+++ b/tests/usage/usage_case.py
@@ -216,6 +216,7 @@
         }
         self.hosts = {name: Host(name, self) for name in names}
         self.sent: collections.Counter[int] = collections.Counter()
+        self.unreachable: str | None = None
 
     @property
     def counted(self) -> dict[int, int]:
@@ -257,7 +258,7 @@
         call: typing.Callable[[typing.Any], typing.Awaitable[typing.Any]],
     ) -> typing.Any:
         """Call a host as `fleet_links.FleetLinks` does."""
-        if host not in self.hosts:
+        if host not in self.hosts or host == self.unreachable:
             raise errors.LinkError(f'{host} does not answer')
         remote = types.SimpleNamespace(reportUsage=_Remote(self.hosts[host]))
         return await call(remote)
