Usage: client errors are refusals; counts without a holder are bounded

The counts of a host were not limited to a minute while no holder was known.

Change: all client errors but 408, 425 and 429 are refusals; old counts are dropped before the holder is looked up. Removed a property that nothing used.

--- a/src/egretstep/platform/usage_reports.py
+++ b/src/egretstep/platform/usage_reports.py
@@ -9,8 +9,9 @@
 
 MAX_QUOTED_BODY_BYTES = 200
 _OK = 200
-# The platform does not take the content or the sender, also at a next try.
-_REFUSED = frozenset((400, 403, 404, 409, 413, 422))
+_CLIENT_ERRORS = range(400, 500)
+# Client errors that end by themselves: a time-out, and too many calls.
+_TEMPORARY = frozenset((408, 425, 429))
 
 
 class PlatformUsageReports:
@@ -54,12 +55,18 @@
             client.close()
         if response.status == _OK:
             return
-        is_refused = response.status in _REFUSED
         error_type = (
-            reporter.ReportRefusedError if is_refused else errors.PlatformError
+            reporter.ReportRefusedError
+            if _is_refused(response.status)
+            else errors.PlatformError
         )
         raise error_type(
             f'the platform answered {response.status} to the usage of window '
             f'{report.window} in epoch {epoch}: '
             f'{response.body[:MAX_QUOTED_BODY_BYTES]!r}',
         )
+
+
+def _is_refused(status: int) -> bool:
+    """Return whether the report would be refused again at a next try."""
+    return status in _CLIENT_ERRORS and status not in _TEMPORARY
--- a/src/egretstep/usage/report_queue.py
+++ b/src/egretstep/usage/report_queue.py
@@ -57,11 +57,6 @@
         """Return the window whose report is composed next."""
         return self._next_window
 
-    @property
-    def recorded_until(self) -> int:
-        """Return the latest window whose report is recorded."""
-        return self._recorded_until
-
     @property
     def waiting_count(self) -> int:
         """Return how many reports are composed but not accepted."""
@@ -103,7 +98,6 @@
         None means that its row holds a later window.
         """
         self._unrecorded.popleft()
-        self._recorded_until = max(self._recorded_until, report.window)
         if recorded is not None:
             self._unsent.append(recorded)
         if recorded is None or recorded.counts != report.counts:
--- a/src/egretstep/usage/sender.py
+++ b/src/egretstep/usage/sender.py
@@ -121,9 +121,9 @@
         claim = self._keeper.known.get(reporter.TASK)
         if not self._reporter.is_serving:
             self._discard_old()
+        counts = self._own_counts()
         if claim is None:
             return False
-        counts = self._own_counts()
         if claim.host == self._hosts.own.host:
             return await self._record_here(claim, counts)
         return await self._deliver(
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -158,6 +158,13 @@
         later = self.platform.accepted[accepted_count:]
         self.assertEqual({each.holder for each in later}, {'b'})
 
+    async def test_a_fleet_without_a_holder_keeps_a_minute(self) -> None:
+        """Guards against counts that grow until a holder is chosen."""
+        host = self.fleet.hosts['b']
+        host.keeper.known = {}
+        await usage_case.run_for(120)
+        self.assertLessEqual(len(host.counter._counts), 14)
+
     async def test_a_holder_is_cut_off_and_returns(self) -> None:
         """The counts that could not reach it are in its reports."""
         await usage_case.run_for(11)
