Split the components of membership out of wiring.py

Named constants instead of numbers in platform/usage_reports.py.

Tests: tests.platform.test_boundary, test_imports, tests.test_graceful_shutdown and tests.usage.test_whole_fleet (the real program) pass, and tests.platform.test_usage_reports and test_ingress.

--- a/src/egretstep/platform/usage_reports.py
+++ b/src/egretstep/platform/usage_reports.py
@@ -9,7 +9,8 @@
 
 MAX_QUOTED_BODY_BYTES = 200
 _OK = 200
-_CLIENT_ERRORS = range(400, 500)
+_FIRST_CLIENT_ERROR = 400
+_FIRST_SERVER_ERROR = 500
 # Client errors that end by themselves: a time-out, and too many calls.
 _TEMPORARY = frozenset((408, 425, 429))
 
@@ -69,4 +70,6 @@
 
 def _is_refused(status: int) -> bool:
     """Return whether the report would be refused again at a next try."""
-    return status in _CLIENT_ERRORS and status not in _TEMPORARY
+    if status in _TEMPORARY:
+        return False
+    return _FIRST_CLIENT_ERROR <= status < _FIRST_SERVER_ERROR
--- /dev/null
+++ b/src/egretstep/programs/host_membership.py
@@ -0,0 +1,65 @@
+"""Creates the components through which a host takes part in the fleet."""
+
+import dataclasses
+
+from egretstep import clock
+from egretstep.membership import (
+    directory,
+    fleet_links,
+    host_registration,
+    host_rows,
+    lease_renewal,
+    leases,
+)
+from egretstep.storage import tables
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostMembership:
+    """The known hosts, the links to them, and the leases of this host."""
+
+    hosts: directory.Directory
+    registration: host_registration.HostRegistration
+    peers: fleet_links.FleetLinks
+    keeper: leases.LeaseKeeper
+    renewal: lease_renewal.LeaseRenewal
+
+
+def make(
+    *,
+    pending: host_rows.PendingRegistration,
+    registration: host_rows.Registration,
+    store: tables.Tables,
+    is_first_start: bool,
+    time_source: clock.Clock,
+) -> HostMembership:
+    """Return the components of a host that is not registered yet.
+
+    `is_first_start` says that the fleet starts for the first time.
+    """
+    hosts = directory.Directory(own=pending.own, time_source=time_source)
+    hosts.is_registered = False
+    peers = fleet_links.FleetLinks(hosts=hosts, time_source=time_source)
+    keeper = leases.LeaseKeeper(
+        store=store,
+        hosts=hosts,
+        confirmers=peers,
+        time_source=time_source,
+        first_era=pending.fleet.version.era if is_first_start else None,
+    )
+    return HostMembership(
+        hosts=hosts,
+        registration=host_registration.HostRegistration(
+            registration=registration,
+            pending=pending,
+            hosts=hosts,
+        ),
+        peers=peers,
+        keeper=keeper,
+        renewal=lease_renewal.LeaseRenewal(
+            keeper=keeper,
+            store=store,
+            confirmers=peers,
+            time_source=time_source,
+        ),
+    )
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -9,16 +9,7 @@
 from egretstep import clock, identifiers
 from egretstep.callers import client_limits, session_services
 from egretstep.limits import host_limiter
-from egretstep.membership import (
-    claiming,
-    directory,
-    fleet_links,
-    host_registration,
-    host_rows,
-    lease_renewal,
-    leases,
-    registry,
-)
+from egretstep.membership import claiming, host_rows, registry
 from egretstep.observability import metrics_page
 from egretstep.peers import listening
 from egretstep.platform import (
@@ -36,6 +27,7 @@
     fleet_queries,
     graceful_shutdown,
     host_endpoint,
+    host_membership,
     host_report,
     remote_statements,
     store_watches,
@@ -70,7 +62,6 @@
         self._clock = clock.BootClock()
         self._store = platform_store
         self._is_stopping = False
-        self._pending_registration = pending_registration
         self._registration = registration
         self._link_ids = itertools.count(1)
         self._opener = backend.PlatformOpener()
@@ -87,7 +78,7 @@
             store=platform_store,
             time_source=self._clock,
         )
-        self._make_membership(pending_registration.own)
+        self._make_membership(pending_registration)
         self._make_pooling()
         self._make_caller_servers()
         self._make_reporter()
@@ -106,41 +97,24 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await tree_task
 
-    def _make_membership(self, own: directory.Host) -> None:
-        self._hosts = directory.Directory(own=own, time_source=self._clock)
-        self._hosts.is_registered = False
-        self._host_registration = host_registration.HostRegistration(
+    def _make_membership(self, pending: host_rows.PendingRegistration) -> None:
+        membership = host_membership.make(
+            pending=pending,
             registration=self._registration,
-            pending=self._pending_registration,
-            hosts=self._hosts,
-        )
-        self._peers = fleet_links.FleetLinks(
-            hosts=self._hosts, time_source=self._clock
-        )
-        self._keeper = leases.LeaseKeeper(
-            store=self._store,
-            hosts=self._hosts,
-            confirmers=self._peers,
-            time_source=self._clock,
-            first_era=self._first_era(),
-        )
-        self._renewal = lease_renewal.LeaseRenewal(
-            keeper=self._keeper,
             store=self._store,
-            confirmers=self._peers,
+            is_first_start=self._settings.is_first_start,
             time_source=self._clock,
         )
+        self._hosts = membership.hosts
+        self._host_registration = membership.registration
+        self._peers = membership.peers
+        self._keeper = membership.keeper
+        self._renewal = membership.renewal
         self._servers = registry.ServerRegistry(time_source=self._clock)
         self._server_rows = row_decoding.RowDecoder(
             decode=registrations.decode_row
         )
 
-    def _first_era(self) -> int | None:
-        """Return the store's era if the fleet starts for the first time."""
-        if not self._settings.is_first_start:
-            return None
-        return self._pending_registration.fleet.version.era
-
     def _make_pooling(self) -> None:
         self._usage = usage_service.make(
             settings=self._settings.usage,
