A first holder with a wrong time reports no windows of the past

Cause: the oldest window that hosts still have was computed when the task was claimed, before the clock of the holder was corrected by the other hosts. A host that started with a time of day far in the past composed an empty report for each window in between, in one go that blocks the event loop.

Change: it is computed after the wait, from the monotonic time of the claim.

Test: the new test in tests.usage.test_reports failed before and passes; all 35 tests of it and tests.usage.test_decisions pass.

--- a/src/egretstep/usage/reporter.py
+++ b/src/egretstep/usage/reporter.py
@@ -123,29 +123,34 @@
         self, claim: claims.Claim, former: asyncio.Task[None] | None
     ) -> None:
         """Report until the claim is over, after the former one has ended."""
-        oldest_window = self._oldest_window()
+        started_at = self._clock.now()
         if former is not None:
             await asyncio.wait({former})
         while self._is_current(claim):
             try:
-                await self._run(claim, oldest_window)
+                await self._run(claim, started_at)
             except Exception:
                 _logger.exception('usage reports have failed and start again')
                 await asyncio.sleep(POLL_SECONDS)
 
-    async def _run(self, claim: claims.Claim, oldest_window: int) -> None:
+    async def _run(self, claim: claims.Claim, started_at: float) -> None:
         # Former holders have then ended, and the hosts have sent their counts.
         await self._wait(
             max(self._settings.lease_seconds, self._settle_seconds())
         )
-        queue = await self._take_over(claim, oldest_window)
+        queue = await self._take_over(claim, started_at)
         while queue is not None and self._is_current(claim):
             if not await self._try_step(queue, claim):
                 await asyncio.sleep(POLL_SECONDS)
         _logger.info('usage reports of epoch {} have ended', claim.epoch)
 
-    def _oldest_window(self) -> int:
-        oldest = self._windows.now() - counter.RETENTION_SECONDS
+    def _oldest_window(self, started_at: float) -> int:
+        """Return the first window of which hosts had the counts at a time.
+
+        The clock of the windows may have been corrected since then.
+        """
+        elapsed = self._clock.now() - started_at
+        oldest = self._windows.now() - elapsed - counter.RETENTION_SECONDS
         return int(oldest // self._windows.window_seconds)
 
     async def _wait(self, seconds: float) -> None:
@@ -154,7 +159,7 @@
             await asyncio.sleep(POLL_SECONDS)
 
     async def _take_over(
-        self, claim: claims.Claim, oldest_window: int
+        self, claim: claims.Claim, started_at: float
     ) -> report_queue.ReportQueue | None:
         """Read the records; None if the claim is over before that."""
         while self._is_current(claim):
@@ -164,14 +169,14 @@
                 _logger.warning('usage records can not be read: {}', error)
                 await asyncio.sleep(POLL_SECONDS)
             else:
-                return self._make_queue(claim, records, oldest_window)
+                return self._make_queue(claim, records, started_at)
         return None
 
     def _make_queue(
         self,
         claim: claims.Claim,
         records: typing.Sequence[journal.Report],
-        oldest_window: int,
+        started_at: float,
     ) -> report_queue.ReportQueue:
         counted = [window for _, window in self._collector.held]
         queue = report_queue.ReportQueue(
@@ -179,7 +184,7 @@
                 records=records,
                 recorded_until=self._recorded_until,
                 first_window=min([self._first_window, *counted]),
-                oldest_window=oldest_window,
+                oldest_window=self._oldest_window(started_at),
             ),
         )
         self._collector.discard_until(queue.next_window - 1)
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -165,6 +165,18 @@
         await usage_case.run_for(120)
         self.assertLessEqual(len(host.counter._counts), 14)
 
+    async def test_the_first_holder_starts_with_a_wrong_time(self) -> None:
+        """Guards against a report for each window of weeks in between."""
+        host = self.fleet.hosts['b']
+        host.time_step = -usage_case.EPOCH_SECONDS / 2
+        host.windows._offset += host.time_step
+        host.reporter._first_window = host.windows.window()
+        self.fleet.hold('b', epoch=2)
+        await usage_case.run_for(30)
+        first = min(self.platform.contents)
+        self.assertGreater(first, usage_case.FIRST_WINDOW - 15)
+        self.assertIn(usage_case.FIRST_WINDOW + 4, self.platform.contents)
+
     async def test_a_holder_is_cut_off_and_returns(self) -> None:
         """The counts that could not reach it are in its reports."""
         await usage_case.run_for(11)
