A counting host without its lease keeps no host in contact

Cause: a counting host whose lease is not renewed grants nothing, so that hosts pool their shares at the standby. It still recorded their contacts and answered that it serves. With its lease back in the same epoch, it granted for 2 s what the pool granted too; hosts without own demand added no share to the pool meanwhile.

Change: contacts count while the lease is held, and the answer to a call without demands says whether it is.

Tests: new ones in tests.test_fleet_queries and tests.test_fleet_tasks failed before and pass.

--- a/src/egretstep/programs/fleet_queries.py
+++ b/src/egretstep/programs/fleet_queries.py
@@ -221,7 +221,8 @@
             claim = self._keeper.known.get(tasks.COUNTING_TASK)
             reply = await self._call_counting_host([])
             # The share of the counting host is in the rate that it grants.
-            if reply is None and not self._tasks.is_counting:
+            is_served = reply is not None and reply.serving
+            if not is_served and not self._tasks.is_counting:
                 await self._call_standby([])
             own = self._hosts.own.host
             if reply is not None or claim is None or claim.host == own:
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -117,7 +117,7 @@
                 _context.results.serving = False
                 return
             granted_lots.append(_encode_grant(workspace, grant))
-        _context.results.serving = True
+        _context.results.serving = self._tasks.is_counting
         _context.results.lots = granted_lots
 
     async def takePooledTokens(
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -231,7 +231,7 @@
 
     def record_contact(self, caller: identifiers.HostName) -> None:
         """Record that a host reached this one as the counting host."""
-        if self._rate_limiter is not None:
+        if self._rate_limiter is not None and self.is_counting:
             self._rate_limiter.record_contact(caller)
 
     async def hand_over(self, deadline: float) -> None:
--- a/tests/test_fleet_queries.py
+++ b/tests/test_fleet_queries.py
@@ -22,14 +22,17 @@
     def __init__(self) -> None:
         self.reached: set[str] = set()
         self.called: list[str] = []
+        self.without_lease: set[str] = set()
 
     async def call(
         self,
         host: identifiers.HostName,
         _call: object,
         **_options: object,
-    ) -> None:
+    ) -> unittest.mock.Mock:
         self.called.append(host)
+        if host in self.without_lease:
+            return unittest.mock.Mock(serving=False)
         raise errors.LinkError(f'{host} does not answer')
 
     async def reaches(self, host: identifiers.HostName) -> bool:
@@ -89,6 +92,15 @@
         await self._contact_once()
         self.assertEqual(self.peers.called, [self.queries._standby_host()])
 
+    async def test_a_counting_host_without_its_lease_gets_no_share(
+        self,
+    ) -> None:
+        """Guards against shares that are unused because it answers."""
+        self.peers.without_lease = {'a'}
+        await self._contact_once()
+        self.assertEqual(self.peers.called, ['a', self.queries._standby_host()])
+        self.assertFalse(self.queries.is_isolated)
+
     async def _contact_once(self) -> None:
         pauses = unittest.mock.AsyncMock(
             side_effect=[None, asyncio.CancelledError]
--- a/tests/test_fleet_tasks.py
+++ b/tests/test_fleet_tasks.py
@@ -63,6 +63,17 @@
         claim = self._claim(fencing.next_number(FIRST_EPOCH, ERA + 1))
         self.assertEqual(self._empty_at(claim), CLAIMED_AT)
 
+    def test_hosts_without_grants_are_not_in_contact(self) -> None:
+        """Their shares are at a standby while the lease is not renewed."""
+        caller = platform_fakes.host('other').host
+        with mock.patch.object(tasks.grants, 'FleetRateLimiter') as limiter:
+            self.tasks.start(self._claim(FIRST_EPOCH))
+        for is_held in (False, True):
+            self.keeper.is_held.return_value = is_held
+            self.tasks.record_contact(caller)
+            contacts = limiter.return_value.record_contact.call_count
+            self.assertEqual(contacts, int(is_held))
+
     def _record_previous(self, epoch: int) -> None:
         previous = self._claim(epoch, boot=1, is_settled=True)
         self.keeper.known = {previous.task: previous}
