No statement runs on a connection that was refused

Cause: a connection that makes room at the cap is told that it is refused. A START and a statement that had arrived with it were still read, and the statement ran.

Change: a refused stream returns no more messages.

Test: the new test in tests.platform.test_ingress failed before and passes; all 26 of it and tests.callers.test_client_limits pass.

--- a/src/egretstep/platform/client_stream.py
+++ b/src/egretstep/platform/client_stream.py
@@ -49,6 +49,7 @@
         self._unread_bytes = 0
         self._is_reading = False
         self._is_sending = False
+        self._is_refused = False
         self.is_discarding = False
 
     def attach(self, transport: asyncio.Transport) -> None:
@@ -79,7 +80,7 @@
         line = await wire.read_line(reader, charge)
         self._is_reading = False
         self.account.waiting_since = None
-        if line is None or self.is_discarding:
+        if line is None or self._is_refused or self.is_discarding:
             # The client may have been told that the message has not run.
             return None
         self._unread_bytes -= len(line) + len(wire.LINE_END)
@@ -147,6 +148,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        self._is_refused = True
         if self.is_discarding:
             # The client was sent an error already.
             transport.abort()
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -168,16 +168,7 @@
         self,
     ) -> None:
         """The kernel has taken the first row when the client is given up."""
-        budget = client_limits.ByteBudget(
-            total_bytes=0, time_source=clock.ManualClock()
-        )
-        stream = client_stream.ClientStream(
-            budget=budget, session_budget=budget, limits=unittest.mock.Mock()
-        )
-        transport = unittest.mock.Mock()
-        transport.is_closing.return_value = False
-        transport.get_write_buffer_size.return_value = 0
-        stream.attach(transport)
+        stream, transport = _make_stream()
         writer = unittest.mock.Mock(transport=transport)
         writer.write.side_effect = lambda _message: stream._give_up()
         row = b'r' * client_stream.ROW_BY_ROW_BYTES
@@ -185,6 +176,15 @@
         transport.write.assert_not_called()
         transport.close.assert_called()
 
+    async def test_nothing_runs_after_a_refusal(self) -> None:
+        """A statement had arrived when its connection made room."""
+        stream, _ = _make_stream()
+        reader = asyncio.StreamReader()
+        reader.feed_data(b'QUERY 1 WRITE key value\r\n')
+        stream.refuse_busy('connections', 'too many connections')
+        line = await stream.read_message(reader, may_be_large=True)
+        self.assertIsNone(line)
+
     async def test_the_time_limit_survives_a_failure(self) -> None:
         await self._start()
         connection = next(iter(self.server._connections))
@@ -200,3 +200,18 @@
         self.is_configured.set()
         self.writer.write(f'START other {KEY}\r\n'.encode())
         self.assertIn(b'NODB', await self.reader.readline())
+
+
+def _make_stream() -> tuple[client_stream.ClientStream, unittest.mock.Mock]:
+    """Return a stream without room, with a transport that takes all bytes."""
+    budget = client_limits.ByteBudget(
+        total_bytes=0, time_source=clock.ManualClock()
+    )
+    stream = client_stream.ClientStream(
+        budget=budget, session_budget=budget, limits=unittest.mock.Mock()
+    )
+    transport = unittest.mock.Mock()
+    transport.is_closing.return_value = False
+    transport.get_write_buffer_size.return_value = 0
+    stream.attach(transport)
+    return stream, transport
