Usual terms for eviction, clock samples and the backup host

give_up, PATIENCE_SECONDS and ANSWER_PATIENCE_SECONDS are evict, EVICTION_WAIT_SECONDS and ANSWER_EVICTION_WAIT_SECONDS; waits is seconds_waited. agree is correct (of a clock), what was heard are samples, the deputy is the backup host. FleetTasks.report_usage, which reports nothing, is add_usage_task.

--- a/src/egretstep/callers/client_limits.py
+++ b/src/egretstep/callers/client_limits.py
@@ -37,10 +37,10 @@
 SESSION_VALUES_DIVISOR = 4
 # Under pressure, a connection that has kept the host waiting for longer than
 # this is closed in favour of another one. 1 MiB takes 0.8 s at 10 Mbit/s.
-PATIENCE_SECONDS = 2.0
+EVICTION_WAIT_SECONDS = 2.0
 # An unread answer may exceed the budget for this long, so that a client that
 # reads at once keeps its connection while many get large answers.
-ANSWER_PATIENCE_SECONDS = 0.25
+ANSWER_EVICTION_WAIT_SECONDS = 0.25
 # A client may take this long for a message or an answer while there is room.
 TRANSFER_SECONDS = 30.0
 RETRY_AFTER_MS = 1000
@@ -92,7 +92,7 @@
     `waiting_since` is the time at which the first byte of a message arrived
     or an answer was not taken at once, in seconds of the budget's clock; None
     while the host does not wait for the client. `has_unread_answer` tells
-    which of the two it is. `give_up` closes the connection; it is called at
+    which of the two it is. `evict` closes the connection; it is called at
     most once, after the bytes were released.
     """
 
@@ -100,10 +100,10 @@
         self,
         *,
         budget: 'ByteBudget',
-        give_up: typing.Callable[[], None],
+        evict: typing.Callable[[], None],
     ) -> None:
         self._budget = budget
-        self.give_up = give_up
+        self.evict = evict
         self.held_bytes = 0
         self.waiting_since: float | None = None
         self.has_unread_answer = False
@@ -111,7 +111,7 @@
     @property
     def is_overdue(self) -> bool:
         """Tell whether the client has taken too long for a transfer."""
-        return self._budget.waits(self) > TRANSFER_SECONDS
+        return self._budget.seconds_waited(self) > TRANSFER_SECONDS
 
     def start_waiting(self) -> None:
         """Record that the host waits for the client from now on."""
@@ -120,14 +120,14 @@
     def charge(self, amount: int) -> bool:
         """Charge bytes; returns False if there is no room for them.
 
-        Room is made by giving up connections that waited too long.
+        Room is made by closing connections that the host waited for too long.
         """
         return self._budget.charge(self, amount)
 
     def charge_answer(self, amount: int) -> None:
         """Charge an answer that exists already and is not taken at once.
 
-        Room is made by giving up the unread answers that wait longest, if
+        Room is made by closing the connections whose answers wait longest, if
         they wait too long; the answer is charged even if there is no room.
         """
         self.has_unread_answer = True
@@ -154,15 +154,15 @@
         """Return how many bytes are charged."""
         return self._held
 
-    def open(self, give_up: typing.Callable[[], None]) -> Account:
+    def open(self, evict: typing.Callable[[], None]) -> Account:
         """Return an account that holds nothing."""
-        return Account(budget=self, give_up=give_up)
+        return Account(budget=self, evict=evict)
 
     def now(self) -> float:
         """Return the time of the budget's clock in seconds."""
         return self._clock.now()
 
-    def waits(self, account: Account) -> float:
+    def seconds_waited(self, account: Account) -> float:
         """Return for how many seconds the host has waited for a client."""
         if account.waiting_since is None:
             return 0
@@ -171,21 +171,27 @@
     def charge(self, account: Account, amount: int) -> bool:
         """Charge bytes to an account; returns False if there is no room."""
         while self._held + amount > self._total:
-            holder = self._longest_awaited(account, self._holders)
-            if holder is None or self.waits(holder) < PATIENCE_SECONDS:
+            holder = self._longest_waited_for(account, self._holders)
+            if (
+                holder is None
+                or self.seconds_waited(holder) < EVICTION_WAIT_SECONDS
+            ):
                 return False
-            self._give_up(holder)
+            self._evict(holder)
         self._add(account, amount)
         return True
 
     def charge_answer(self, account: Account, amount: int) -> None:
-        """Charge an answer, giving up other unread answers if need be."""
+        """Charge an answer, evicting other unread answers if need be."""
         while self._held + amount > self._total:
             unread = [each for each in self._holders if each.has_unread_answer]
-            holder = self._longest_awaited(account, unread)
-            if holder is None or self.waits(holder) < ANSWER_PATIENCE_SECONDS:
+            holder = self._longest_waited_for(account, unread)
+            if (
+                holder is None
+                or self.seconds_waited(holder) < ANSWER_EVICTION_WAIT_SECONDS
+            ):
                 break
-            self._give_up(holder)
+            self._evict(holder)
         self._add(account, amount)
 
     def release(self, account: Account) -> None:
@@ -200,11 +206,11 @@
         account.held_bytes += amount
         self._holders.add(account)
 
-    def _give_up(self, holder: Account) -> None:
+    def _evict(self, holder: Account) -> None:
         holder.release()
-        holder.give_up()
+        holder.evict()
 
-    def _longest_awaited(
+    def _longest_waited_for(
         self,
         asking: Account,
         holders: typing.Iterable[Account],
@@ -214,7 +220,7 @@
             for each in holders
             if each is not asking and each.waiting_since is not None
         )
-        return max(others, key=self.waits, default=None)
+        return max(others, key=self.seconds_waited, default=None)
 
 
 class Connection(typing.Protocol):
--- a/src/egretstep/platform/client_stream.py
+++ b/src/egretstep/platform/client_stream.py
@@ -42,8 +42,8 @@
         session_budget: client_limits.ByteBudget,
         limits: limit_log.LimitLog,
     ) -> None:
-        self.account = budget.open(self._give_up)
-        self._session_account = session_budget.open(self._give_up)
+        self.account = budget.open(self._evict)
+        self._session_account = session_budget.open(self._evict)
         self._limits = limits
         self._transport: asyncio.Transport | None = None
         self._unread_bytes = 0
@@ -206,7 +206,7 @@
             self._limits.record('memory', asked_bytes=size)
             raise BusyError('large messages take too much memory')
 
-    def _give_up(self) -> None:
+    def _evict(self) -> None:
         self._limits.record('memory')
         self.interrupt(BusyError('other clients need the memory').answer)
 
--- a/src/egretstep/programs/tasks.py
+++ b/src/egretstep/programs/tasks.py
@@ -91,7 +91,7 @@
             return False
         return self._keeper.is_held(COUNTING_TASK, claim.epoch)
 
-    def report_usage(self, usage: usage_service.UsageService) -> None:
+    def add_usage_task(self, usage: usage_service.UsageService) -> None:
         """Run the usage task as well, with a service that may be disabled."""
         self._usage = usage
 
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -141,7 +141,7 @@
             current_deployment=self._current_deployment,
             time_source=self._clock,
         )
-        self._tasks.report_usage(self._usage)
+        self._tasks.add_usage_task(self._usage)
         self._queries = fleet_queries.FleetQueries(
             hosts=self._hosts,
             keeper=self._keeper,
--- a/src/egretstep/usage/fleet_time.py
+++ b/src/egretstep/usage/fleet_time.py
@@ -10,14 +10,14 @@
 
 from egretstep import clock, identifiers
 
-# What was heard longer ago may be of a clock that has changed since.
+# An older sample may be of a clock that has changed since.
 MAX_AGE_SECONDS = 15.0
-MAX_CALLS_PER_HOST = 3
+MAX_SAMPLES_PER_HOST = 3
 # Two clocks that differ do not tell which one is right.
 MIN_CLOCKS = 3
 # Hundreds of hosts call each second; the median is not computed for each call.
 UPDATE_INTERVAL_SECONDS = 1.0
-_Heard = collections.deque[tuple[float, float]]
+_Samples = collections.deque[tuple[float, float]]
 
 
 class FleetTime:
@@ -35,7 +35,7 @@
 
     def __init__(self, *, time_source: clock.Clock) -> None:
         self._clock = time_source
-        self._heard: dict[identifiers.HostName, _Heard] = {}
+        self._samples: dict[identifiers.HostName, _Samples] = {}
         self._offset: float | None = None
         self._updated_at = float('-inf')
 
@@ -44,13 +44,13 @@
     ) -> None:
         """Record the time of day that a host has just stated, if it has."""
         if time_of_day is None:
-            self._heard.pop(host, None)
+            self._samples.pop(host, None)
             return
         now = self._clock.now()
-        heard = self._heard.setdefault(
-            host, collections.deque(maxlen=MAX_CALLS_PER_HOST)
+        samples = self._samples.setdefault(
+            host, collections.deque(maxlen=MAX_SAMPLES_PER_HOST)
         )
-        heard.append((now, time_of_day - now))
+        samples.append((now, time_of_day - now))
 
     def now(self) -> float | None:
         """Return the seconds since the start of 1970.
@@ -67,14 +67,15 @@
         return now - self._updated_at >= UPDATE_INTERVAL_SECONDS
 
     def _median_offset(self, oldest: float) -> float | None:
-        for host, heard in list(self._heard.items()):
-            while heard and heard[0][0] < oldest:
-                heard.popleft()
-            if not heard:
-                del self._heard[host]
-        if len(self._heard) < MIN_CLOCKS:
+        for host, samples in list(self._samples.items()):
+            while samples and samples[0][0] < oldest:
+                samples.popleft()
+            if not samples:
+                del self._samples[host]
+        if len(self._samples) < MIN_CLOCKS:
             return None
         # A delay makes a clock look slow, so the greatest offset is the best.
         return statistics.median(
-            max(offset for _, offset in heard) for heard in self._heard.values()
+            max(offset for _, offset in samples)
+            for samples in self._samples.values()
         )
--- a/src/egretstep/usage/reporter.py
+++ b/src/egretstep/usage/reporter.py
@@ -94,7 +94,7 @@
         return self._claim is not None and self._is_current(self._claim)
 
     def learn_recorded(self, window: int) -> None:
-        """Note that a host has heard of the record of a window."""
+        """Note that the report of a window is recorded, as a host says."""
         self._recorded_until = max(self._recorded_until, window)
 
     def start(self, claim: claims.Claim) -> None:
@@ -294,7 +294,7 @@
     ) -> bool:
         """Drop a report that was refused until it was late.
 
-        It would keep back all later ones.
+        It would block all later ones.
         """
         metrics.usage_reports.inc('refused')
         age = self._windows.seconds_since_end(report.window)
--- a/src/egretstep/usage/sender.py
+++ b/src/egretstep/usage/sender.py
@@ -1,9 +1,9 @@
 """Sends the counts of this host to the holder of the usage task.
 
 The counts are cumulative, so that a message may be repeated or lost. A new
-holder is sent all recent windows. The holder has its own counts copied to
-another host, its deputy, since they would be lost with it: a host passes on
-what it keeps of others to the next holder.
+holder is sent all recent windows. The holder copies its own counts to a backup
+host, since they would be lost with it: each host passes on what it keeps of
+others to the next holder.
 
 Load pattern: many hosts send at the same time; the interval grows with their
 number, so that the holder gets at most `MAX_MESSAGES_PER_SECOND`.
@@ -173,19 +173,19 @@
     ) -> bool:
         own = self._hosts.own.host
         self._fleet_time.record(own, time_of_day=self._windows.time_of_day)
-        self._agree(self._fleet_time.now())
+        self._correct_clock(self._fleet_time.now())
         if not self._reporter.is_serving:
             return False
         delivery = self._delivery('holder', (own, claim.epoch))
         changed = delivery.changed(counts)
         self._collector.record(changed)
         delivery.mark(changed)
-        deputy = self._deputy()
-        if deputy is not None:
-            await self._deliver('deputy', deputy, claim.epoch, counts)
+        backup = self._backup_host()
+        if backup is not None:
+            await self._deliver('backup', backup, claim.epoch, counts)
         return True
 
-    def _deputy(self) -> identifiers.HostName | None:
+    def _backup_host(self) -> identifiers.HostName | None:
         own = self._hosts.own.host
         names = [each.host for each in self._hosts.usable() if each.host != own]
         return rendezvous.best(key=own, hosts=names) if names else None
@@ -203,7 +203,7 @@
         if delivery.is_known and not changed:
             return True
         reply = await self._call(host, changed)
-        if reply is None or not (reply.is_serving or role == 'deputy'):
+        if reply is None or not (reply.is_serving or role == 'backup'):
             return False
         delivery.mark(changed)
         self._reporter.learn_recorded(reply.recorded_until)
@@ -231,12 +231,12 @@
         decoded = usage_messages.decode_reply(reply)
         call_seconds = self._clock.now() - called_at
         if decoded.is_serving and call_seconds < MAX_TIME_CALL_SECONDS:
-            self._agree(decoded.fleet_time)
+            self._correct_clock(decoded.fleet_time)
         return decoded
 
-    def _agree(self, fleet_now: float | None) -> None:
+    def _correct_clock(self, fleet_now: float | None) -> None:
         if fleet_now is not None:
-            self._windows.agree(fleet_now)
+            self._windows.correct(fleet_now)
 
     def _delivery(
         self, role: str, receiver: tuple[identifiers.HostName, int]
--- a/src/egretstep/usage/window_clock.py
+++ b/src/egretstep/usage/window_clock.py
@@ -54,7 +54,7 @@
         self._offset = read_time_of_day() - time_source.now()
         self._step = 0.0
         self._step_since: float | None = None
-        self._agreed_at = float('-inf')
+        self._corrected_at = float('-inf')
 
     @property
     def time_of_day(self) -> float | None:
@@ -91,14 +91,14 @@
             self._offset += step
             self._end_step()
 
-    def agree(self, fleet_time: float) -> None:
+    def correct(self, fleet_time: float) -> None:
         """Correct this clock by the time of the other hosts.
 
         `fleet_time` is the median of their times of day now. It also corrects
         a host whose time of day was wrong when its process started.
         """
         difference = fleet_time - self.now()
-        self._agreed_at = self._clock.now()
+        self._corrected_at = self._clock.now()
         if abs(difference) > MAX_FLEET_DIFFERENCE_SECONDS:
             _logger.warning(
                 'the clock of this host differs by {:.3f} s from that of the '
@@ -130,4 +130,4 @@
         since = self._step_since
         if since is None or since > trusted_since:
             return False
-        return self._agreed_at < trusted_since
+        return self._corrected_at < trusted_since
--- a/tests/callers/test_client_limits.py
+++ b/tests/callers/test_client_limits.py
@@ -56,10 +56,10 @@
         self.budget = client_limits.ByteBudget(
             total_bytes=TOTAL_BYTES, time_source=self.clock
         )
-        self.given_up: list[int] = []
+        self.evicted: list[int] = []
 
     def _open(self, number: int) -> client_limits.Account:
-        return self.budget.open(lambda: self.given_up.append(number))
+        return self.budget.open(lambda: self.evicted.append(number))
 
     def _half_send(self, number: int) -> client_limits.Account:
         account = self._open(number)
@@ -75,40 +75,40 @@
         self.assertGreater(self.budget.held_bytes, TOTAL_BYTES - MIB)
         ordinary = self._open(-1)
         self.assertFalse(ordinary.charge(MIB))
-        self.assertEqual(self.given_up, [])
-        self.clock.advance(client_limits.PATIENCE_SECONDS)
+        self.assertEqual(self.evicted, [])
+        self.clock.advance(client_limits.EVICTION_WAIT_SECONDS)
         self.assertTrue(ordinary.charge(MIB))
-        self.assertLessEqual(len(self.given_up), 2)
+        self.assertLessEqual(len(self.evicted), 2)
         self.assertLessEqual(self.budget.held_bytes, TOTAL_BYTES)
         for account in (*crowd, ordinary):
             account.release()
         self.assertEqual(self.budget.held_bytes, 0)
 
-    def test_a_statement_that_runs_is_never_given_up(self) -> None:
+    def test_a_statement_that_runs_is_never_evicted(self) -> None:
         running = self._open(1)
         self.assertTrue(running.charge(TOTAL_BYTES))
         self.clock.advance(client_limits.TRANSFER_SECONDS * 2)
         self.assertFalse(self._open(2).charge(1))
         self.assertFalse(running.is_overdue)
-        self.assertEqual(self.given_up, [])
+        self.assertEqual(self.evicted, [])
 
-    def test_the_answer_that_waits_longest_is_given_up(self) -> None:
+    def test_the_answer_that_waits_longest_is_evicted(self) -> None:
         for number in range(TOTAL_BYTES // MIB):
             account = self._open(number)
             account.start_waiting()
             account.charge_answer(MIB)
             self.clock.advance(0.01)
         self._open(-1).charge_answer(MIB)
-        self.assertEqual(self.given_up, [])
+        self.assertEqual(self.evicted, [])
         # The first two have waited too long then, the third has not.
-        self.clock.advance(client_limits.ANSWER_PATIENCE_SECONDS - 0.065)
+        self.clock.advance(client_limits.ANSWER_EVICTION_WAIT_SECONDS - 0.065)
         self._open(-1).charge_answer(MIB)
-        self.assertEqual(self.given_up, [0, 1])
+        self.assertEqual(self.evicted, [0, 1])
         self.assertEqual(self.budget.held_bytes, TOTAL_BYTES)
 
     def test_an_answer_larger_than_the_budget_is_delivered(self) -> None:
         self._open(1).charge_answer(2 * TOTAL_BYTES)
-        self.assertEqual(self.given_up, [])
+        self.assertEqual(self.evicted, [])
 
     def test_a_connection_lost_halfway_holds_nothing(self) -> None:
         lost = self._half_send(1)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -151,7 +151,7 @@
             self.writer.write(b'QUERY 1 SET name 1\r\n')
             self.assertIn(b'COMPLETE', await self.reader.readline())
 
-    async def test_a_client_that_was_refused_is_given_up_once_more(
+    async def test_a_client_that_was_refused_is_evicted_once_more(
         self,
     ) -> None:
         """Guards against an error that reaches the client that needs room."""
@@ -160,17 +160,17 @@
         self.writer.write(b'x' * 20000)
         self.assertIn(b'ERROR BUSY', await self.reader.readline())
         connection = next(iter(self.server._connections))
-        connection.stream._give_up()
+        connection.stream._evict()
         connection.refuse()
         self.assertEqual(await self.reader.read(), b'')
 
     async def test_a_half_sent_answer_is_not_continued_by_an_error(
         self,
     ) -> None:
-        """The kernel has taken the first row when the client is given up."""
+        """The kernel has taken the first row when the client is evicted."""
         stream, transport = _make_stream()
         writer = unittest.mock.Mock(transport=transport)
-        writer.write.side_effect = lambda _message: stream._give_up()
+        writer.write.side_effect = lambda _message: stream._evict()
         row = b'r' * client_stream.ROW_BY_ROW_BYTES
         await stream.send(writer, answers.Answer(rows=(row,)))
         transport.write.assert_not_called()
--- a/tests/usage/test_decisions.py
+++ b/tests/usage/test_decisions.py
@@ -68,7 +68,7 @@
         for _ in range(400):
             self.clock.advance(1)
             windows.check()
-            windows.agree(self.clock.now() + 0.1)
+            windows.correct(self.clock.now() + 0.1)
             self.assertLess(abs(windows.now() - self.clock.now()), 0.2)
 
     def test_the_median_of_the_fleet(self) -> None:
--- a/tests/usage/test_usage_task.py
+++ b/tests/usage/test_usage_task.py
@@ -45,7 +45,7 @@
             ),
             time_source=clock.ManualClock(),
         )
-        self.tasks.report_usage(self.steps.usage)
+        self.tasks.add_usage_task(self.steps.usage)
         self.service = mock.Mock(stop=mock.AsyncMock())
         self.tasks._owners['usage'] = self.service
 
@@ -54,7 +54,7 @@
         self.assertEqual(names, [tasks.USAGE_TASK])
 
     def test_the_fleet_runs_it_nowhere_else(self) -> None:
-        self.tasks.report_usage(usage_service.DISABLED)
+        self.tasks.add_usage_task(usage_service.DISABLED)
         self.assertEqual(self.tasks.wanted(), ())
 
     async def test_a_claim_starts_the_reports(self) -> None:
