--- a/src/egretstep/platform/client_stream.py
+++ b/src/egretstep/platform/client_stream.py
@@ -42,12 +42,14 @@
         session_budget: client_limits.ByteBudget,
         limits: limit_log.LimitLog,
     ) -> None:
-        self.account = budget.open(self._give_up)
-        self._session_account = session_budget.open(self._give_up)
+        self.account = budget.open(self._evict)
+        self._session_account = session_budget.open(self._evict)
         self._limits = limits
         self._transport: asyncio.Transport | None = None
         self._unread_bytes = 0
         self._is_reading = False
+        self._is_sending = False
+        self._is_refused = False
         self.is_discarding = False
 
     def attach(self, transport: asyncio.Transport) -> None:
@@ -78,7 +80,7 @@
         line = await wire.read_line(reader, charge)
         self._is_reading = False
         self.account.waiting_since = None
-        if line is None or self.is_discarding:
+        if line is None or self._is_refused or self.is_discarding:
             # The client may have been told that the message has not run.
             return None
         self._unread_bytes -= len(line) + len(wire.LINE_END)
@@ -107,6 +109,7 @@
     ) -> None:
         """Send an answer; returns when the kernel has taken it."""
         size = sum(map(len, answer.rows))
+        self._is_sending = True
         if size < ROW_BY_ROW_BYTES:
             await self._write(writer, wire.format_answer(answer), size)
         else:
@@ -114,6 +117,7 @@
                 await self._write(writer, wire.format_row(row), size)
             end = wire.format_answer_end(answer)
             await self._write(writer, end, size)
+        self._is_sending = False
         if self.account.has_unread_answer:
             self.account.release()
 
@@ -122,12 +126,14 @@
 
         What the client still sends is read and dropped for a moment: the
         kernel would reset a connection with unread bytes, and the client
-        might not see the error.
+        might not see the error. Does nothing if that is under way already.
         """
         transport = self._transport
-        if transport is None or transport.is_closing():
+        if transport is None or transport.is_closing() or self.is_discarding:
             return
-        if transport.get_write_buffer_size():
+        self.account.release()
+        # An unread answer must not be continued by an error.
+        if self._is_sending or transport.get_write_buffer_size():
             self.drop()
             return
         transport.write(wire.format_refusal(answer))
@@ -142,6 +148,11 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        self._is_refused = True
+        if self.is_discarding:
+            # The client was sent an error already.
+            transport.abort()
+            return
         # An unread answer must not be continued by an error.
         if not transport.get_write_buffer_size():
             transport.write(wire.format_refusal(answer))
@@ -156,7 +167,6 @@
         """Close the connection if its client takes too long for a transfer."""
         if self.account.is_overdue:
             self._limits.record('time', held_bytes=self.account.held_bytes)
-            self.account.release()
             self.interrupt(BusyError('the message took too long').answer)
 
     def close(self) -> None:
@@ -196,7 +206,7 @@
             self._limits.record('memory', asked_bytes=size)
             raise BusyError('large messages take too much memory')
 
-    def _give_up(self) -> None:
+    def _evict(self) -> None:
         self._limits.record('memory')
         self.interrupt(BusyError('other clients need the memory').answer)
 
--- a/src/egretstep/platform/usage_reports.py
+++ b/src/egretstep/platform/usage_reports.py
@@ -9,8 +9,10 @@
 
 MAX_QUOTED_BODY_BYTES = 200
 _OK = 200
-# The platform does not take the content or the sender, also at a next try.
-_REFUSED = frozenset((400, 403, 404, 409, 413, 422))
+_FIRST_CLIENT_ERROR = 400
+_FIRST_SERVER_ERROR = 500
+# Client errors that end by themselves: a time-out, and too many calls.
+_TEMPORARY = frozenset((408, 425, 429))
 
 
 class PlatformUsageReports:
@@ -54,12 +56,20 @@
             client.close()
         if response.status == _OK:
             return
-        is_refused = response.status in _REFUSED
         error_type = (
-            reporter.ReportRefusedError if is_refused else errors.PlatformError
+            reporter.ReportRefusedError
+            if _is_refused(response.status)
+            else errors.PlatformError
         )
         raise error_type(
             f'the platform answered {response.status} to the usage of window '
             f'{report.window} in epoch {epoch}: '
             f'{response.body[:MAX_QUOTED_BODY_BYTES]!r}',
         )
+
+
+def _is_refused(status: int) -> bool:
+    """Return whether the report would be refused again at a next try."""
+    if status in _TEMPORARY:
+        return False
+    return _FIRST_CLIENT_ERROR <= status < _FIRST_SERVER_ERROR
--- a/src/egretstep/usage/reporter.py
+++ b/src/egretstep/usage/reporter.py
@@ -81,6 +81,7 @@
         self._running: asyncio.Task[None] | None = None
         self._claim: claims.Claim | None = None
         self._recorded_until = 0
+        self._lapsed_at = float('-inf')
 
     @property
     def recorded_until(self) -> int:
@@ -93,7 +94,7 @@
         return self._claim is not None and self._is_current(self._claim)
 
     def learn_recorded(self, window: int) -> None:
-        """Note that a host has heard of the record of a window."""
+        """Note that the report of a window is recorded, as a host says."""
         self._recorded_until = max(self._recorded_until, window)
 
     def start(self, claim: claims.Claim) -> None:
@@ -122,29 +123,34 @@
         self, claim: claims.Claim, former: asyncio.Task[None] | None
     ) -> None:
         """Report until the claim is over, after the former one has ended."""
-        oldest_window = self._oldest_window()
+        started_at = self._clock.now()
         if former is not None:
             await asyncio.wait({former})
         while self._is_current(claim):
             try:
-                await self._run(claim, oldest_window)
+                await self._run(claim, started_at)
             except Exception:
                 _logger.exception('usage reports have failed and start again')
                 await asyncio.sleep(POLL_SECONDS)
 
-    async def _run(self, claim: claims.Claim, oldest_window: int) -> None:
+    async def _run(self, claim: claims.Claim, started_at: float) -> None:
         # Former holders have then ended, and the hosts have sent their counts.
         await self._wait(
             max(self._settings.lease_seconds, self._settle_seconds())
         )
-        queue = await self._take_over(claim, oldest_window)
+        queue = await self._take_over(claim, started_at)
         while queue is not None and self._is_current(claim):
             if not await self._try_step(queue, claim):
                 await asyncio.sleep(POLL_SECONDS)
         _logger.info('usage reports of epoch {} have ended', claim.epoch)
 
-    def _oldest_window(self) -> int:
-        oldest = self._windows.now() - counter.RETENTION_SECONDS
+    def _oldest_window(self, started_at: float) -> int:
+        """Return the first window of which hosts had the counts at a time.
+
+        The clock of the windows may have been corrected since then.
+        """
+        elapsed = self._clock.now() - started_at
+        oldest = self._windows.now() - elapsed - counter.RETENTION_SECONDS
         return int(oldest // self._windows.window_seconds)
 
     async def _wait(self, seconds: float) -> None:
@@ -153,7 +159,7 @@
             await asyncio.sleep(POLL_SECONDS)
 
     async def _take_over(
-        self, claim: claims.Claim, oldest_window: int
+        self, claim: claims.Claim, started_at: float
     ) -> report_queue.ReportQueue | None:
         """Read the records; None if the claim is over before that."""
         while self._is_current(claim):
@@ -163,14 +169,14 @@
                 _logger.warning('usage records can not be read: {}', error)
                 await asyncio.sleep(POLL_SECONDS)
             else:
-                return self._make_queue(claim, records, oldest_window)
+                return self._make_queue(claim, records, started_at)
         return None
 
     def _make_queue(
         self,
         claim: claims.Claim,
         records: typing.Sequence[journal.Report],
-        oldest_window: int,
+        started_at: float,
     ) -> report_queue.ReportQueue:
         counted = [window for _, window in self._collector.held]
         queue = report_queue.ReportQueue(
@@ -178,7 +184,7 @@
                 records=records,
                 recorded_until=self._recorded_until,
                 first_window=min([self._first_window, *counted]),
-                oldest_window=oldest_window,
+                oldest_window=self._oldest_window(started_at),
             ),
         )
         self._collector.discard_until(queue.next_window - 1)
@@ -207,13 +213,25 @@
     def _compose_due(
         self, queue: report_queue.ReportQueue, claim: claims.Claim
     ) -> None:
+        if not self._keeper.is_held(TASK, claim.epoch):
+            self._lapsed_at = self._clock.now()
         settle_seconds = self._settle_seconds()
-        while (
-            self._windows.seconds_since_end(queue.next_window) >= settle_seconds
-        ):
+        while self._is_settled(queue.next_window, settle_seconds):
             counts = self._collector.compose(queue.next_window)
             queue.compose(counts, claim.epoch)
 
+    def _is_settled(self, window: int, settle_seconds: float) -> bool:
+        """Return whether all hosts have sent their counts of a window.
+
+        Hosts may not have reached this one while its lease was not renewed.
+        They then send again what they keep.
+        """
+        age = self._windows.seconds_since_end(window)
+        if age >= counter.RETENTION_SECONDS:
+            return True
+        since_lapse = self._clock.now() - self._lapsed_at
+        return min(age, since_lapse) >= settle_seconds
+
     async def _record_next(
         self, queue: report_queue.ReportQueue, claim: claims.Claim
     ) -> bool:
@@ -276,7 +294,7 @@
     ) -> bool:
         """Drop a report that was refused until it was late.
 
-        It would keep back all later ones.
+        It would block all later ones.
         """
         metrics.usage_reports.inc('refused')
         age = self._windows.seconds_since_end(report.window)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -9,9 +9,10 @@
 import unittest
 import unittest.mock
 
-from egretstep import identifiers
+from egretstep import clock, identifiers
+from egretstep.backends import answers
 from egretstep.callers import client_limits, session_services
-from egretstep.platform import ingress, wire
+from egretstep.platform import client_stream, ingress, wire
 from egretstep.settings import deployment, node
 from tests import platform_fakes
 
@@ -79,6 +80,12 @@
         self.is_configured.set()
         self.assertEqual(await reply, b'READY I -\r\n')
 
+    async def test_a_caller_that_leaves_is_not_kept_until_then(self) -> None:
+        """Guards against descriptors of callers that are gone."""
+        self.writer.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.server._connections, set())
+
     async def _start(self) -> None:
         self.current = CONFIGURED
         self.is_configured.set()
@@ -144,8 +151,67 @@
             self.writer.write(b'QUERY 1 SET name 1\r\n')
             self.assertIn(b'COMPLETE', await self.reader.readline())
 
+    async def test_a_client_that_was_refused_is_evicted_once_more(
+        self,
+    ) -> None:
+        """Guards against an error that reaches the client that needs room."""
+        await self._start()
+        self.server.budget.open(lambda: None).charge(LIMITS.buffered_bytes)
+        self.writer.write(b'x' * 20000)
+        self.assertIn(b'ERROR BUSY', await self.reader.readline())
+        connection = next(iter(self.server._connections))
+        connection.stream._evict()
+        connection.refuse()
+        self.assertEqual(await self.reader.read(), b'')
+
+    async def test_a_half_sent_answer_is_not_continued_by_an_error(
+        self,
+    ) -> None:
+        """The kernel has taken the first row when the client is evicted."""
+        stream, transport = _make_stream()
+        writer = unittest.mock.Mock(transport=transport)
+        writer.write.side_effect = lambda _message: stream._evict()
+        row = b'r' * client_stream.ROW_BY_ROW_BYTES
+        await stream.send(writer, answers.Answer(rows=(row,)))
+        transport.write.assert_not_called()
+        transport.close.assert_called()
+
+    async def test_nothing_runs_after_a_refusal(self) -> None:
+        """A statement had arrived when its connection made room."""
+        stream, _ = _make_stream()
+        reader = asyncio.StreamReader()
+        reader.feed_data(b'QUERY 1 WRITE key value\r\n')
+        stream.refuse_busy('connections', 'too many connections')
+        line = await stream.read_message(reader, may_be_large=True)
+        self.assertIsNone(line)
+
+    async def test_the_time_limit_survives_a_failure(self) -> None:
+        await self._start()
+        connection = next(iter(self.server._connections))
+        failing = unittest.mock.Mock(side_effect=[ValueError, None])
+        with unittest.mock.patch.object(
+            connection, 'close_if_overdue', failing
+        ):
+            await asyncio.sleep(2.5)
+        self.assertEqual(failing.call_count, 2)
+
     async def test_an_unknown_database_is_refused(self) -> None:
         self.current = CONFIGURED
         self.is_configured.set()
         self.writer.write(f'START other {KEY}\r\n'.encode())
         self.assertIn(b'NODB', await self.reader.readline())
+
+
+def _make_stream() -> tuple[client_stream.ClientStream, unittest.mock.Mock]:
+    """Return a stream without room, with a transport that takes all bytes."""
+    budget = client_limits.ByteBudget(
+        total_bytes=0, time_source=clock.ManualClock()
+    )
+    stream = client_stream.ClientStream(
+        budget=budget, session_budget=budget, limits=unittest.mock.Mock()
+    )
+    transport = unittest.mock.Mock()
+    transport.is_closing.return_value = False
+    transport.get_write_buffer_size.return_value = 0
+    stream.attach(transport)
+    return stream, transport
--- a/tests/usage/test_reports.py
+++ b/tests/usage/test_reports.py
@@ -158,6 +158,36 @@
         later = self.platform.accepted[accepted_count:]
         self.assertEqual({each.holder for each in later}, {'b'})
 
+    async def test_a_fleet_without_a_holder_keeps_a_minute(self) -> None:
+        """Guards against counts that grow until a holder is chosen."""
+        host = self.fleet.hosts['b']
+        host.keeper.known = {}
+        await usage_case.run_for(120)
+        self.assertLessEqual(len(host.counter._counts), 14)
+
+    async def test_the_first_holder_starts_with_a_wrong_time(self) -> None:
+        """Guards against a report for each window of weeks in between."""
+        host = self.fleet.hosts['b']
+        host.time_step = -usage_case.EPOCH_SECONDS / 2
+        host.windows._offset += host.time_step
+        host.reporter._first_window = host.windows.window()
+        self.fleet.hold('b', epoch=2)
+        await usage_case.run_for(30)
+        first = min(self.platform.contents)
+        self.assertGreater(first, usage_case.FIRST_WINDOW - 15)
+        self.assertIn(usage_case.FIRST_WINDOW + 4, self.platform.contents)
+
+    async def test_a_holder_is_cut_off_and_returns(self) -> None:
+        """The counts that could not reach it are in its reports."""
+        await usage_case.run_for(11)
+        self.fleet.unreachable = 'a'
+        self.fleet.hosts['a'].keeper.held_epoch = None
+        await usage_case.run_for(12)
+        self.fleet.unreachable = None
+        self.fleet.hosts['a'].keeper.held_epoch = 1
+        await usage_case.run_for(20)
+        self._assert_accurate(8)
+
     async def test_a_time_of_day_that_jumps(self) -> None:
         """Also while the host composes: no count moves to another window."""
         await usage_case.run_for(11)
