One client for the platform's calls that need a lease

Promotions and reports of usage sent the same headers over the same kind of connection in two modules. Tests of both, and of orders that take effect late or unanswered (processes), pass.

--- a/src/egretstep/platform/usage_reports.py
+++ b/src/egretstep/platform/usage_reports.py
@@ -1,14 +1,10 @@
 """Client of the platform's interface that takes the usage of workspaces."""
 
-import orjson
-
 from egretstep import errors, identifiers
+from egretstep.platform import fenced_calls
 from egretstep.settings import node
 from egretstep.usage import journal, reporter
-from egretstep.web import client as http
 
-MAX_QUOTED_BODY_BYTES = 200
-_OK = 200
 _FIRST_CLIENT_ERROR = 400
 _FIRST_SERVER_ERROR = 500
 # Client errors that end by themselves: a time-out, and too many calls.
@@ -24,37 +20,24 @@
         address: node.Address,
         host: identifiers.HostName,
     ) -> None:
-        self._address = address
-        self._host = host
+        self._caller = fenced_calls.FencedCaller(address=address, host=host)
 
     async def send(
         self, report: journal.Report, *, epoch: int, timeout: float
     ) -> None:
-        """Send a report; the platform takes `epoch` as the fencing token.
+        """Send a report as the holder in `epoch`.
 
         Raises `reporter.ReportRefusedError` if the platform refuses it, and
         `errors.PlatformError` if its outcome is not known or it may be sent
-        again. Each call has a connection of its own, which is reset if the
-        call is given up, so that it takes no effect later.
+        again.
         """
-        request = http.Request(
-            method='POST',
-            target='/usage',
-            body=orjson.dumps(
-                {'window_id': report.window, 'counts': report.counts},
-                option=orjson.OPT_SORT_KEYS,
-            ),
-            headers=(
-                ('Egretstep-Lease-Holder', self._host),
-                ('Egretstep-Fencing-Token', str(epoch)),
-            ),
+        response = await self._caller.post(
+            '/usage',
+            {'window_id': report.window, 'counts': report.counts},
+            epoch=epoch,
+            timeout=timeout,
         )
-        client = http.HttpClient(address=self._address)
-        try:
-            response = await client.call(request, timeout=timeout)
-        finally:
-            client.close()
-        if response.status == _OK:
+        if response.status == fenced_calls.OK:
             return
         error_type = (
             reporter.ReportRefusedError
@@ -64,7 +47,7 @@
         raise error_type(
             f'the platform answered {response.status} to the usage of window '
             f'{report.window} in epoch {epoch}: '
-            f'{response.body[:MAX_QUOTED_BODY_BYTES]!r}',
+            f'{fenced_calls.quote_body(response)}',
         )
 
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -63,6 +63,7 @@
     return [name for name in names if name != CLIENT_TESTS]
 
 
+NOSE2 = (sys.executable, *'-W ignore -m nose2 -s . -t .'.split())
 STEPS = (
     Step('format', (str(BIN / 'ruff'), 'format', '--check', *SOURCES)),
     Step('lint', (str(BIN / 'ruff'), 'check', *SOURCES)),
@@ -86,15 +87,7 @@
     Step(
         'unit tests',
         (
-            sys.executable,
-            '-W',
-            'ignore',
-            '-m',
-            'nose2',
-            '-s',
-            '.',
-            '-t',
-            '.',
+            *NOSE2,
             *_unit_tests(),
             'properties',
         ),
@@ -111,15 +104,7 @@
     Step(
         'client tests',
         (
-            sys.executable,
-            '-W',
-            'ignore',
-            '-m',
-            'nose2',
-            '-s',
-            '.',
-            '-t',
-            '.',
+            *NOSE2,
             CLIENT_TESTS,
         ),
         count=UNIT_TEST_COUNT,
