--- a/tests/run.py
+++ b/tests/run.py
@@ -63,7 +63,8 @@
     return [name for name in names if name != CLIENT_TESTS]
 
 
-NOSE2 = (sys.executable, *'-W ignore -m nose2 -s . -t .'.split())
+_TEST_ROOTS = ('-s', '.', '-t', '.')
+NOSE2 = (sys.executable, '-W', 'ignore', '-m', 'nose2', *_TEST_ROOTS)
 STEPS = (
     Step('format', (str(BIN / 'ruff'), 'format', '--check', *SOURCES)),
     Step('lint', (str(BIN / 'ruff'), 'check', *SOURCES)),
