--- a/review/platform2/deployment.py
+++ b/review/platform2/deployment.py
@@ -146,6 +146,7 @@
         self.folder = tempfile.TemporaryDirectory(prefix='egretstep-case-')
         self.processes = {}
         self.version = 0
+        self.keys = {'tenant': ['key1'], 'other': ['key2']}
 
     async def start(self, hosts=None):
         """Start everything and wait until each host serves a write.
@@ -184,9 +185,12 @@
             'services': [{'name': 'dele69a', 'max_conns': 22,
                           'sync_replicas': self.group.sync_replicas}],
             'limits': {'tx_idle_ms': 3000},
-            'tenants': [{'name': 'tenant', 'api_keys': ['key1'],
-                         'rate_per_s': 500, 'burst': 500}],
+            'tenants': [{'name': name, 'api_keys': keys,
+                         'rate_per_s': 500, 'burst': 500}
+                        for name, keys in self.keys.items()],
         }).encode())
+        self.record(f'configuration {self.version} is acknowledged; keys: '
+                    f'{self.keys}')
 
     async def start_host(self, index, *, is_first_start=False):
         """Start the process of a host."""
--- a/review/platform2/servers.py
+++ b/review/platform2/servers.py
@@ -305,7 +305,8 @@
             verb, shape = self.prepared[words[1]]
             words = words[1:]
         self.group.record(f'server {self.server.name} got {statement_id} '
-                          f'{text} {shape[:80]}'.rstrip())
+                          f'{text} {shape[:80]}'.rstrip()
+                          + f' (tenant {self.tenant})')
         await asyncio.sleep(self.group.work_s(text))
         if not self.server.is_primary and not self.is_read_only and (
                 verb in ('WRITE', 'COMMIT') or self.state == 'T'):
