--- a/specifications/__main__.py
+++ b/specifications/__main__.py
@@ -10,6 +10,7 @@
     leases,
     promotions,
     restored_leases,
+    voters,
 )
 
 PROCESSES = 4
@@ -23,6 +24,7 @@
         *leases.specifications(),
         *promotions.specifications(),
         *restored_leases.specifications(),
+        *voters.specifications(),
     ]
 
 
--- a/src/egretstep/json_fields.py
+++ b/src/egretstep/json_fields.py
@@ -156,6 +156,17 @@
                 raise self._error(name, each, 'a list of texts')
         return found
 
+    def name_lists(self, name: str) -> list[list[str]]:
+        """Return a list of lists of texts that can stand in a line."""
+        found = self._list(name, is_optional=False)
+        for each in found:
+            if not isinstance(each, list):
+                raise self._error(name, each, 'a list of lists')
+        return [
+            [check_name(text, name) for text in each if isinstance(text, str)]
+            for each in found
+        ]
+
     def _list(self, name: str, *, is_optional: bool) -> list[typing.Any]:
         if is_optional and not self.has(name):
             return []
--- a/src/egretstep/membership/claim_writer.py
+++ b/src/egretstep/membership/claim_writer.py
@@ -167,19 +167,18 @@
         return await self._rows.replace(revised)
 
     async def notify_majority(self, new_claim: claims.Claim) -> bool:
-        """Notify the other hosts; return whether a majority answered."""
-        replies = await self._confirmers.confirm([new_claim])
-        self._merge(replies)
-        if len(replies) >= self._confirmers.majority():
-            return True
-        _logger.warning(
-            'task {}: {} other hosts confirmed epoch {}, a majority needs {}',
-            new_claim.task,
-            len(replies),
-            new_claim.epoch,
-            self._confirmers.majority(),
-        )
-        return False
+        """Notify the other hosts; return whether a quorum answered."""
+        confirmation = await self._confirmers.confirm([new_claim])
+        self._merge(confirmation.newer)
+        if not confirmation.has_quorum:
+            _logger.warning(
+                'task {}: {} other hosts confirmed epoch {}, which is no '
+                'quorum of the voters',
+                new_claim.task,
+                len(confirmation.newer),
+                new_claim.epoch,
+            )
+        return confirmation.has_quorum
 
     async def _latest_claim(
         self,
@@ -196,7 +195,8 @@
             self._known.merge(stored.claim)
         latest = self._known.known.get(task)
         if latest is not None and _may_have_later(latest, stored.era):
-            self._merge(await self._confirmers.confirm([latest]))
+            confirmation = await self._confirmers.confirm([latest])
+            self._merge(confirmation.newer)
         return self._known.known.get(task)
 
     def _merge(
--- a/src/egretstep/membership/claims.py
+++ b/src/egretstep/membership/claims.py
@@ -42,17 +42,23 @@
         return self.epoch, self.revision
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Confirmation:
+    """The answers of other hosts to claims that were sent to them.
+
+    `newer` holds the later claims known to each host that answered;
+    `has_quorum` says whether these hosts are a quorum of the voters.
+    """
+
+    newer: typing.Sequence[typing.Sequence[Claim]]
+    has_quorum: bool
+
+
 class Confirmers(typing.Protocol):
     """The other hosts, which confirm claims."""
 
-    async def confirm(
-        self,
-        sent: typing.Sequence[Claim],
-    ) -> list[typing.Sequence[Claim]]:
-        """Return the later claims known to each host that answered."""
-
-    def majority(self) -> int:
-        """Return how many other hosts form a majority with this one."""
+    async def confirm(self, sent: typing.Sequence[Claim]) -> Confirmation:
+        """Return what the other hosts know of the claims."""
 
 
 def encode(claim: Claim) -> bytes:
--- a/src/egretstep/membership/directory.py
+++ b/src/egretstep/membership/directory.py
@@ -148,14 +148,6 @@
         """Return the hosts whose latest known state the store has lost."""
         return self._missing_from_store
 
-    def others(self) -> list[identifiers.HostName]:
-        """Return the other hosts that are not gone; majorities count these."""
-        return [
-            host.host
-            for host in self._hosts.values()
-            if host.host != self.own.host and host.state is not HostState.GONE
-        ]
-
     def choose_others(self, count: int) -> list[identifiers.HostName]:
         """Return some other usable hosts, at most `count`, at random."""
         names = [
--- a/src/egretstep/membership/fleet_links.py
+++ b/src/egretstep/membership/fleet_links.py
@@ -7,7 +7,6 @@
 
 from egretstep import clock, errors, identifiers
 from egretstep.backends import answers
-from egretstep.membership import claims as claims_module
 from egretstep.membership import directory
 from egretstep.peers import fleet_messages, fleet_schema, link_table, links
 from egretstep.pooling import work as work_module
@@ -20,10 +19,8 @@
 MAX_PROBE_PAUSE_SECONDS = 8.0
 # A probe calls a host at most twice.
 MAX_PROBE_SECONDS = 2 * CONTROL_TIMEOUT_SECONDS
-# How long to wait for further replies once a majority has answered.
-STRAGGLER_WAIT_SECONDS = 0.05
 _Reply = typing.TypeVar('_Reply')
-_LINK_ERRORS = (errors.LinkError, errors.LinkLostError)
+LINK_ERRORS = (errors.LinkError, errors.LinkLostError)
 _logger = logbook.Logger('links')
 
 
@@ -43,7 +40,6 @@
             heartbeat=lambda host: host.heartbeat(),
             heartbeat_timeout=HEARTBEAT_TIMEOUT_SECONDS,
         )
-        self._pending_calls: set[asyncio.Future[typing.Any]] = set()
         self._probe_tasks: dict[identifiers.HostName, asyncio.Task[None]] = {}
 
     async def call(
@@ -61,7 +57,7 @@
         """
         try:
             return await self._link(host).call(call, timeout=timeout)
-        except _LINK_ERRORS as error:
+        except LINK_ERRORS as error:
             self._start_probing(host, str(error))
             raise
 
@@ -84,7 +80,7 @@
         while host in self._hosts.hosts:
             self._hosts.suspect(host, reason, seconds=pause + MAX_PROBE_SECONDS)
             await asyncio.sleep(pause)
-            if not self._hosts.is_suspected(host) or await self._is_alive(host):
+            if not self._hosts.is_suspected(host) or await self.is_alive(host):
                 self._hosts.clear_suspicion(host)
                 _logger.info('host {} answers and is used again', host)
                 return
@@ -93,7 +89,7 @@
                 MAX_PROBE_PAUSE_SECONDS,
             )
 
-    async def _is_alive(self, host: identifiers.HostName) -> bool:
+    async def is_alive(self, host: identifiers.HostName) -> bool:
         """Return whether a host answers, over a new link if the old one fails.
 
         A link may be silent while its host runs.
@@ -109,7 +105,7 @@
     async def _answers_again(self, host: identifiers.HostName) -> bool:
         try:
             await self._send_heartbeat(host)
-        except _LINK_ERRORS:
+        except LINK_ERRORS:
             return False
         return True
 
@@ -139,7 +135,7 @@
             lambda remote: remote.execute(work=fields),
             timeout=work.timeout + REPLY_ALLOWANCE_SECONDS,
         )
-        return _decode(host, fleet_messages.decode_answer, reply.result)
+        return decode_reply(host, fleet_messages.decode_answer, reply.result)
 
     async def release(
         self,
@@ -155,7 +151,7 @@
                 host,
                 lambda remote: remote.release(pinId=pin_id),
             )
-        except _LINK_ERRORS:
+        except LINK_ERRORS:
             return
 
     async def acknowledged(
@@ -172,7 +168,7 @@
                 host,
                 lambda remote: remote.acknowledged(service=service),
             )
-        except _LINK_ERRORS:
+        except LINK_ERRORS:
             return None
         if not reply.serving:
             return None
@@ -198,8 +194,8 @@
                 timeout=change_feed.poll_timeout(wait),
                 is_long_poll=True,
             )
-            return _decode(host, fleet_messages.decode_feed_update, reply)
-        except _LINK_ERRORS as error:
+            return decode_reply(host, fleet_messages.decode_feed_update, reply)
+        except LINK_ERRORS as error:
             _logger.info(
                 'host {} gives no changes of tables, another source is asked: '
                 '{}',
@@ -222,7 +218,7 @@
                 lambda remote: remote.laterConfiguration(version=version),
                 timeout=CONTROL_TIMEOUT_SECONDS,
             )
-        except _LINK_ERRORS:
+        except LINK_ERRORS:
             return b''
         return bytes(reply.content)
 
@@ -230,97 +226,12 @@
         """Return whether another host answers this one."""
         try:
             await self.call(host, lambda remote: remote.heartbeat())
-        except _LINK_ERRORS:
+        except LINK_ERRORS:
             return False
         return True
 
-    async def is_lost(self, host: identifiers.HostName) -> bool:
-        """Return whether at most half of the answering hosts reach a host.
 
-        Queries the other hosts. Returns False if fewer than a majority
-        answer, because this host may then be the one that is cut off.
-        """
-        queried = [each for each in self._hosts.others() if each != host]
-        reached = await self._gather_majority(
-            self._request_reaches(each, host) for each in queried
-        )
-        if len(reached) < self.majority():
-            return False
-        return sum(reached) * 2 <= len(reached)
-
-    async def confirm(
-        self,
-        claims: typing.Sequence[claims_module.Claim],
-    ) -> list[typing.Sequence[claims_module.Claim]]:
-        """Return the later claims known to each host that answered.
-
-        Queries all hosts. Once a majority has answered, the others have
-        only `STRAGGLER_WAIT_SECONDS` left.
-        """
-        fields = [fleet_messages.encode_claim(claim) for claim in claims]
-        return await self._gather_majority(
-            self._request_confirm(each, fields) for each in self._hosts.others()
-        )
-
-    def majority(self) -> int:
-        """Return how many other hosts form a majority with this one."""
-        return (len(self._hosts.others()) + 1) // 2
-
-    async def _gather_majority(
-        self,
-        calls: typing.Iterable[typing.Coroutine[None, None, _Reply | None]],
-    ) -> list[_Reply]:
-        """Return the replies that arrive until shortly after a majority."""
-        pending = {asyncio.ensure_future(call) for call in calls}
-        self._pending_calls |= pending
-        for each in pending:
-            each.add_done_callback(self._pending_calls.discard)
-        replies: list[_Reply] = []
-        while pending:
-            has_majority = len(replies) >= self.majority()
-            done, pending = await asyncio.wait(
-                pending,
-                timeout=STRAGGLER_WAIT_SECONDS if has_majority else None,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not done:
-                break
-            answered = [each.result() for each in done]
-            replies.extend(reply for reply in answered if reply is not None)
-        return replies
-
-    async def _request_confirm(
-        self,
-        host: identifiers.HostName,
-        fields: list[dict[str, typing.Any]],
-    ) -> typing.Sequence[claims_module.Claim] | None:
-        try:
-            reply = await self.call(
-                host,
-                lambda remote: remote.confirm(claims=fields),
-            )
-            newer = _decode(host, fleet_messages.decode_claims, reply.newer)
-        except _LINK_ERRORS:
-            return None
-        return newer if reply.confirmed else None
-
-    async def _request_reaches(
-        self,
-        host: identifiers.HostName,
-        other: identifiers.HostName,
-    ) -> bool | None:
-        try:
-            reply = await self.call(
-                host,
-                lambda remote: remote.reaches(host=other),
-                timeout=CONTROL_TIMEOUT_SECONDS * 2,
-            )
-        except _LINK_ERRORS:
-            return None
-        return reply.reached
-
-
-def _decode(
+def decode_reply(
     host: identifiers.HostName,
     decode: typing.Callable[[typing.Any], _Reply],
     reply: typing.Any,
--- a/src/egretstep/membership/lease_renewal.py
+++ b/src/egretstep/membership/lease_renewal.py
@@ -103,12 +103,12 @@
         own_claims: typing.Sequence[claims.Claim],
         sent_at: float,
     ) -> list[claims.Claim]:
-        """Return the claims that a majority of the hosts has confirmed."""
-        replies = await self._confirmers.confirm(own_claims)
-        for newer in replies:
+        """Return the claims that a quorum of the voters has confirmed."""
+        confirmation = await self._confirmers.confirm(own_claims)
+        for newer in confirmation.newer:
             for claim in newer:
                 self._keeper.merge(claim)
-        if len(replies) < self._confirmers.majority():
+        if not confirmation.has_quorum:
             return []
         known = self._keeper.known
         confirmed = [
--- /dev/null
+++ b/src/egretstep/membership/voter_changes.py
@@ -0,0 +1,293 @@
+"""Keeps the voters up to date with the hosts that run.
+
+Each voter watches the next ones in the order of names, up to the first one
+that answers. Voters that stay silent or that stop are left out of the next
+set, and hosts that run and do not vote are added to it. Whichever host notices
+a change writes it; the store lets only one of them succeed.
+"""
+
+import asyncio
+import contextlib
+import random
+
+import logbook
+
+from egretstep import clock, errors, identifiers
+from egretstep.membership import (
+    directory,
+    fencing,
+    fleet_links,
+    quorum_calls,
+    rendezvous,
+    voters,
+)
+from egretstep.storage import tables
+
+MIN_CHECK_INTERVAL_SECONDS = 0.5
+MAX_CHECK_INTERVAL_SECONDS = 0.7
+# Longer than most restarts take, since a change costs more than one silence.
+SILENT_SECONDS = 3.0
+MAX_WATCHED_HOSTS = 4
+MAX_JOINING_HOSTS = 64
+START_DELAY_SECONDS = 1.0
+RANK_DELAY_SECONDS = 0.6
+# A host that has begun a change writes its steps without this delay.
+UNFINISHED_DELAY_SECONDS = 2.0
+STEP_INTERVAL_SECONDS = 0.25
+MAX_CHANGE_SECONDS = 6.0
+RETRY_SECONDS = 2.0
+LEAVE_POLL_INTERVAL_SECONDS = 0.05
+_logger = logbook.Logger('voters')
+
+
+class VoterChanges:
+    """Writes the voter sets in which this host notices a change."""
+
+    def __init__(
+        self,
+        *,
+        hosts: directory.Directory,
+        known_voters: voters.KnownVoters,
+        calls: quorum_calls.QuorumCalls,
+        links: fleet_links.FleetLinks,
+        store: tables.Tables,
+        time_source: clock.Clock,
+    ) -> None:
+        self._hosts = hosts
+        self._voters = known_voters
+        self._calls = calls
+        self._links = links
+        self._store = store
+        self._clock = time_source
+        self._started_at = time_source.now()
+        self._is_leaving = False
+        self._check_now = asyncio.Event()
+        self._silent_since: dict[identifiers.HostName, float] = {}
+        self._adopted_epoch = 0
+        self._adopted_at = time_source.now()
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this host is one of the voters."""
+        current = self._voters.current
+        return current is not None and self._own in current.all_hosts
+
+    @property
+    def _own(self) -> identifiers.HostName:
+        return self._hosts.own.host
+
+    async def leave(self, deadline: float) -> None:
+        """Leave the voters, because this host is stopping.
+
+        Returns when it has left or at `deadline`, a monotonic time in seconds.
+        """
+        self._is_leaving = True
+        self._check_now.set()
+        while self.is_voter and self._clock.now() < deadline:
+            await asyncio.sleep(LEAVE_POLL_INTERVAL_SECONDS)
+
+    async def run(self) -> None:
+        """Check the voters until cancelled."""
+        while True:
+            await self._wait_for_next_check()
+            if self._hosts.is_registered:
+                await self._check()
+
+    async def _wait_for_next_check(self) -> None:
+        pause = random.uniform(
+            MIN_CHECK_INTERVAL_SECONDS, MAX_CHECK_INTERVAL_SECONDS
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause):
+                await self._check_now.wait()
+        self._check_now.clear()
+
+    async def _check(self) -> None:
+        await self._watch_next_voters()
+        if not self._is_change_due():
+            return
+        try:
+            async with asyncio.timeout(MAX_CHANGE_SECONDS):
+                await self._change()
+        except errors.ConflictError:
+            _logger.info('the voters were changed by another host')
+        except (errors.PlatformError, TimeoutError) as error:
+            _logger.warning(
+                'the voters of epoch {} could not be changed and are checked '
+                'again: {!r}',
+                self._voters.epoch,
+                error,
+            )
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _watch_next_voters(self) -> None:
+        """Note since when the voters that follow this one are silent."""
+        current = self._voters.current
+        if current is None or self._own not in current.all_hosts:
+            self._silent_since.clear()
+            return
+        ordered = sorted(current.all_hosts)
+        place = ordered.index(self._own) + 1
+        following = (*ordered[place:], *ordered[: place - 1])
+        silent = {}
+        for host in following[:MAX_WATCHED_HOSTS]:
+            if await self._links.is_alive(host):
+                break
+            silent[host] = self._silent_since.get(host, self._clock.now())
+        self._silent_since = silent
+
+    def _is_change_due(self) -> bool:
+        current = self._voters.current
+        now = self._clock.now()
+        if current is None:
+            return now - self._started_at >= START_DELAY_SECONDS + self._delay()
+        if current.epoch != self._adopted_epoch:
+            self._adopted_epoch = current.epoch
+            self._adopted_at = now
+        elapsed = now - self._adopted_at
+        if self._voters.is_lost_from_store:
+            return elapsed >= self._delay()
+        if current.is_joint:
+            return elapsed >= UNFINISHED_DELAY_SECONDS + self._delay()
+        if self._is_own_change_due(current) or self._find_silent():
+            return True
+        has_stopped = any(map(self._has_stopped, current.target - {self._own}))
+        return has_stopped and elapsed >= self._delay()
+
+    def _is_own_change_due(self, current: voters.VoterSet) -> bool:
+        if self._is_leaving:
+            return self._own in current.target and len(current.target) > 1
+        if self._own in current.target:
+            return False
+        chosen = voters.choose(self._hosts.usable(), current.target)
+        return self._own in chosen
+
+    def _delay(self) -> float:
+        """Return a delay, in seconds, that differs between the hosts."""
+        key = f'{voters.KEY}/{self._voters.epoch}'
+        ranked = sorted(
+            (host.host for host in self._hosts.usable()),
+            key=lambda host: rendezvous.score(key=key, host=host),
+        )
+        place = ranked.index(self._own) if self._own in ranked else len(ranked)
+        return RANK_DELAY_SECONDS * place
+
+    def _find_silent(self) -> voters.HostNames:
+        limit = self._clock.now() - SILENT_SECONDS
+        return frozenset(
+            host for host, since in self._silent_since.items() if since <= limit
+        )
+
+    def _has_stopped(self, name: identifiers.HostName) -> bool:
+        host = self._hosts.hosts.get(name)
+        return host is not None and host.state is not directory.HostState.UP
+
+    async def _change(self) -> None:
+        """Write the sets that follow until the voters are those that run."""
+        lost = await self._find_lost()
+        is_done = False
+        while not is_done:
+            stored = await self._store.read_row(directory.TABLE, voters.KEY)
+            is_done = await self._write_next(stored, lost)
+            # The hosts first have to adopt what was written.
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
+
+    async def _find_lost(self) -> voters.HostNames:
+        lost = set()
+        for host in self._find_silent():
+            if not await self._calls.is_reached_by_any(host):
+                lost.add(host)
+        return frozenset(lost)
+
+    async def _write_next(
+        self, stored: tables.Row, lost: voters.HostNames
+    ) -> bool:
+        """Write the next set, if it may follow; return whether it is done."""
+        latest = voters.decode_row(stored)
+        known = self._voters.current
+        if known and (latest is None or latest.epoch < known.epoch):
+            # The store was restored from a copy.
+            await self._write(stored, known)
+            return True
+        if latest is None:
+            await self._write_first(stored)
+            return True
+        if latest.epoch != self._voters.epoch:
+            return False
+        epochs = await self._find_running(latest.all_hosts)
+        if any(epoch > latest.epoch for epoch in epochs.values()):
+            return True
+        target = self._choose_target(latest, lost, frozenset(epochs))
+        if target == latest.target and not latest.is_joint:
+            return True
+        informed = frozenset(
+            host for host, epoch in epochs.items() if epoch == latest.epoch
+        )
+        epoch = fencing.next_number(latest.epoch, stored.version.era)
+        following = latest.next_step(target, informed, epoch)
+        if following is not None:
+            await self._write(stored, following)
+        return False
+
+    async def _write_first(self, stored: tables.Row) -> None:
+        answering = await self._find_running(frozenset())
+        candidates = [self._hosts.hosts[host] for host in answering]
+        first = voters.VoterSet(
+            epoch=fencing.next_number(0, stored.version.era),
+            groups=(voters.choose(candidates, frozenset()),),
+        )
+        await self._write(stored, first)
+
+    def _choose_target(
+        self,
+        latest: voters.VoterSet,
+        lost: voters.HostNames,
+        running: voters.HostNames,
+    ) -> voters.HostNames:
+        """Return the voters that should follow.
+
+        A voter that gave no answer just now stays until it counts as lost.
+        """
+        excluded = set(lost - running)
+        if self._is_leaving:
+            excluded.add(self._own)
+        names = (latest.target | running) - excluded
+        candidates = [
+            self._hosts.hosts[name]
+            for name in names
+            if name in self._hosts.hosts and not self._has_stopped(name)
+        ]
+        return voters.choose(candidates, latest.target) or latest.target
+
+    async def _find_running(
+        self, current: voters.HostNames
+    ) -> dict[identifiers.HostName, int]:
+        """Return the epoch that each voter and each usable host knows.
+
+        Hosts that do not answer are left out.
+        """
+        own = self._own
+        joining = [
+            host.host
+            for host in self._hosts.usable()
+            if host.host not in current
+        ]
+        queried = {*current, *joining[:MAX_JOINING_HOSTS]} - {own}
+        epochs = await self._calls.voter_epochs(queried)
+        return {**epochs, own: self._voters.epoch}
+
+    async def _write(
+        self, stored: tables.Row, following: voters.VoterSet
+    ) -> None:
+        await self._store.compare_and_swap(
+            directory.TABLE,
+            voters.KEY,
+            expected=stored.version,
+            content=voters.encode(following),
+        )
+        _logger.info(
+            'voters of epoch {} are written: {} (after {})',
+            following.epoch,
+            [sorted(group) for group in following.groups],
+            [sorted(group) for group in following.former_groups],
+        )
--- /dev/null
+++ b/src/egretstep/membership/voters.py
@@ -0,0 +1,208 @@
+"""The voters: the hosts whose majorities confirm leases without the store.
+
+Each voter set has an epoch and is stored in one row. Hosts join and leave it
+through a joint set, of which a majority of the former and of the next voters
+is needed. The set that follows is written only when no quorum of the former
+set can form any more, because enough of its voters know of a later one and
+refuse its epoch. `specifications/voters.py` models these rules.
+"""
+
+import collections
+import dataclasses
+import itertools
+import typing
+
+import logbook
+import orjson
+
+from egretstep import errors, identifiers, json_fields
+from egretstep.membership import directory, fencing
+from egretstep.storage import tables
+
+# A table is read in the order of its keys. A set is adopted together with the
+# claims that were stored before it, so its key comes before theirs.
+KEY = 'quorum/voters'
+# In a larger fleet, more voters cost calls and tolerate no other losses.
+MAX_VOTERS = 31
+_logger = logbook.Logger('voters')
+
+HostNames = frozenset[identifiers.HostName]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VoterSet:
+    """The voters in an epoch.
+
+    `groups` holds the voters; during a change it holds the former and the next
+    ones, and a quorum needs a majority of each group. `former_groups` are the
+    groups of the epoch before.
+
+    >>> hosts = frozenset('abc')
+    >>> voters = VoterSet(epoch=1, groups=(hosts, frozenset('cd')))
+    >>> voters.is_quorum(frozenset('ac'))
+    False
+    >>> voters.is_quorum(frozenset('acd'))
+    True
+    """
+
+    epoch: int
+    groups: tuple[HostNames, ...]
+    former_groups: tuple[HostNames, ...] = ()
+
+    @property
+    def is_joint(self) -> bool:
+        """Return whether the set is in the middle of a change."""
+        return len(self.groups) > 1
+
+    @property
+    def target(self) -> HostNames:
+        """Return the voters once the change, if any, is complete."""
+        return self.groups[-1]
+
+    @property
+    def all_hosts(self) -> HostNames:
+        """Return the hosts of all groups."""
+        return frozenset(itertools.chain.from_iterable(self.groups))
+
+    def is_quorum(self, hosts: HostNames) -> bool:
+        """Return whether hosts are a majority of each group."""
+        return all(_is_majority(hosts, group) for group in self.groups)
+
+    def is_former_blocked(self, hosts: HostNames) -> bool:
+        """Return whether the former set has no quorum without these hosts."""
+        if not self.former_groups:
+            return True
+        return any(
+            len(hosts & group) * 2 >= len(group) for group in self.former_groups
+        )
+
+    def next_step(
+        self, target: HostNames, informed: HostNames, epoch: int
+    ) -> 'VoterSet | None':
+        """Return the set that leads towards `target`, with the given epoch.
+
+        `informed` are the hosts that know this set. Returns None while these
+        are too few. The next set shares a group with this one, so that any two
+        quorums of both have a host in common.
+        """
+        if not self.is_former_blocked(informed):
+            return None
+        if not self.is_joint:
+            return self._followed_by(epoch, self.target, target)
+        complete = self._followed_by(epoch, self.target)
+        if complete.is_quorum(informed):
+            return complete
+        if target == self.target:
+            return None
+        return self._followed_by(epoch, self.groups[0], target)
+
+    def _followed_by(self, epoch: int, *groups: HostNames) -> 'VoterSet':
+        return VoterSet(epoch=epoch, groups=groups, former_groups=self.groups)
+
+
+def _is_majority(hosts: HostNames, group: HostNames) -> bool:
+    return len(hosts & group) * 2 > len(group)
+
+
+def choose(
+    candidates: typing.Iterable[directory.Host], current: HostNames
+) -> HostNames:
+    """Return the hosts that should vote, from all availability zones alike.
+
+    Current voters are preferred within their zone.
+    """
+    by_zone: dict[identifiers.ZoneName, list[directory.Host]] = (
+        collections.defaultdict(list)
+    )
+    ordered = sorted(
+        candidates, key=lambda each: (each.host not in current, each.host)
+    )
+    for host in ordered:
+        by_zone[host.zone].append(host)
+    rounds = itertools.zip_longest(*by_zone.values())
+    ranked = (each for each in itertools.chain(*rounds) if each is not None)
+    return frozenset(host.host for host in itertools.islice(ranked, MAX_VOTERS))
+
+
+def encode(voters: VoterSet) -> bytes:
+    """Encode a set as the content of its row."""
+    return orjson.dumps({
+        'epoch': voters.epoch,
+        'groups': [sorted(group) for group in voters.groups],
+        'former_groups': [sorted(group) for group in voters.former_groups],
+    })
+
+
+def decode_row(row: tables.Row) -> VoterSet | None:
+    """Decode a row; None if it holds no set that a host can have written."""
+    if not row.content:
+        return None
+    try:
+        voters = _decode(json_fields.JsonFields.decode(row.content))
+    except errors.MalformedFieldError as error:
+        _logger.warning('malformed voters in the store are ignored: {}', error)
+        return None
+    is_own = fencing.is_own_row(row, key=KEY, number=voters.epoch)
+    return voters if is_own else None
+
+
+def _decode(fields: json_fields.JsonFields) -> VoterSet:
+    groups = _decode_groups(fields, 'groups')
+    if not groups or not all(groups):
+        raise errors.MalformedFieldError('a voter set needs voters')
+    return VoterSet(
+        epoch=fields.integer('epoch'),
+        groups=groups,
+        former_groups=_decode_groups(fields, 'former_groups'),
+    )
+
+
+def _decode_groups(
+    fields: json_fields.JsonFields, name: str
+) -> tuple[HostNames, ...]:
+    return tuple(
+        frozenset(identifiers.HostName(host) for host in group)
+        for group in fields.name_lists(name)
+    )
+
+
+class KnownVoters:
+    """The latest voter set that this host has adopted from the store."""
+
+    def __init__(self) -> None:
+        self._current: VoterSet | None = None
+        self._is_lost_from_store = False
+
+    @property
+    def current(self) -> VoterSet | None:
+        """Return the latest set, None if none is known."""
+        return self._current
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the latest set, zero if none is known."""
+        return self._current.epoch if self._current else 0
+
+    @property
+    def is_lost_from_store(self) -> bool:
+        """Return whether the store has no set or, restored, an earlier one."""
+        return self._is_lost_from_store
+
+    def update(self, rows: typing.Mapping[str, tables.Row]) -> None:
+        """Adopt the set in the rows of the store, if it is a later one.
+
+        The caller merges the claims in the rows at the same time.
+        """
+        row = rows.get(KEY)
+        stored = decode_row(row) if row else None
+        stored_epoch = stored.epoch if stored else 0
+        if stored is not None and stored_epoch > self.epoch:
+            self._current = stored
+            _logger.info(
+                'voters of epoch {}: {}',
+                stored.epoch,
+                ', then '.join(
+                    ' '.join(sorted(group)) for group in stored.groups
+                ),
+            )
+        self._is_lost_from_store = stored_epoch < self.epoch
--- a/src/egretstep/peers/fleet.capnp
+++ b/src/egretstep/peers/fleet.capnp
@@ -65,7 +65,7 @@
   release @1 (pinId :UInt64) -> ();
   heartbeat @2 () -> ();
   acknowledged @3 (service :Text) -> (serving :Bool, epoch :UInt64, position :Position);
-  confirm @4 (claims :List(Claim)) -> (confirmed :Bool, newer :List(Claim));
+  confirm @4 (claims :List(Claim), voterEpoch :UInt64) -> (confirmed :Bool, newer :List(Claim), voterEpoch :UInt64);
   reaches @5 (host :Text) -> (reached :Bool);
   takeTokens @6 (demands :List(Demand), caller :Text) -> (serving :Bool, lots :List(Lot));
   changes @7 (known :List(TableVersion)) -> (ageMs :UInt64, tables :List(TableChanges), era :UInt64);
--- a/src/egretstep/programs/graceful_shutdown.py
+++ b/src/egretstep/programs/graceful_shutdown.py
@@ -14,6 +14,7 @@
 from egretstep.membership import directory, host_rows
 
 ANNOUNCE_TIMEOUT_SECONDS = 0.4
+LEAVE_VOTERS_SECONDS = 2.0
 GRACE_MARGIN_SECONDS = 1.0
 SESSION_POLL_INTERVAL_SECONDS = 0.05
 # Statements that are already in transit to this host are still answered.
@@ -25,7 +26,8 @@
 class GracefulShutdown:
     """The steps of a planned stop.
 
-    `hand_over` hands over all tasks to other hosts by a given time.
+    `hand_over` hands over all tasks to other hosts by a given time, and
+    `leave_voters` waits up to a given time until this host is no voter.
     `close_idle` closes the idle sessions and returns how many sessions have
     not ended; `stop_accepting` refuses new ones. `grace_ends_at` is the time
     at which the process must have ended. Times are monotonic, in seconds.
@@ -37,6 +39,7 @@
         registration: host_rows.Registration,
         own: directory.Host,
         hand_over: typing.Callable[[float], typing.Awaitable[None]],
+        leave_voters: typing.Callable[[float], typing.Awaitable[None]],
         close_idle: typing.Callable[[], int],
         stop_accepting: typing.Callable[[], None],
         grace_ends_at: float,
@@ -45,6 +48,7 @@
         self._registration = registration
         self._own = own
         self._hand_over = hand_over
+        self._leave_voters = leave_voters
         self._close_idle = close_idle
         self._stop_accepting = stop_accepting
         self._deadline = grace_ends_at - GRACE_MARGIN_SECONDS
@@ -59,6 +63,7 @@
         await asyncio.gather(
             self._announce(directory.HostState.LEAVING, self._deadline),
             self._hand_over(self._deadline),
+            self._leave_voters(self._clock.now() + LEAVE_VOTERS_SECONDS),
             self._close_sessions(),
         )
         self._stop_accepting()
--- a/src/egretstep/programs/host_endpoint.py
+++ b/src/egretstep/programs/host_endpoint.py
@@ -4,7 +4,7 @@
 
 from egretstep import clock, identifiers
 from egretstep.limits import grants
-from egretstep.membership import fleet_links, leases
+from egretstep.membership import fleet_links, voter
 from egretstep.peers import fleet_messages, fleet_schema, usage_messages
 from egretstep.pooling import brokers
 from egretstep.pooling import work as work_module
@@ -22,7 +22,7 @@
         link: work_module.LinkId,
         local: remote_statements.RemoteStatements,
         broker_table: brokers.BrokerTable,
-        keeper: leases.LeaseKeeper,
+        own_voter: voter.Voter,
         peers: fleet_links.FleetLinks,
         fleet_tasks: tasks.FleetTasks,
         feed_server: change_feed.FeedServer,
@@ -31,7 +31,7 @@
         self._link = link
         self._local = local
         self._brokers = broker_table
-        self._keeper = keeper
+        self._voter = own_voter
         self._peers = peers
         self._tasks = fleet_tasks
         self._feed_server = feed_server
@@ -74,19 +74,17 @@
     async def confirm(
         self,
         claims: typing.Any,
+        voterEpoch: int,
         _context: typing.Any,
         **_kwargs: typing.Any,
     ) -> None:
-        """Merge the claims of another host; return those known to be newer.
-
-        The claims are confirmed only if this host knows all claims that its
-        earlier processes confirmed.
-        """
+        """Merge the claims of another host; return those known to be newer."""
         decoded = [fleet_messages.decode_claim(each) for each in claims]
-        newer = self._keeper.newer_claims(decoded)
-        _context.results.confirmed = self._keeper.can_confirm(decoded)
+        answer = self._voter.confirm(decoded, voterEpoch)
+        _context.results.confirmed = answer.is_confirmed
+        _context.results.voterEpoch = answer.epoch
         _context.results.newer = [
-            fleet_messages.encode_claim(claim) for claim in newer
+            fleet_messages.encode_claim(claim) for claim in answer.newer
         ]
 
     async def reaches(self, host: str, **_kwargs: typing.Any) -> bool:
--- a/src/egretstep/programs/host_membership.py
+++ b/src/egretstep/programs/host_membership.py
@@ -10,17 +10,25 @@
     host_rows,
     lease_renewal,
     leases,
+    quorum_calls,
+    voter,
+    voter_changes,
+    voters,
 )
 from egretstep.storage import tables
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HostMembership:
-    """The known hosts, the links to them, and the leases of this host."""
+    """The known hosts, the calls to them, and the leases of this host."""
 
     hosts: directory.Directory
     registration: host_registration.HostRegistration
     peers: fleet_links.FleetLinks
+    known_voters: voters.KnownVoters
+    quorum: quorum_calls.QuorumCalls
+    voter: voter.Voter
+    voter_changes: voter_changes.VoterChanges
     keeper: leases.LeaseKeeper
     renewal: lease_renewal.LeaseRenewal
 
@@ -40,10 +48,16 @@
     hosts = directory.Directory(own=pending.own, time_source=time_source)
     hosts.is_registered = False
     peers = fleet_links.FleetLinks(hosts=hosts, time_source=time_source)
+    known_voters = voters.KnownVoters()
+    quorum = quorum_calls.QuorumCalls(
+        hosts=hosts,
+        links=peers,
+        known_voters=known_voters,
+    )
     keeper = leases.LeaseKeeper(
         store=store,
         hosts=hosts,
-        confirmers=peers,
+        confirmers=quorum,
         time_source=time_source,
         first_era=pending.fleet.version.era if is_first_start else None,
     )
@@ -55,11 +69,22 @@
             hosts=hosts,
         ),
         peers=peers,
+        known_voters=known_voters,
+        quorum=quorum,
+        voter=voter.Voter(keeper=keeper, known_voters=known_voters),
+        voter_changes=voter_changes.VoterChanges(
+            hosts=hosts,
+            known_voters=known_voters,
+            calls=quorum,
+            links=peers,
+            store=store,
+            time_source=time_source,
+        ),
         keeper=keeper,
         renewal=lease_renewal.LeaseRenewal(
             keeper=keeper,
             store=store,
-            confirmers=peers,
+            confirmers=quorum,
             time_source=time_source,
         ),
     )
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -108,6 +108,10 @@
         self._hosts = membership.hosts
         self._host_registration = membership.registration
         self._peers = membership.peers
+        self._known_voters = membership.known_voters
+        self._quorum = membership.quorum
+        self._voter_changes = membership.voter_changes
+        self._voter = membership.voter
         self._keeper = membership.keeper
         self._renewal = membership.renewal
         self._servers = registry.ServerRegistry(time_source=self._clock)
@@ -159,7 +163,7 @@
         self._claimant = claiming.Claimant(
             keeper=self._keeper,
             hosts=self._hosts,
-            prober=self._peers,
+            prober=self._quorum,
             wanted=self._tasks.wanted,
             start=self._tasks.start,
             time_source=self._clock,
@@ -237,6 +241,7 @@
         )
         run_functions = {
             'registration': self._host_registration.run,
+            'voters': self._voter_changes.run,
             'leases': self._renewal.run,
             'peers': listener.run,
             'claimant': self._claimant.run,
@@ -263,6 +268,7 @@
 
     def _apply_fleet_rows(self, rows: watching.Rows) -> None:
         self._hosts.update(rows)
+        self._known_voters.update(rows)
         self._host_registration.check()
         self._keeper.merge_rows(rows)
         if self._watches.fleet.is_synced and not self._keeper.is_synced:
@@ -284,7 +290,7 @@
                 local=self._local, budget=self._ingress.budget
             ),
             broker_table=self._brokers,
-            keeper=self._keeper,
+            own_voter=self._voter,
             peers=self._peers,
             fleet_tasks=self._tasks,
             feed_server=self._watches.feed_server,
@@ -313,6 +319,7 @@
             registration=self._registration,
             own=self._hosts.own,
             hand_over=self._tasks.hand_over,
+            leave_voters=self._voter_changes.leave,
             close_idle=self._ingress.close_idle,
             stop_accepting=self._ingress.stop_accepting,
             grace_ends_at=self._clock.now() + self._settings.stop_grace_seconds,
--- a/tests/membership/lease_case.py
+++ b/tests/membership/lease_case.py
@@ -21,19 +21,17 @@
         self.needed = 1
 
     async def confirm(
-        self,
-        claims: typing.Sequence[claims.Claim],
-    ) -> list[typing.Sequence[claims.Claim]]:
+        self, sent: typing.Sequence[claims.Claim]
+    ) -> claims.Confirmation:
         """Ask the hosts that have read the store."""
-        return [
-            keeper.newer_claims(claims)
+        replies = [
+            keeper.newer_claims(sent)
             for keeper in self.keepers
-            if keeper.can_confirm(claims)
+            if keeper.can_confirm(sent)
         ]
-
-    def majority(self) -> int:
-        """Return how many other hosts must answer."""
-        return self.needed
+        return claims.Confirmation(
+            newer=replies, has_quorum=len(replies) >= self.needed
+        )
 
 
 class LeaseTestCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/membership/test_fleet_links.py
+++ b/tests/membership/test_fleet_links.py
@@ -6,65 +6,24 @@
 import unittest.mock
 
 from egretstep import clock, errors, identifiers
-from egretstep.membership import claims, directory, fleet_links
+from egretstep.membership import directory, fleet_links
 from egretstep.settings import node
 from egretstep.storage import tables
 from tests import platform_fakes
 
 HOSTS = [identifiers.HostName(f'host-{number}') for number in range(5)]
-CLAIM = claims.Claim(
-    task=claims.TaskName('service-ledger'),
-    host=HOSTS[0],
-    boot=1,
-    epoch=2,
-)
-SILENT_CALL_SECONDS = 0.4
 
 
-def make_host(name: str, gone: typing.Collection[str] = ()) -> directory.Host:
-    is_gone = name in gone
+def make_host(name: str) -> directory.Host:
     return directory.Host(
         host=identifiers.HostName(name),
         zone=identifiers.ZoneName('a'),
         address=node.Address(host='127.0.0.1', port=1),
         boot=1,
         processor=1,
-        state=directory.HostState.GONE if is_gone else directory.HostState.UP,
     )
 
 
-def make_links(
-    silent: typing.Collection[str],
-    gone: typing.Collection[str] = (),
-) -> fleet_links.FleetLinks:
-    hosts = directory.Directory(
-        own=make_host(HOSTS[0]),
-        time_source=clock.MonotonicClock(),
-    )
-    rows = [make_host(name, gone) for name in HOSTS]
-    hosts.update({
-        directory.PREFIX + host.host: tables.Row(
-            key=directory.PREFIX + host.host,
-            version=platform_fakes.version(1),
-            content=directory.encode(host),
-        )
-        for host in rows
-    })
-    links = fleet_links.FleetLinks(
-        hosts=hosts,
-        time_source=clock.MonotonicClock(),
-    )
-
-    async def call(host: str, *_call: typing.Any, **_options: typing.Any):
-        if host in silent:
-            await asyncio.sleep(SILENT_CALL_SECONDS)
-            raise errors.LinkLostError('silent')
-        return unittest.mock.MagicMock(confirmed=True, newer=[], reached=False)
-
-    links.call = call  # type: ignore[method-assign]
-    return links
-
-
 class _Link:
     """A link to a host that fails all calls while `is_gone`."""
 
@@ -157,36 +116,3 @@
         with unittest.mock.patch.object(directory, 'SUSPECT_SECONDS', 0.02):
             await self._call_repeatedly(1)
         self.assertLess(self.link.calls, 8)
-
-
-class ConfirmTest(unittest.IsolatedAsyncioTestCase):
-    async def _time_confirm(
-        self, silent: typing.Collection[str]
-    ) -> tuple[int, float]:
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        replies = await make_links(silent).confirm([CLAIM])
-        return len(replies), loop.time() - started
-
-    async def test_a_lost_host_does_not_delay_a_majority(self) -> None:
-        replies, seconds = await self._time_confirm(HOSTS[4:])
-        self.assertEqual(replies, 3)
-        self.assertLess(seconds, SILENT_CALL_SECONDS / 2)
-
-    async def test_all_replies_are_returned(self) -> None:
-        replies, _seconds = await self._time_confirm([])
-        self.assertEqual(replies, 4)
-
-    async def test_without_a_majority_waits_for_all_hosts(self) -> None:
-        replies, seconds = await self._time_confirm(HOSTS[2:])
-        self.assertEqual(replies, 1)
-        self.assertGreaterEqual(seconds, SILENT_CALL_SECONDS * 0.9)
-
-    async def test_only_a_majority_can_declare_a_host_lost(self) -> None:
-        links = make_links(HOSTS[4:])
-        self.assertTrue(await links.is_lost(HOSTS[1]))
-        self.assertFalse(await make_links(HOSTS[2:]).is_lost(HOSTS[1]))
-
-    def test_stopped_hosts_do_not_count_for_majorities(self) -> None:
-        self.assertEqual(make_links([]).majority(), 2)
-        self.assertEqual(make_links([], gone=HOSTS[3:]).majority(), 1)
--- a/tests/membership/test_host_registration.py
+++ b/tests/membership/test_host_registration.py
@@ -48,7 +48,7 @@
     async def test_a_host_without_a_row_is_kept(self) -> None:
         self._restore()
         self.assertIn(OTHER, self.hosts.hosts)
-        self.assertEqual(self.hosts.others(), [OTHER])
+        self.assertIn(OTHER, self.hosts.up_host_names())
 
     async def test_a_row_of_a_host_that_answers_is_left_to_it(self) -> None:
         self._restore()
@@ -66,7 +66,7 @@
             stored and stored.state,
             directory.HostState.GONE,
         )
-        self.assertEqual(self.hosts.others(), [])
+        self.assertEqual(self.hosts.up_host_names(), [OWN])
 
     async def test_an_older_row_does_not_replace_a_restarted_host(
         self,
@@ -94,7 +94,7 @@
         self._follow_store()
         self._put_late(self.other)
         self._follow_store()
-        self.assertEqual(self.hosts.others(), [])
+        self.assertEqual(self.hosts.up_host_names(), [OWN])
         await asyncio.sleep(SOON_SECONDS)
         stored = self._stored(OTHER)
         self.assertEqual(stored and stored.state, directory.HostState.GONE)
--- /dev/null
+++ b/tests/membership/test_voter_changes.py
@@ -0,0 +1,287 @@
+"""The voters follow the hosts that run, whatever the order of losses."""
+
+import asyncio
+import dataclasses
+import typing
+import unittest
+
+from egretstep import identifiers
+from egretstep.membership import directory, voter_changes, voters
+from tests import platform_fakes, virtual_time
+
+ADOPTS_AFTER_SECONDS = 0.3
+SETTLED_SECONDS = 8
+
+
+class _Host:
+    """A host in a fleet in one process; a lost one answers nothing."""
+
+    def __init__(self, fleet: '_Fleet', name: str) -> None:
+        self._fleet = fleet
+        self.name = identifiers.HostName(name)
+        self.is_up = True
+        self.hosts = directory.Directory(
+            own=platform_fakes.host(name), time_source=fleet.clock
+        )
+        self.known_voters = voters.KnownVoters()
+        self.changes = voter_changes.VoterChanges(
+            hosts=self.hosts,
+            known_voters=self.known_voters,
+            calls=self,  # type: ignore[arg-type]
+            links=self,  # type: ignore[arg-type]
+            store=fleet.store,
+            time_source=fleet.clock,
+        )
+
+    async def run(self) -> None:
+        """Follow the store and check the voters until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._follow())
+            tasks.create_task(self.changes.run())
+
+    async def _follow(self) -> None:
+        while True:
+            if not self._fleet.store.is_down:
+                snapshot = await self._fleet.store.read(directory.TABLE)
+                rows = {row.key: row for row in snapshot.rows}
+                self.hosts.update(rows)
+                self.known_voters.update(rows)
+            await asyncio.sleep(ADOPTS_AFTER_SECONDS)
+
+    async def is_alive(self, host: identifiers.HostName) -> bool:
+        """Return whether a host answers this one."""
+        return self._fleet.answers(self.name, host)
+
+    async def is_reached_by_any(self, host: identifiers.HostName) -> bool:
+        """Return whether any other host that answers reaches a host."""
+        return any(
+            self._fleet.answers(self.name, other)
+            and self._fleet.answers(other, host)
+            for other in self.hosts.hosts
+            if other not in {self.name, host}
+        )
+
+    async def voter_epochs(
+        self, queried: typing.Iterable[identifiers.HostName]
+    ) -> dict[identifiers.HostName, int]:
+        """Return the epochs that the answering hosts know."""
+        return {
+            host: self._fleet.hosts[host].known_voters.epoch
+            for host in queried
+            if self._fleet.answers(self.name, host)
+        }
+
+
+class _Fleet:
+    """Hosts that share a store; `cut` are the hosts that only see each other."""
+
+    def __init__(self) -> None:
+        self.clock = virtual_time.LoopClock()
+        self.store = platform_fakes.FakeTables()
+        self.hosts: dict[identifiers.HostName, _Host] = {}
+        self.cut: set[str] = set()
+        self._tasks: dict[identifiers.HostName, asyncio.Task[None]] = {}
+
+    def answers(
+        self, caller: identifiers.HostName, host: identifiers.HostName
+    ) -> bool:
+        """Return whether a host answers another one."""
+        if host not in self.hosts or not self.hosts[host].is_up:
+            return False
+        return (caller in self.cut) == (host in self.cut)
+
+    async def add(self, name: str) -> None:
+        host = _Host(self, name)
+        await self.write_row(platform_fakes.host(name))
+        self.hosts[host.name] = host
+        self._tasks[host.name] = asyncio.ensure_future(host.run())
+
+    async def write_row(self, host: directory.Host) -> None:
+        key = directory.PREFIX + host.host
+        stored = await self.store.read_row(directory.TABLE, key)
+        await self.store.compare_and_swap(
+            directory.TABLE,
+            key,
+            expected=stored.version,
+            content=directory.encode(host),
+        )
+
+    def lose(self, name: str) -> None:
+        host = self.hosts[identifiers.HostName(name)]
+        host.is_up = False
+        self._tasks[host.name].cancel()
+
+    async def stored(self) -> voters.VoterSet | None:
+        row = await self.store.read_row(directory.TABLE, voters.KEY)
+        return voters.decode_row(row)
+
+    async def stop(self) -> None:
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+
+class VoterChangesTest(unittest.TestCase):
+    def _run(
+        self, steps: typing.Callable[[_Fleet], typing.Awaitable[None]]
+    ) -> None:
+        async def run() -> None:
+            fleet = _Fleet()
+            try:
+                await steps(fleet)
+            finally:
+                await fleet.stop()
+
+        virtual_time.run(run())
+
+    async def _start(self, fleet: _Fleet, names: str) -> None:
+        for name in names:
+            await fleet.add(name)
+        await self._expect(fleet, names)
+
+    async def _expect(self, fleet: _Fleet, names: str) -> None:
+        await asyncio.sleep(SETTLED_SECONDS)
+        stored = await fleet.stored()
+        self.assertIsNotNone(stored)
+        groups = stored.groups if stored else ()
+        self.assertEqual(groups, (frozenset(names),))
+
+    def test_machines_replaced_one_by_one_stop_counting(self) -> None:
+        """Lost machines counted for ever; then there was no majority."""
+
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            for lost, new, expected in (
+                ('a', 'd', 'bcd'),
+                ('b', 'e', 'cde'),
+                ('c', 'f', 'def'),
+            ):
+                fleet.lose(lost)
+                await asyncio.sleep(1)
+                await fleet.add(new)
+                await self._expect(fleet, expected)
+
+        self._run(steps)
+
+    def test_the_last_of_two_hosts_is_a_majority(self) -> None:
+        """A fleet of two served no more once the owner was lost for good."""
+
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'ab')
+            fleet.lose('a')
+            await self._expect(fleet, 'b')
+
+        self._run(steps)
+
+    def test_a_cut_minority_does_not_shrink_the_voters(self) -> None:
+        """It sees the store, but the others may go on without it."""
+
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abcde')
+            fleet.cut = {'a', 'b'}
+            for name in 'cde':
+                # The majority does not see the store.
+                fleet.hosts[identifiers.HostName(name)].changes = None
+                fleet._tasks[identifiers.HostName(name)].cancel()
+            await asyncio.sleep(SETTLED_SECONDS * 3)
+            stored = await fleet.stored()
+            assert stored is not None
+            self.assertFalse(stored.is_quorum(frozenset('ab')))
+
+        self._run(steps)
+
+    def test_a_short_silence_changes_nothing(self) -> None:
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            before = await fleet.stored()
+            fleet.hosts[identifiers.HostName('a')].is_up = False
+            await asyncio.sleep(voter_changes.SILENT_SECONDS / 2)
+            fleet.hosts[identifiers.HostName('a')].is_up = True
+            await asyncio.sleep(SETTLED_SECONDS)
+            self.assertEqual(await fleet.stored(), before)
+
+        self._run(steps)
+
+    def test_a_host_that_was_cut_off_votes_again(self) -> None:
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            fleet.cut = {'a'}
+            await self._expect(fleet, 'bc')
+            fleet.cut = set()
+            await self._expect(fleet, 'abc')
+
+        self._run(steps)
+
+    def test_a_stopped_host_leaves_the_voters(self) -> None:
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            host = fleet.hosts[identifiers.HostName('a')]
+            await host.changes.leave(fleet.clock.now() + 3)
+            self.assertFalse(host.changes.is_voter)
+            fleet.lose('a')
+            await self._expect(fleet, 'bc')
+
+        self._run(steps)
+
+    def test_a_host_that_stopped_without_its_own_change_is_left_out(
+        self,
+    ) -> None:
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            gone = dataclasses.replace(
+                platform_fakes.host('a'), state=directory.HostState.GONE
+            )
+            fleet.lose('a')
+            await fleet.write_row(gone)
+            await asyncio.sleep(voter_changes.SILENT_SECONDS * 0.9)
+            stored = await fleet.stored()
+            assert stored is not None
+            self.assertEqual(stored.target, frozenset('bc'))
+
+        self._run(steps)
+
+    def test_a_host_that_ended_in_a_change_holds_up_nothing(self) -> None:
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            latest = await fleet.stored()
+            assert latest is not None
+            all_hosts = frozenset(fleet.hosts)
+            joint = latest.next_step(
+                all_hosts - {'c'}, all_hosts, latest.epoch + 1
+            )
+            assert joint is not None
+            self.assertTrue(joint.is_joint)
+            row = await fleet.store.read_row(directory.TABLE, voters.KEY)
+            await fleet.store.compare_and_swap(
+                directory.TABLE,
+                voters.KEY,
+                expected=row.version,
+                content=voters.encode(joint),
+            )
+            await self._expect(fleet, 'abc')
+
+        self._run(steps)
+
+    def test_a_restored_store_gets_the_latest_voters_again(self) -> None:
+        """Else hosts that have left would count, and new ones not."""
+
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            copy = dict(fleet.store.rows)
+            await fleet.add('d')
+            await self._expect(fleet, 'abcd')
+            latest = await fleet.stored()
+            fleet.store.rows = {**fleet.store.rows, **copy}
+            await self._expect(fleet, 'abcd')
+            self.assertEqual(await fleet.stored(), latest)
+
+        self._run(steps)
+
+    def test_hosts_that_start_together_need_one_change(self) -> None:
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abcdefgh')
+            stored = await fleet.stored()
+            assert stored is not None
+            self.assertLessEqual(stored.epoch % 10**9, 3)
+
+        self._run(steps)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -286,15 +286,10 @@
     """The links to other hosts, in a fleet that has only this host."""
 
     async def confirm(
-        self,
-        _asked: typing.Sequence[claims.Claim],
-    ) -> list[typing.Sequence[claims.Claim]]:
-        """Return no answers: there is no other host to confirm claims."""
-        return []
-
-    def majority(self) -> int:
-        """Return zero: no confirmation of another host is needed."""
-        return 0
+        self, _sent: typing.Sequence[claims.Claim]
+    ) -> claims.Confirmation:
+        """Return a quorum without answers: this host is the only voter."""
+        return claims.Confirmation(newer=(), has_quorum=True)
 
     async def reaches(self, _host: identifiers.HostName) -> bool:
         """Return True: every host is reachable."""
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -53,7 +53,8 @@
                 store=platform_fakes.FakeTables(),
             ),
             own=platform_fakes.host('own'),
-            hand_over=_hand_over,
+            hand_over=_return_at_once,
+            leave_voters=_return_at_once,
             close_idle=callers.close_idle,
             stop_accepting=callers.stop_accepting,
             grace_ends_at=callers.clock.now() + GRACE_SECONDS,
@@ -65,5 +66,5 @@
         self.assertEqual(callers.close_idle(), 0)
 
 
-async def _hand_over(_deadline: float) -> None:
-    """Return at once, as if there were no tasks."""
+async def _return_at_once(_deadline: float) -> None:
+    """Return, as if there were no tasks and no other voters."""
