--- a/src/egretstep/callers/platform_session.py
+++ b/src/egretstep/callers/platform_session.py
@@ -19,6 +19,7 @@
     session_state,
 )
 from egretstep.observability import decisions
+from egretstep.pooling import failure_answers
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
 
@@ -154,6 +155,8 @@
             return self._refuse(command)
         started = time.monotonic()
         route, workspace = self.authorize()
+        if not self._services.stop.allows(route.timeout):
+            return failure_answers.host_stopping()
         refusal = await self._admit(statement_id, workspace)
         if refusal is not None:
             return refusal
@@ -234,6 +237,8 @@
         work = self._new_work(
             statement_id, command, route, workspace, spent_seconds
         )
+        if not self._services.stop.allows(work.timeout):
+            return failure_answers.stopping(work)
         dispatched = await self._services.dispatcher.dispatch(work)
         return dispatched.answer
 
@@ -256,18 +261,19 @@
             ),
             pin_id=transaction.pin_id,
         )
-        if transaction.host is None:
-            answer = await self._open_transaction(transaction, work)
-        else:
+        host = transaction.host
+        if host:
             work = dataclasses.replace(
-                work,
-                is_pinned=True,
-                server=transaction.server,
+                work, is_pinned=True, server=transaction.server
             )
-            answer = await self._services.dispatcher.run_in_transaction(
-                transaction.host,
-                work,
+        if self._services.stop.allows(work.timeout):
+            answer = await (
+                self._services.dispatcher.run_in_transaction(host, work)
+                if host
+                else self._open_transaction(transaction, work)
             )
+        else:
+            answer = failure_answers.stopping(work)
         return await self._update_transaction(transaction, command, answer)
 
     def _authorize_in_transaction(self) -> identifiers.WorkspaceName:
--- a/src/egretstep/callers/session_services.py
+++ b/src/egretstep/callers/session_services.py
@@ -9,6 +9,7 @@
 from egretstep.limits import host_limiter
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
+from egretstep.supervision import stop_deadline
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -36,11 +37,12 @@
     `current_deployment` returns the configuration in force. `release_here`
     rolls back the transaction of a pin that this host holds. Sessions start
     when `is_configured` is set, that is, when routes and keys are known.
+    `stop` tells which statements are taken on when this host stops.
     """
 
     current_deployment: typing.Callable[[], deployment.Deployment]
     dispatcher: dispatcher.Dispatcher
     rate_limiter: host_limiter.HostRateLimiter
     release_here: typing.Callable[[identifiers.PinId], None]
-    is_stopping: typing.Callable[[], bool]
+    stop: stop_deadline.StopDeadline
     is_configured: asyncio.Event
--- a/src/egretstep/pooling/broker.py
+++ b/src/egretstep/pooling/broker.py
@@ -112,17 +112,20 @@
                 work,
                 has_written=attempt.has_written,
                 was_sent=attempt.was_sent,
+                reason=self._interruptions.reason,
             )
         return dataclasses.replace(answer, load=self._performance.load)
 
     def interrupt(
-        self, is_concerned: typing.Callable[[work_module.Work], bool]
+        self,
+        is_concerned: typing.Callable[[work_module.Work], bool],
+        reason: str,
     ) -> int:
         """End the statements for which a function is true; return how many.
 
         Also rolls back all open transactions.
         """
-        ended_count = self._interruptions.interrupt(is_concerned)
+        ended_count = self._interruptions.interrupt(is_concerned, reason)
         self.release_all()
         return ended_count
 
--- a/src/egretstep/pooling/brokers.py
+++ b/src/egretstep/pooling/brokers.py
@@ -101,6 +101,11 @@
                 each.close()
                 del self._brokers[name]
 
+    def interrupt(self, reason: str) -> None:
+        """End all statements, and roll back the open transactions."""
+        for each in self._brokers.values():
+            each.interrupt(lambda _work: True, reason)
+
     def close(self) -> None:
         """Close all brokers."""
         for each in self._brokers.values():
--- a/src/egretstep/pooling/failure_answers.py
+++ b/src/egretstep/pooling/failure_answers.py
@@ -5,10 +5,14 @@
 connection is closed before the commit was sent.
 """
 
+import dataclasses
+
 from egretstep.backends import answers, commands
 from egretstep.pooling import work as work_module
 
 RETRY_AFTER_MS = 100
+STOPPING = 'this host is stopping'
+PRIMARY_REPLACED = 'the primary is being replaced'
 
 
 def moved() -> answers.Answer:
@@ -80,12 +84,12 @@
     *,
     has_written: bool,
     was_sent: bool,
+    reason: str,
 ) -> answers.Answer:
-    """Return the answer for a statement that was ended at a former primary.
+    """Return the answer for a statement that this host has ended.
 
     `has_written` tells whether its open transaction has written before.
     """
-    reason = 'the primary is being replaced'
     if work.is_pinned:
         return transaction_lost(
             work, has_written=has_written, was_sent=was_sent, reason=reason
@@ -93,6 +97,28 @@
     return connection_broken(work, reason, was_sent=was_sent)
 
 
+def host_stopping() -> answers.Answer:
+    """Return the refusal of a host that has no time left for a statement."""
+    return answers.refusal(
+        answers.Code.OVERLOADED,
+        STOPPING,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def stopping(work: work_module.Work) -> answers.Answer:
+    """Return the refusal of a statement that a stopping host has no time for.
+
+    An open transaction stays open until the host of its caller ends it.
+    """
+    if not work.is_pinned:
+        return host_stopping()
+    lost = transaction_lost(
+        work, has_written=False, was_sent=False, reason=STOPPING
+    )
+    return dataclasses.replace(lost, is_pinned=True)
+
+
 def outcome_unknown(reason: str) -> answers.Answer:
     """Return the answer for a statement that may have run."""
     return answers.Answer(
--- a/src/egretstep/pooling/interruptions.py
+++ b/src/egretstep/pooling/interruptions.py
@@ -1,7 +1,8 @@
 """Ends statements at once when their server is no longer to run them.
 
 Load pattern: a primary is replaced while statements run and wait there. They
-must neither reach it nor be answered by it once another server may lead.
+must neither reach it nor be answered by it once another server may lead. Or
+this host stops, and has no time left to wait for them.
 """
 
 import asyncio
@@ -16,6 +17,12 @@
 
     def __init__(self) -> None:
         self._active: dict[asyncio.Timeout, work_module.Work] = {}
+        self._reason = ''
+
+    @property
+    def reason(self) -> str:
+        """Return why statements were interrupted last."""
+        return self._reason
 
     @contextlib.asynccontextmanager
     async def guarded(
@@ -34,12 +41,15 @@
             del self._active[limit]
 
     def interrupt(
-        self, is_concerned: typing.Callable[[work_module.Work], bool]
+        self,
+        is_concerned: typing.Callable[[work_module.Work], bool],
+        reason: str,
     ) -> int:
         """End the blocks of the statements for which a function is true.
 
         They end when the event loop runs next. Returns their number.
         """
+        self._reason = reason
         now = asyncio.get_running_loop().time()
         concerned = [
             limit
--- a/src/egretstep/pooling/local_host.py
+++ b/src/egretstep/pooling/local_host.py
@@ -93,6 +93,11 @@
             collections.Counter()
         )
 
+    @property
+    def held_count(self) -> int:
+        """Return how many statements run or wait on this host."""
+        return self._held.total()
+
     async def execute(
         self,
         work: work_module.Work,
--- a/src/egretstep/programs/remote_statements.py
+++ b/src/egretstep/programs/remote_statements.py
@@ -8,8 +8,9 @@
 
 from egretstep.backends import answers
 from egretstep.callers import client_limits
-from egretstep.pooling import local_host
+from egretstep.pooling import failure_answers, local_host
 from egretstep.pooling import work as work_module
+from egretstep.supervision import stop_deadline
 
 
 class RemoteStatements:
@@ -20,9 +21,11 @@
         *,
         local: local_host.LocalHost,
         budget: client_limits.ByteBudget,
+        stop: stop_deadline.StopDeadline,
     ) -> None:
         self._local = local
         self._budget = budget
+        self._stop = stop
 
     async def execute(
         self,
@@ -32,8 +35,11 @@
         """Run a statement and return its answer.
 
         A large one is refused if there is no room for it beside the messages
-        of the callers of this host.
+        of the callers of this host. One that a stopping host has no time for
+        is refused, so that the other host can send it elsewhere.
         """
+        if not self._stop.allows(work.timeout):
+            return failure_answers.stopping(work)
         size = len(work.command.text)
         if size <= client_limits.SMALL_MESSAGE_BYTES:
             return await self._local.execute(work, link)
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -36,10 +36,10 @@
     usage_service,
 )
 from egretstep.replication import failover
-from egretstep.routing import dispatcher
+from egretstep.routing import dispatcher, running_statements
 from egretstep.settings import age_monitor, deployment, node
 from egretstep.storage import row_decoding, watching
-from egretstep.supervision import supervisor
+from egretstep.supervision import stop_deadline, supervisor
 
 # Share of the drain limit for which a server may remain primary. The rest
 # allows for the delay until this host learns that the server is draining.
@@ -61,7 +61,9 @@
         self._settings = settings
         self._clock = clock.BootClock()
         self._store = platform_store
-        self._is_stopping = False
+        self._stop_deadline = stop_deadline.StopDeadline(
+            time_source=self._clock
+        )
         self._registration = registration
         self._link_ids = itertools.count(1)
         self._opener = backend.PlatformOpener()
@@ -180,23 +182,24 @@
         )
 
     def _make_caller_servers(self) -> None:
+        self._dispatcher = dispatcher.Dispatcher(
+            hosts=self._hosts,
+            servers=self._servers,
+            keeper=self._keeper,
+            peers=self._peers,
+            local=self._local,
+            time_source=self._clock,
+        )
         services = session_services.SessionServices(
             current_deployment=self._current_deployment,
-            dispatcher=dispatcher.Dispatcher(
-                hosts=self._hosts,
-                servers=self._servers,
-                keeper=self._keeper,
-                peers=self._peers,
-                local=self._local,
-                time_source=self._clock,
-            ),
+            dispatcher=self._dispatcher,
             rate_limiter=host_limiter.HostRateLimiter(
                 request_tokens=self._queries.request_tokens,
                 fallback_rate=self._queries.fallback_rate,
                 time_source=self._clock,
             ),
             release_here=self._release_here,
-            is_stopping=lambda: self._is_stopping,
+            stop=self._stop_deadline,
             is_configured=self._watches.is_configured,
         )
         self._ingress = ingress.Ingress(
@@ -287,7 +290,9 @@
         return host_endpoint.HostEndpoint(
             link=work_module.LinkId(next(self._link_ids)),
             local=remote_statements.RemoteStatements(
-                local=self._local, budget=self._ingress.budget
+                local=self._local,
+                budget=self._ingress.budget,
+                stop=self._stop_deadline,
             ),
             broker_table=self._brokers,
             own_voter=self._voter,
@@ -301,7 +306,7 @@
         return self._watches.configuration.current
 
     def _is_ready(self) -> bool:
-        if self._is_stopping or self._queries.is_isolated:
+        if self._stop_deadline.is_stopping or self._queries.is_isolated:
             return False
         return self._watches.configuration.version > 0
 
@@ -313,16 +318,22 @@
             'host {} is stopping: handing over tasks and closing sessions',
             self._settings.host,
         )
-        self._is_stopping = True
         self._claimant.leave()
         stop = graceful_shutdown.GracefulShutdown(
             registration=self._registration,
             own=self._hosts.own,
-            hand_over=self._tasks.hand_over,
-            leave_voters=self._voter_changes.leave,
-            close_idle=self._ingress.close_idle,
-            stop_accepting=self._ingress.stop_accepting,
-            grace_ends_at=self._clock.now() + self._settings.stop_grace_seconds,
+            departure=graceful_shutdown.Departure(
+                hand_over=self._tasks.hand_over,
+                leave_voters=self._voter_changes.leave,
+            ),
+            sessions=self._ingress,
+            statements=running_statements.RunningStatements(
+                local=self._local,
+                broker_table=self._brokers,
+                sender=self._dispatcher,
+            ),
+            stop=self._stop_deadline,
+            grace=self._settings.stop_grace_seconds,
             time_source=self._clock,
         )
         await stop.drain()
--- a/src/egretstep/replication/primary_statements.py
+++ b/src/egretstep/replication/primary_statements.py
@@ -189,7 +189,7 @@
         except TimeoutError:
             return answers.refusal(
                 answers.Code.OVERLOADED,
-                'the primary is being replaced',
+                failure_answers.PRIMARY_REPLACED,
                 retry_after_ms=failure_answers.RETRY_AFTER_MS,
             )
         except gate.OwnerReplacedError:
@@ -216,7 +216,7 @@
             return None
         return answers.refusal(
             answers.Code.OVERLOADED,
-            'the primary is being replaced',
+            failure_answers.PRIMARY_REPLACED,
             retry_after_ms=clock.to_milliseconds(remaining_seconds),
         )
 
@@ -231,7 +231,10 @@
             return failure_answers.moved()
         if not leadership.permits(work):
             return failure_answers.interrupted(
-                work, has_written=False, was_sent=False
+                work,
+                has_written=False,
+                was_sent=False,
+                reason=failure_answers.PRIMARY_REPLACED,
             )
         remaining_seconds = max(0.0, deadline - self._clock.now())
         limited_work = dataclasses.replace(work, timeout=remaining_seconds)
@@ -282,7 +285,8 @@
         self._change_count += 1
         broker = self._brokers.get(leadership.server)
         ended_count = broker.interrupt(
-            lambda work: not leadership.permits(work)
+            lambda work: not leadership.permits(work),
+            failure_answers.PRIMARY_REPLACED,
         )
         _logger.info(
             'service {}: {} (term {}) is now used as primary for {}: {} '
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -19,7 +19,7 @@
     registry,
 )
 from egretstep.observability import decisions
-from egretstep.pooling import failure_answers, local_host
+from egretstep.pooling import failure_answers, interruptions, local_host
 from egretstep.pooling import work as work_module
 from egretstep.routing import (
     budget,
@@ -93,6 +93,8 @@
             loads=loads, time_source=time_source, rng=self._random
         )
         self._budget = budget.HostRetryBudget(time_source=time_source)
+        self._interruptions = interruptions.Interruptions()
+        self._may_repeat = True
 
     async def dispatch(self, work: work_module.Work) -> Dispatched:
         """Run a statement outside a transaction, or one that opens one.
@@ -101,6 +103,31 @@
         repeated on another host or server where there is one, as long as
         `retry_policy` and the retry budget allow it.
         """
+        try:
+            async with self._interruptions.guarded(work):
+                return await self._dispatch(work)
+        except TimeoutError:
+            return Dispatched(
+                answer=self._interrupted(work), host=self._hosts.own.host
+            )
+
+    def end_repeats(self) -> None:
+        """Make the answer to each attempt final, as this host is stopping."""
+        self._may_repeat = False
+
+    def interrupt(self, reason: str) -> None:
+        """Answer all statements now, whatever their servers still do."""
+        self._interruptions.interrupt(lambda _work: True, reason)
+
+    def _interrupted(self, work: work_module.Work) -> answers.Answer:
+        return failure_answers.interrupted(
+            work,
+            has_written=True,
+            was_sent=True,
+            reason=self._interruptions.reason,
+        )
+
+    async def _dispatch(self, work: work_module.Work) -> Dispatched:
         self._budget.deposit()
         attempts = statement_attempts.StatementAttempts(
             work=work,
@@ -129,7 +156,10 @@
         have committed; nothing is retried.
         """
         try:
-            answer = await self._run_at(host, work)
+            async with self._interruptions.guarded(work):
+                answer = await self._run_at(host, work)
+        except TimeoutError:
+            return self._interrupted(work)
         except errors.LinkError as error:
             return failure_answers.transaction_lost(
                 work, has_written=True, was_sent=False, reason=str(error)
@@ -169,6 +199,8 @@
 
         None if the answer is final.
         """
+        if not self._may_repeat:
+            return None
         work = attempts.work
         answer = dispatched.answer
         remaining = attempts.deadline - self._clock.now()
--- a/tests/callers/test_client_limits.py
+++ b/tests/callers/test_client_limits.py
@@ -14,6 +14,7 @@
 from egretstep.platform import wire
 from egretstep.pooling import work as work_module
 from egretstep.programs import remote_statements
+from egretstep.supervision import stop_deadline
 from tests import platform_fakes
 
 MIB = client_limits.MIB
@@ -184,7 +185,9 @@
         )
         local = unittest.mock.AsyncMock()
         statements = remote_statements.RemoteStatements(
-            local=local, budget=budget
+            local=local,
+            budget=budget,
+            stop=stop_deadline.StopDeadline(time_source=clock.ManualClock()),
         )
         other = budget.open(lambda: None)
         other.charge(TOTAL_BYTES)
--- a/tests/callers/test_platform_target.py
+++ b/tests/callers/test_platform_target.py
@@ -7,7 +7,7 @@
 import dataclasses
 import unittest.mock
 
-from egretstep import identifiers
+from egretstep import clock, identifiers
 from egretstep.backends import answers
 from egretstep.callers import platform_session, session_services
 from egretstep.observability import decisions
@@ -15,6 +15,7 @@
 from egretstep.pooling import work as work_module
 from egretstep.routing import dispatcher
 from egretstep.settings import deployment
+from egretstep.supervision import stop_deadline
 from tests import platform_fakes, virtual_time
 
 DATABASE = identifiers.DatabaseName('loans')
@@ -73,7 +74,9 @@
                 dispatcher=self.dispatcher,
                 rate_limiter=limiter,
                 release_here=unittest.mock.MagicMock(),
-                is_stopping=unittest.mock.MagicMock(return_value=False),
+                stop=stop_deadline.StopDeadline(
+                    time_source=clock.MonotonicClock()
+                ),
                 is_configured=asyncio.Event(),
             ),
             parse_prepared=wire.parse_prepared,
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -14,6 +14,7 @@
 from egretstep.callers import client_limits, session_services
 from egretstep.platform import client_stream, ingress, wire
 from egretstep.settings import deployment, node
+from egretstep.supervision import stop_deadline
 from tests import platform_fakes
 
 ADDRESS = '127.0.0.1'
@@ -55,7 +56,9 @@
                 dispatcher=unittest.mock.MagicMock(),
                 rate_limiter=unittest.mock.MagicMock(),
                 release_here=unittest.mock.MagicMock(),
-                is_stopping=unittest.mock.MagicMock(return_value=False),
+                stop=stop_deadline.StopDeadline(
+                    time_source=clock.MonotonicClock()
+                ),
                 is_configured=self.is_configured,
             ),
         )
--- /dev/null
+++ b/tests/platform/test_planned_stop.py
@@ -0,0 +1,59 @@
+"""Processes of hosts that get SIGTERM while their callers go on."""
+
+import asyncio
+import contextlib
+import time
+import unittest
+
+from standins import platform_caller, platform_fleet
+
+GRACE_SECONDS = 6.0
+SLOW_READ_SECONDS = 0.7
+KEEP_INTERVAL_SECONDS = 0.4
+
+
+async def _keep_transaction(caller: platform_caller.Caller) -> None:
+    """Use a transaction until the host ends it."""
+    with contextlib.suppress(OSError, platform_caller.AnswerError):
+        await caller.run('BEGIN')
+        while True:
+            await caller.run('READ frame')
+            await asyncio.sleep(KEEP_INTERVAL_SECONDS)
+
+
+class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    """Each request that a stopping host has read gets an answer."""
+
+    async def test_a_read_late_in_the_grace_time_is_answered(self) -> None:
+        """Its connection was closed without an answer (review/10)."""
+        async with platform_fleet.PlatformFleet(first_port=24400) as fleet:
+            stopped = next(index for index in (1, 2) if index != fleet.owner())
+            keeping = asyncio.ensure_future(
+                _keep_transaction(
+                    await platform_caller.Caller.connect(fleet.port(stopped))
+                )
+            )
+            await asyncio.sleep(0.5)
+            started = time.monotonic()
+            stopping = asyncio.ensure_future(fleet.stop_host(stopped))
+            await asyncio.sleep(1.8)
+            callers = [
+                await platform_caller.Caller.connect(
+                    fleet.port(stopped),
+                    database=platform_fleet.BOUNDED_DATABASE,
+                )
+                for _ in range(2)
+            ]
+            for caller in callers:
+                await caller.run('BEGIN READ')
+            for server in fleet.group.servers.values():
+                server.faults.work = SLOW_READ_SECONDS
+            await asyncio.sleep(started + 4.65 - time.monotonic())
+            self.assertEqual(await callers[0].run('READ frame'), ['none'])
+            # There is no time left for this one.
+            with self.assertRaises(platform_caller.AnswerError) as refused:
+                await callers[1].run('READ frame')
+            self.assertEqual(refused.exception.code, 'BUSY')
+            await stopping
+            self.assertLess(time.monotonic() - started, GRACE_SECONDS)
+            keeping.cancel()
