A second SIGTERM no longer cuts a planned stop short

Callers saw: an open connection ended without an answer, or other hosts lost their statements here, when a host got SIGTERM twice.

Cause: the handler cancels the task of the host each time; the second cancel ended the shutdown that was under way. Change: only the first signal begins to stop, the next one is logged.

Test: PlannedStopTest.test_a_second_signal_does_not_cut_a_statement failed before in a clone of (ABORTED, "RpcSystem was destroyed").

--- a/src/egretstep/programs/node.py
+++ b/src/egretstep/programs/node.py
@@ -82,13 +82,29 @@
 async def _run_until_signal(settings: node.NodeSettings) -> None:
     task = asyncio.ensure_future(_serve(settings))
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    loop.add_signal_handler(signal.SIGTERM, _Stop(task=task).begin)
     loop.add_signal_handler(signal.SIGHUP, _reload)
     stacks.write_on_signal()
     with contextlib.suppress(asyncio.CancelledError):
         await task
 
 
+class _Stop:
+    """The planned stop, which a second SIGTERM must not cut short."""
+
+    def __init__(self, *, task: asyncio.Future[None]) -> None:
+        self._task = task
+        self._has_begun = False
+
+    def begin(self) -> None:
+        """Begin to stop, unless that is under way."""
+        if self._has_begun:
+            _logger.info('SIGTERM: the host is stopping already')
+            return
+        self._has_begun = True
+        self._task.cancel()
+
+
 def _reload() -> None:
     # The addresses and the size of a host are fixed while its process runs.
     _logger.info(
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 import time
 import unittest
 
@@ -57,3 +58,19 @@
             await stopping
             self.assertLess(time.monotonic() - started, GRACE_SECONDS)
             keeping.cancel()
+
+    async def test_a_second_signal_does_not_cut_a_statement(self) -> None:
+        """It ended the stop that was under way, with all connections."""
+        async with platform_fleet.PlatformFleet(first_port=24450) as fleet:
+            stopped = next(index for index in (1, 2) if index != fleet.owner())
+            caller = await platform_caller.Caller.connect(
+                fleet.port(stopped), database=platform_fleet.BOUNDED_DATABASE
+            )
+            for server in fleet.group.servers.values():
+                server.faults.work = SLOW_READ_SECONDS
+            reading = asyncio.ensure_future(caller.run('READ frame'))
+            await asyncio.sleep(0.2)
+            fleet.signal_host(stopped, signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            fleet.signal_host(stopped, signal.SIGTERM)
+            self.assertEqual(await reading, ['none'])
