A planned stop no longer cuts a long answer that is being sent

Callers saw: the connection ended amid the rows of an answer that did not fit into the buffers of the connection, when their host was stopped.

Cause: a session counted as idle as soon as its statement had its answer, and idle sessions are closed at a stop; closing a transport drops what is written to it later. Change: a session is answering until the kernel has taken the answer. A client that does not read is ended by its transfer limit, as before.

--- a/src/egretstep/platform/caller_connection.py
+++ b/src/egretstep/platform/caller_connection.py
@@ -194,8 +194,6 @@
         except access.SessionRefusedError as error:
             self.stream.refuse(error.answer)
             return False
-        finally:
-            self._is_answering = False
         del command
         self.stream.release()
         self.stream.keep_session_bytes(session.held_bytes)
--- a/standins/platform_caller.py
+++ b/standins/platform_caller.py
@@ -62,6 +62,14 @@
         self._writer.write(f'QUERY {sent_id} {text}\r\n'.encode())
         return await self._read_rows()
 
+    def pause(self) -> None:
+        """Read nothing, so that the host can't send the rest of an answer."""
+        self._writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    def resume(self) -> None:
+        """Read again."""
+        self._writer.transport.resume_reading()  # type: ignore[attr-defined]
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -74,3 +74,19 @@
             await asyncio.sleep(0.2)
             fleet.signal_host(stopped, signal.SIGTERM)
             self.assertEqual(await reading, ['none'])
+
+    async def test_a_long_answer_is_sent_to_its_end(self) -> None:
+        """The session counted as idle as soon as the answer had begun."""
+        async with platform_fleet.PlatformFleet(first_port=24500) as fleet:
+            for server in fleet.group.servers.values():
+                server.faults.row_bytes = 50_000
+                server.faults.row_count = 60
+            caller = await platform_caller.Caller.connect(fleet.port(1))
+            # The answer does not fit into the buffers of the connection.
+            reading = asyncio.ensure_future(caller.run('READ frame'))
+            caller.pause()
+            await asyncio.sleep(0.5)
+            fleet.signal_host(1, signal.SIGTERM)
+            await asyncio.sleep(0.5)
+            caller.resume()
+            self.assertEqual(len(await reading), 60)
