--- a/src/egretstep/membership/registry.py
+++ b/src/egretstep/membership/registry.py
@@ -95,6 +95,14 @@
         self._forget_missing()
         return self._servers.get(server)
 
+    def has_left(self, server: connection.ServerId) -> bool:
+        """Return whether a server said that it drains before its entry went.
+
+        False if this host has not seen its entry.
+        """
+        removed = self._removed.get(server)
+        return removed is not None and removed.is_draining
+
     def takes_work(self, server: connection.BackendServer) -> bool:
         """Return whether a server should be given new work."""
         return not server.is_draining and server.zone not in self._zones_out
--- a/src/egretstep/membership/voter_changes.py
+++ b/src/egretstep/membership/voter_changes.py
@@ -34,12 +34,20 @@
 # A host that has begun a change writes its steps without this delay.
 UNFINISHED_DELAY_SECONDS = 2.0
 STEP_INTERVAL_SECONDS = 0.25
+STEP_INTERVAL_GROWTH = 1.3
 MAX_CHANGE_SECONDS = 6.0
 RETRY_SECONDS = 2.0
 LEAVE_POLL_INTERVAL_SECONDS = 0.05
 _logger = logbook.Logger('voters')
 
 
+class _TooFewVotersError(errors.EgretstepError):
+    """A change could not be completed with the hosts that answer."""
+
+
+_CHANGE_FAILURES = (errors.PlatformError, TimeoutError, _TooFewVotersError)
+
+
 class VoterChanges:
     """Writes the voter sets in which this host notices a change."""
 
@@ -111,7 +119,7 @@
                 await self._change()
         except errors.ConflictError:
             _logger.info('the voters were changed by another host')
-        except (errors.PlatformError, TimeoutError) as error:
+        except _CHANGE_FAILURES as error:
             _logger.warning(
                 'the voters of epoch {} could not be changed and are checked '
                 'again: {!r}',
@@ -147,9 +155,11 @@
         elapsed = now - self._adopted_at
         if self._voters.is_lost_from_store:
             return elapsed >= self._delay()
+        if self._find_silent() & current.target:
+            return True
         if current.is_joint:
             return elapsed >= UNFINISHED_DELAY_SECONDS + self._delay()
-        if self._is_own_change_due(current) or self._find_silent():
+        if self._is_own_change_due(current):
             return True
         has_stopped = any(map(self._has_stopped, current.target - {self._own}))
         return has_stopped and elapsed >= self._delay()
@@ -185,12 +195,15 @@
     async def _change(self) -> None:
         """Write the sets that follow until the voters are those that run."""
         lost = await self._find_lost()
+        pause = STEP_INTERVAL_SECONDS
         is_done = False
         while not is_done:
             stored = await self._store.read_row(directory.TABLE, voters.KEY)
             is_done = await self._write_next(stored, lost)
-            # The hosts first have to adopt what was written.
-            await asyncio.sleep(STEP_INTERVAL_SECONDS)
+            # The hosts first have to adopt what was written. A host that is
+            # cut off from them would ask the store all the time.
+            await asyncio.sleep(pause)
+            pause *= STEP_INTERVAL_GROWTH
 
     async def _find_lost(self) -> voters.HostNames:
         lost = set()
@@ -220,6 +233,10 @@
         target = self._choose_target(latest, lost, frozenset(epochs))
         if target == latest.target and not latest.is_joint:
             return True
+        if not latest.may_be_changed_by(frozenset(epochs)):
+            raise _TooFewVotersError(
+                f'of {sorted(latest.all_hosts)} only {sorted(epochs)} answer'
+            )
         informed = frozenset(
             host for host, epoch in epochs.items() if epoch == latest.epoch
         )
--- a/src/egretstep/membership/voters.py
+++ b/src/egretstep/membership/voters.py
@@ -70,11 +70,14 @@
 
     def is_former_blocked(self, hosts: HostNames) -> bool:
         """Return whether the former set has no quorum without these hosts."""
-        if not self.former_groups:
-            return True
-        return any(
-            len(hosts & group) * 2 >= len(group) for group in self.former_groups
-        )
+        return not self.former_groups or _block(hosts, self.former_groups)
+
+    def may_be_changed_by(self, hosts: HostNames) -> bool:
+        """Return whether hosts that reach each other can complete a change.
+
+        They have to be so many that no quorum can form without them.
+        """
+        return _block(hosts, self.groups)
 
     def next_step(
         self, target: HostNames, informed: HostNames, epoch: int
@@ -104,6 +107,10 @@
     return len(hosts & group) * 2 > len(group)
 
 
+def _block(hosts: HostNames, groups: typing.Iterable[HostNames]) -> bool:
+    return any(len(hosts & group) * 2 >= len(group) for group in groups)
+
+
 def choose(
     candidates: typing.Iterable[directory.Host], current: HostNames
 ) -> HostNames:
