--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -290,7 +290,7 @@
     ),
     mutant_types.Mutant(
         name='sessions start before routes and keys are read',
-        path='src/egretstep/platform/ingress.py',
+        path='src/egretstep/platform/caller_connection.py',
         old='await self._services.is_configured.wait()',
         new='await asyncio.sleep(0)',
         tests='tests.platform.test_ingress',
