--- a/specifications/promotions.py
+++ b/specifications/promotions.py
@@ -4,8 +4,10 @@
 leave. The service has one synchronous replica. The owner replaces the primary,
 and another owner may take over at any time. An ordered promotion takes effect
 at any later time, whether or not its owner learns of it; the former primary
-goes on committing what is on its way to it. Owners exclude each other, which
-`leases` shows. That an order is dead once it was waited out is assumed.
+goes on committing what is on its way to it. The entry of server 1 may lapse
+while it goes on to receive; it may then answer the owner or not. Owners exclude
+each other, which `leases` shows. That an order is dead once it was waited out
+is assumed.
 """
 
 import itertools
@@ -21,6 +23,7 @@
 FORMER = 0
 REPLICAS = (1, 2)
 LEAVING = 2
+LAPSING = 1
 OLD_TERM = identifiers.Term(1)
 NEW_TERM = identifiers.Term(2)
 NEVER = -1
@@ -50,7 +53,8 @@
     the latest term; `before` is the number of commits of the former primary
     at that moment. `serving` is the server to which the owner sends writes,
     or `NEVER`. `reported` is the end of the log that the owner has seen with
-    an acknowledged write; the next owner has seen none.
+    an acknowledged write; the next owner has seen none. `has_lapsed` is set
+    once server 1 has no entry.
     """
 
     logs: tuple[int, int, int] = (0, 0, 0)
@@ -63,6 +67,7 @@
     serving: int = FORMER
     pending: int = FORMER
     is_next_owner: bool = False
+    has_lapsed: bool = False
     late: bool = False
     lost: bool = False
 
@@ -75,6 +80,7 @@
     records_order: bool = True
     waits_for_ordered: bool = True
     requires_proof: bool = True
+    remembers_lapsed: bool = True
 
 
 Transitions = list[tuple[str, State]]
@@ -134,6 +140,9 @@
             'the leadership of s0 ends',
             state._replace(serving=NEVER),
         ))
+    if not state.has_lapsed:
+        lapsed = state._replace(has_lapsed=True)
+        transitions.append(('the entry of s1 lapses', lapsed))
     if not state.is_next_owner:
         following = state._replace(
             is_next_owner=True, serving=NEVER, reported=0
@@ -206,19 +215,15 @@
 ) -> int | None:
     if state.pending in found:
         return state.pending
+    known = set(range(len(_SERVERS)))
+    if state.has_lapsed and not variant.remembers_lapsed:
+        known.remove(LAPSING)
+    lapsed = {LAPSING} if state.has_lapsed else set()
+    reported = known.intersection(found)
     evidence = candidates.Evidence(
-        found=[
-            candidates.Candidate(
-                server=_SERVERS[each],
-                status=connection.ServerStatus(
-                    role=connection.Role.REPLICA,
-                    term=OLD_TERM,
-                    received=_position(state.logs[each]),
-                ),
-            )
-            for each in found
-        ],
-        unknown_count=len(_SERVERS) - len(found),
+        found=[_candidate(state, each) for each in reported - lapsed],
+        unregistered=[_candidate(state, each) for each in reported & lapsed],
+        unknown_count=len(known) - len(reported),
         acknowledged=(
             None if state.is_next_owner else _position(state.reported)
         ),
@@ -232,6 +237,17 @@
     return None if chosen is None else _SERVERS.index(chosen.server)
 
 
+def _candidate(state: State, server: int) -> candidates.Candidate:
+    return candidates.Candidate(
+        server=_SERVERS[server],
+        status=connection.ServerStatus(
+            role=connection.Role.REPLICA,
+            term=OLD_TERM,
+            received=_position(state.logs[server]),
+        ),
+    )
+
+
 def _position(length: int) -> identifiers.LogPosition:
     return identifiers.LogPosition(term=OLD_TERM, offset=length)
 
@@ -276,6 +292,9 @@
             'a server that takes work is preferred': Variant(
                 requires_proof=False
             ),
+            'a server is forgotten when its entry lapses': Variant(
+                remembers_lapsed=False
+            ),
         },
         invariants={
             'no late acknowledgement': lambda each: not each['late'],
--- a/src/egretstep/replication/candidates.py
+++ b/src/egretstep/replication/candidates.py
@@ -27,8 +27,10 @@
 class Evidence:
     """What is known of the acknowledged commits of a service.
 
-    `found` are the servers that reported their status, and `unknown_count` is
-    the number of other servers of the service, the former primary included.
+    `found` are the registered servers that reported their status, and
+    `unregistered` those that did so without an entry in the store: they may
+    have received commits as well. `unknown_count` is the number of other
+    servers that may hold commits, the former primary included.
     `acknowledged` is a position that covers every acknowledged commit, None
     if this host knows none. `sync_replicas` is the number of replicas that
     have received a commit before it is acknowledged. `can_catch_up` tells
@@ -40,6 +42,7 @@
     acknowledged: identifiers.LogPosition | None
     sync_replicas: int
     can_catch_up: bool = False
+    unregistered: typing.Sequence[Candidate] = ()
 
     @property
     def required(self) -> identifiers.LogPosition | None:
@@ -67,15 +70,28 @@
             return []
         return [each for each in self.found if each.status.received >= required]
 
+    @property
+    def complete_unregistered(self) -> list[Candidate]:
+        """Return the complete servers that have no entry in the store."""
+        required = self.required
+        if required is None:
+            return []
+        return [
+            each
+            for each in self.unregistered
+            if each.status.received >= required
+        ]
+
     def _received_by_enough(self) -> identifiers.LogPosition | None:
         """Return the latest position of the servers that answered.
 
         None if more servers are unknown than there are synchronous replicas:
         then the latest acknowledged commit may be on none of those found.
         """
-        if not self.found or self.unknown_count > self.sync_replicas:
+        reported = (*self.found, *self.unregistered)
+        if not reported or self.unknown_count > self.sync_replicas:
             return None
-        return max(each.status.received for each in self.found)
+        return max(each.status.received for each in reported)
 
 
 def choose(
@@ -86,10 +102,11 @@
     """Return the server to promote, None if acknowledged commits could be lost.
 
     Servers that take work are preferred among those that have every
-    acknowledged commit. A service without synchronous replicas promises less:
+    acknowledged commit. If only a server without an entry has them, it has to
+    lead until others have its log. A service without synchronous replicas promises less:
     if no server is known to be complete, the most advanced one is returned.
     """
-    complete = evidence.complete
+    complete = evidence.complete or evidence.complete_unregistered
     if not complete and evidence.sync_replicas:
         return None
     eligible = complete or _most_advanced(evidence.found)
--- a/src/egretstep/replication/failover.py
+++ b/src/egretstep/replication/failover.py
@@ -11,6 +11,7 @@
 from egretstep.membership import registry
 from egretstep.replication import (
     candidates,
+    log_holders,
     primary_record,
     server_probe,
     successor_choice,
@@ -89,9 +90,16 @@
             connection.ServerId, tuple[int, int]
         ] = {}
         self.probe = server_probe.ServerProbe(opener=opener)
+        self.holders = log_holders.LogHolders(
+            servers=servers,
+            probe=self.probe,
+            current_deployment=current_deployment,
+            time_source=time_source,
+        )
         self.choice = successor_choice.SuccessorChoice(
             servers=servers,
             probe=self.probe,
+            holders=self.holders,
             current_deployment=current_deployment,
             time_source=time_source,
         )
@@ -127,7 +135,12 @@
         return 'it is to get no new work'
 
     def is_drain_overdue(self, server: connection.BackendServer) -> bool:
-        """Return whether a server has taken no new work for too long."""
+        """Return whether a server has taken no new work for too long.
+
+        So has one whose entry is gone.
+        """
+        if self._servers.find(server.server) is None:
+            return True
         since = self._servers.no_work_since(server)
         if since is None:
             return False
@@ -212,7 +225,7 @@
             return None
         if choice.leads and _is_accepted(change.record, choice.candidate):
             return choice.candidate
-        record = choice.pending_record()
+        record = choice.pending_record(change.record)
         outcome = _Outcome.NOT_ORDERED
         is_saved = await save(record)
         if is_saved and remaining_lease() > 0:
@@ -274,15 +287,15 @@
         record: primary_record.PrimaryRecord,
     ) -> candidates.Candidate | None:
         """Wait for the outcome of a promotion that was ordered before."""
-        for server in self._servers.of_service(service):
-            if server.server == record.server:
-                _logger.info(
-                    'service {}: waiting for the promotion of {}',
-                    service,
-                    record.server,
-                )
-                return await self._await_leader(server, record)
-        return None
+        server = self.holders.find(service, record, record.server)
+        if server is None:
+            return None
+        _logger.info(
+            'service {}: waiting for the promotion of {}',
+            service,
+            record.server,
+        )
+        return await self._await_leader(server, record)
 
     async def _await_leader(
         self,
--- a/src/egretstep/replication/primary.py
+++ b/src/egretstep/replication/primary.py
@@ -17,8 +17,8 @@
 from egretstep.pooling import work as work_module
 from egretstep.replication import (
     candidates,
+    claim_record,
     failover,
-    primary_record,
     primary_statements,
     successor_choice,
 )
@@ -57,6 +57,13 @@
             expected_seconds=failover_coordinator.expected_seconds,
             time_source=time_source,
         )
+        self._record = claim_record.ClaimRecord(
+            service=service,
+            claim=claim,
+            keeper=keeper,
+            holders=failover_coordinator.holders,
+            acknowledged=lambda: self._statements.acknowledged,
+        )
         self._is_redirecting = False
         self._is_replacing = False
         self._is_stopping = False
@@ -137,6 +144,7 @@
         if primary is None:
             await self._find_primary()
             return
+        await self._record.update_log_holders()
         current = self._failover.registered(primary)
         if current is not None:
             self._statements.refresh(current)
@@ -205,35 +213,20 @@
     async def _find_primary(self) -> None:
         """Find the current primary and serve it, or promote another."""
         candidate = await self._failover.find_primary(
-            self._service, self._record
+            self._service, self._record.current
         )
         if candidate is None:
             await self._replace('no server is primary', is_planned=False)
             return
         self._start_serving(candidate)
 
-    @property
-    def _record(self) -> primary_record.PrimaryRecord:
-        """Return what is recorded of the primary, by this or the last owner."""
-        claim = self._keeper.known[self._claim.task]
-        return primary_record.decode(claim.detail)
-
     def _remaining_lease(self) -> float:
         if not self.holds_lease:
             return 0
         return self._keeper.remaining_lease(self._claim.task)
 
-    async def _save_record(self, record: primary_record.PrimaryRecord) -> bool:
-        if record == self._record:
-            return True
-        return await self._keeper.record(self._claim, record.encode())
-
     def _start_serving(self, candidate: candidates.Candidate) -> None:
-        record = primary_record.PrimaryRecord(
-            server=candidate.server.server, term=candidate.status.term
-        )
-        # The pending record leads the next owner to this server as well.
-        asyncio.ensure_future(self._save_record(record))
+        self._record.save_primary(candidate)
         # One that must get no work leads only until others have its log.
         is_open = not self._failover.is_drain_overdue(candidate.server)
         self._statements.start(candidate, is_open=is_open)
@@ -283,7 +276,7 @@
         try:
             candidate = await self._failover.replace(
                 self._describe_change(former, is_planned=is_planned),
-                save=self._save_record,
+                save=self._record.save,
                 remaining_lease=self._remaining_lease,
             )
         except successor_choice.ChangePostponedError as error:
@@ -324,7 +317,7 @@
         return successor_choice.Change(
             service=self._service,
             former=former,
-            record=self._record,
+            record=self._record.current,
             epoch=self.epoch,
             acknowledged=self._statements.acknowledged,
             may_postpone=can_go_on,
--- a/src/egretstep/replication/primary_record.py
+++ b/src/egretstep/replication/primary_record.py
@@ -12,11 +12,20 @@
 
 from egretstep import errors, identifiers, json_fields
 from egretstep.backends import connection
+from egretstep.settings import node
 
 NO_SERVER = connection.ServerId('')
 _logger = logbook.Logger('primary')
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogHolder:
+    """A server that may hold acknowledged commits, and its last address."""
+
+    server: connection.ServerId
+    address: node.Address
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PrimaryRecord:
     """The primary of a service, or the server that is to become it.
@@ -24,6 +33,8 @@
     `server` is empty if nothing was recorded. It leads `term`; or, if
     `is_pending` is set, its promotion was ordered when `term` was the latest
     one, and no other server may be used until its outcome is known.
+    `log_holders` are the servers on which an acknowledged commit may be, the
+    primary included, whether or not they are registered.
 
     >>> record = PrimaryRecord(server=connection.ServerId('i-1'))
     >>> decode(record.encode()) == record
@@ -33,10 +44,23 @@
     server: connection.ServerId = NO_SERVER
     term: identifiers.Term = identifiers.NO_TERM
     is_pending: bool = False
+    log_holders: tuple[LogHolder, ...] = ()
 
     def encode(self) -> str:
         """Return the record as the detail of a claim."""
-        return orjson.dumps(dataclasses.asdict(self)).decode()
+        return orjson.dumps({
+            'server': self.server,
+            'term': self.term,
+            'is_pending': self.is_pending,
+            'log_holders': [
+                {
+                    'server': each.server,
+                    'address': each.address.host,
+                    'port': each.address.port,
+                }
+                for each in self.log_holders
+            ],
+        }).decode()
 
     def accepts(
         self, server: connection.ServerId, status: connection.ServerStatus
@@ -68,7 +92,20 @@
             server=connection.ServerId(fields.text('server')),
             term=identifiers.Term(fields.integer('term')),
             is_pending=fields.flag('is_pending'),
+            log_holders=tuple(
+                _decode_holder(each)
+                for each in fields.objects('log_holders', is_optional=True)
+            ),
         )
     except errors.MalformedFieldError as error:
         _logger.warning('malformed record of a primary is ignored: {}', error)
         return PrimaryRecord()
+
+
+def _decode_holder(fields: json_fields.JsonFields) -> LogHolder:
+    return LogHolder(
+        server=connection.ServerId(fields.name('server')),
+        address=node.checked_address(
+            fields.text('address'), fields.integer('port')
+        ),
+    )
--- a/src/egretstep/replication/server_probe.py
+++ b/src/egretstep/replication/server_probe.py
@@ -19,9 +19,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Liveness:
-    """Whether a server answers, and its status if it reported one."""
+    """Whether a server answers, and its status if it reported one.
+
+    `is_other_server` says that another server has its address by now.
+    """
 
     is_alive: bool
+    is_other_server: bool = False
     status: connection.ServerStatus | None = None
 
 
@@ -70,8 +74,8 @@
                 server.server,
                 error,
             )
-            is_alive = error.code is not answers.Code.WRONG_SERVER
-            return Liveness(is_alive=is_alive)
+            is_other = error.code is answers.Code.WRONG_SERVER
+            return Liveness(is_alive=not is_other, is_other_server=is_other)
         except (errors.EgretstepError, TimeoutError) as error:
             _logger.info(
                 'server {} does not report its status: {!r}',
--- a/src/egretstep/replication/successor_choice.py
+++ b/src/egretstep/replication/successor_choice.py
@@ -9,7 +9,12 @@
 from egretstep import clock, errors, identifiers
 from egretstep.backends import connection
 from egretstep.membership import registry
-from egretstep.replication import candidates, primary_record, server_probe
+from egretstep.replication import (
+    candidates,
+    log_holders,
+    primary_record,
+    server_probe,
+)
 from egretstep.settings import deployment
 
 MAX_CATCH_UP_SECONDS = 0.5
@@ -55,14 +60,17 @@
         is_primary = status.role is connection.Role.PRIMARY
         return is_primary and status.term == self.latest_term
 
-    def pending_record(self) -> primary_record.PrimaryRecord:
+    def pending_record(
+        self, former: primary_record.PrimaryRecord
+    ) -> primary_record.PrimaryRecord:
         """Return the record of an order to promote the server.
 
         An order for one that leads already changes nothing but orders before
         it, so that its term is good enough.
         """
         former_term = self.latest_term - 1 if self.leads else self.latest_term
-        return primary_record.PrimaryRecord(
+        return dataclasses.replace(
+            former,
             server=self.candidate.server.server,
             term=identifiers.Term(former_term),
             is_pending=True,
@@ -77,11 +85,13 @@
         *,
         servers: registry.ServerRegistry,
         probe: server_probe.ServerProbe,
+        holders: log_holders.LogHolders,
         current_deployment: typing.Callable[[], deployment.Deployment],
         time_source: clock.Clock,
     ) -> None:
         self._servers = servers
         self._probe = probe
+        self._holders = holders
         self._current_deployment = current_deployment
         self._clock = time_source
 
@@ -130,7 +140,8 @@
             change.acknowledged,
             evidence.unknown_count,
         )
-        terms = [each.status.term for each in evidence.found]
+        reported = (*evidence.found, *evidence.unregistered)
+        terms = [each.status.term for each in reported]
         latest = max(*terms, change.record.term)
         return Choice(candidate=chosen, latest_term=latest)
 
@@ -144,7 +155,7 @@
         """
         if not change.record.is_pending:
             return None
-        for each in evidence.found:
+        for each in (*evidence.found, *evidence.unregistered):
             if each.server.server == change.record.server:
                 return each
         return None
@@ -188,16 +199,23 @@
 
     async def _query_once(self, change: Change) -> candidates.Evidence:
         others = self._others(change)
-        found = await self._probe.find_candidates(others)
-        members = {server.server for server in others}
+        lapsed = self._holders.unregistered(change.service, change.record)
+        found, unregistered = await asyncio.gather(
+            self._probe.find_candidates(others),
+            self._probe.find_candidates([
+                each for each in lapsed if not _is_former(change, each)
+            ]),
+        )
+        holders = {server.server for server in (*others, *lapsed)}
         if change.former is not None:
-            members.add(change.former.server)
+            holders.add(change.former.server)
         if change.record.server:
-            members.add(change.record.server)
+            holders.add(change.record.server)
         current = self._current_deployment().services.get(change.service)
         return candidates.Evidence(
             found=found,
-            unknown_count=len(members) - len(found),
+            unregistered=unregistered,
+            unknown_count=len(holders) - len(found) - len(unregistered),
             acknowledged=change.acknowledged,
             sync_replicas=current.sync_replicas if current else 0,
             can_catch_up=change.may_postpone,
@@ -205,11 +223,10 @@
 
     def _others(self, change: Change) -> list[connection.BackendServer]:
         """Return the servers of the service, except the former primary."""
-        former = change.former.server if change.former else None
         return [
             server
             for server in self._servers.of_service(change.service)
-            if server.server != former
+            if not _is_former(change, server)
         ]
 
     def _log_no_choice(
@@ -217,10 +234,16 @@
     ) -> None:
         _logger.warning(
             'service {}: no server can be promoted (required: {}, synchronous '
-            'replicas: {}, servers without an answer: {}, found: {})',
+            'replicas: {}, servers without an answer: {}, found: {}, without '
+            'an entry: {})',
             change.service,
             evidence.required,
             evidence.sync_replicas,
             evidence.unknown_count,
             {each.server.server: each.status for each in evidence.found},
+            {each.server.server: each.status for each in evidence.unregistered},
         )
+
+
+def _is_former(change: Change, server: connection.BackendServer) -> bool:
+    return change.former is not None and (server.server == change.former.server)
--- a/tests/platform/test_change_of_primary.py
+++ b/tests/platform/test_change_of_primary.py
@@ -10,6 +10,9 @@
 
 from standins import platform_fleet, platform_servers, platform_writers
 
+# A missing entry counts as gone, and a log holder that left as dropped.
+LAPSE_SECONDS = 4.0
+
 
 def lost_commits(
     group: platform_servers.Group, writers: platform_writers.Writers
@@ -83,6 +86,76 @@
             self.assertTrue(fleet.group.takeovers)
             self.assertEqual(lost_commits(fleet.group, writers), [])
 
+    async def test_a_replica_whose_entry_has_lapsed_still_counts(self) -> None:
+        """The other one was promoted without its commits (review/6)."""
+        async with platform_fleet.PlatformFleet(
+            first_port=24600, sync_replicas=1
+        ) as fleet:
+            await self._lose_primary_after_lapse(fleet)
+
+    async def test_a_lapsed_replica_counts_after_a_restart_of_all_hosts(
+        self,
+    ) -> None:
+        """What an owner remembers is not enough (review/6)."""
+        async with platform_fleet.PlatformFleet(
+            first_port=24650, sync_replicas=1
+        ) as fleet:
+            await self._lose_primary_after_lapse(fleet, restarts_hosts=True)
+
+    async def test_a_replica_that_left_on_plan_stops_no_promotion(self) -> None:
+        """Guards against log holders that are never forgotten."""
+        async with platform_fleet.PlatformFleet(
+            first_port=24700, sync_replicas=1
+        ) as fleet:
+            former, leaving, _other = fleet.group.servers.values()
+            leaving.state = 'draining'
+            fleet.store.register_all()
+            await asyncio.sleep(0.5)
+            await leaving.stop()
+            fleet.store.register_all()
+            await asyncio.sleep(LAPSE_SECONDS)
+            writers = platform_writers.Writers(fleet)
+            writers.start()
+            await asyncio.sleep(0.5)
+            await former.stop()
+            await asyncio.sleep(2)
+            await writers.stop()
+            self.assertTrue(fleet.group.takeovers)
+            self.assertEqual(lost_commits(fleet.group, writers), [])
+
+    async def _lose_primary_after_lapse(
+        self,
+        fleet: platform_fleet.PlatformFleet,
+        *,
+        restarts_hosts: bool = False,
+    ) -> None:
+        """Lose the primary after a replica's entry, but not the replica.
+
+        The other replica lacks the last acknowledged commits.
+        """
+        former, lapsed, behind = fleet.group.servers.values()
+        writers = platform_writers.Writers(fleet)
+        writers.start()
+        await asyncio.sleep(0.5)
+        fleet.store.put('servers', lapsed.name, None)
+        await asyncio.sleep(LAPSE_SECONDS)
+        if restarts_hosts:
+            for index in range(3):
+                await fleet.stop_host(index, signal.SIGKILL)
+            for index in range(3):
+                await fleet.start_host(index)
+            await fleet.wait_serving()
+        behind.faults.is_deaf = True
+        await asyncio.sleep(0.5)
+        await former.stop()
+        behind.faults.is_deaf = False
+        stopped_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(4)
+        await writers.stop()
+        self.assertEqual(lost_commits(fleet.group, writers), [])
+        last_acknowledged = max(writers.acknowledged.values())
+        self.assertGreater(last_acknowledged, stopped_at + 1)
+
     async def test_a_promotion_that_takes_effect_late_is_waited_for(
         self,
     ) -> None:
--- a/tests/replication/registered_servers.py
+++ b/tests/replication/registered_servers.py
@@ -7,12 +7,16 @@
 
 
 class RegisteredServers:
-    """The servers of one service; the one named in `draining` leaves."""
+    """The servers of one service; the one named in `draining` leaves.
+
+    `left` are the names of those that have drained and have no entry.
+    """
 
     def __init__(self, *servers: platform_fakes.FakeServer) -> None:
         self._servers = servers
         self._clock = clock.MonotonicClock()
         self._draining_since: dict[str, float] = {}
+        self.left: set[str] = set()
 
     @property
     def draining(self) -> str:
@@ -23,6 +27,16 @@
     def draining(self, name: str) -> None:
         self._draining_since = {name: self._clock.now()} if name else {}
 
+    def remove(self, name: str) -> None:
+        """Remove the entry of a server."""
+        self._servers = tuple(
+            each for each in self._servers if each.name != name
+        )
+
+    def has_left(self, name: connection.ServerId) -> bool:
+        """Return whether a server has left on plan."""
+        return name in self.left
+
     def no_work_since(self, server: connection.BackendServer) -> float | None:
         """Return since when a server leaves, None if it does not."""
         return self._draining_since.get(server.server)
