Voters: a way out after the loss of half of them at once

Change: a voter that is left forces a set of the running hosts after 30 s.

Ruled out: forcing by a host that does not vote; a limit of 10 s without the store; no limit (two owners).

Tests: VoterChangesTest (two more), ConfirmTest (one more), on virtual time.

--- a/specifications/voters.py
+++ b/specifications/voters.py
@@ -7,10 +7,15 @@
 It is checked that no quorum confirms the former claim once a quorum was
 notified of the new one. `leases` models the waiting for leases confirmed
 before. A host that is cut off takes no steps for a while.
+
+A host may also force a set, when the others do not answer. Such a set counts
+only after a wait. Until then the others have either adopted it, or have had no
+news of the store for so long that they need the confirmation of all voters.
 """
 
 import dataclasses
 import functools
+import itertools
 import typing
 
 from specifications import checking
@@ -20,8 +25,16 @@
 FIRST_SET = frozenset('abc')
 # Losses and joins, such that other sets have majorities without each other.
 NEXT_SETS = (frozenset('a'), frozenset('bc'), frozenset('ad'))
+# With forced sets, the taker does not vote at first, and one voter may be the
+# only one that sees the store. A set that it forces may have no vote of its own.
+FIRST_SET_WITH_FORCED = frozenset('acd')
+NEXT_SETS_WITH_FORCED = (frozenset('ad'),)
+FORCED_SETS = (frozenset('a'), frozenset('b'))
+FORCING_HOSTS = 'abc'
 LAST_EPOCH = 4
+LAST_FORCED_EPOCH = 3
 NOT_SYNCED = -1
+NEVER = -1
 
 Group = frozenset[str]
 Groups = tuple[Group, ...]
@@ -34,6 +47,9 @@
     `adopted` and `knows` hold, for each host, the epoch that it has adopted
     and whether it knows the taker's claim. `taker_epoch` is the epoch of the
     set that the taker notifies, and `notified` are the hosts that answered.
+    `forced_epoch` is that of a set that `forced_by` has forced, and
+    `has_waited` is set once it counts. `refreshed` are the hosts that have read
+    the claims again after that.
     """
 
     sets: tuple[Groups, ...] = ((FIRST_SET,),)
@@ -43,6 +59,10 @@
     taker_epoch: int = NOT_SYNCED
     notified: Group = frozenset()
     is_taken: bool = False
+    forced_epoch: int = NEVER
+    has_waited: bool = False
+    forced_by: str = ''
+    refreshed: Group = frozenset()
 
 
 class Variant(typing.NamedTuple):
@@ -53,6 +73,12 @@
     refuses_older_sets: bool = True
     reads_claims_with_set: bool = True
     counts_silent_hosts: bool = True
+    may_force: bool = False
+    waits_before_forced_counts: bool = True
+    others_need_all_voters: bool = True
+    forcing_host_votes_no_more: bool = True
+    only_voters_force: bool = True
+    reads_claims_after_wait: bool = True
 
 
 Transitions = list[tuple[str, State]]
@@ -77,6 +103,8 @@
         return []
     return [
         *_change_set(state, variant),
+        *_force(state, variant),
+        *_refresh(state, variant),
         *_adopt(state, variant),
         *_take_over(state, variant),
     ]
@@ -84,17 +112,19 @@
 
 def _change_set(state: State, variant: Variant) -> Transitions:
     latest = len(state.sets) - 1
-    if latest == LAST_EPOCH or not _may_change(state, variant):
+    last = LAST_FORCED_EPOCH if variant.may_force else LAST_EPOCH
+    if latest == last or not _may_change(state, variant):
         return []
     current = state.sets[-1]
+    next_sets = NEXT_SETS_WITH_FORCED if variant.may_force else NEXT_SETS
     if len(current) > 1:
         following = [(group,) for group in current]
     elif variant.has_joint_sets:
         following = [
-            (*current, each) for each in NEXT_SETS if each not in current
+            (*current, each) for each in next_sets if each not in current
         ]
     else:
-        following = [(each,) for each in NEXT_SETS if each not in current]
+        following = [(each,) for each in next_sets if each not in current]
     return [
         (
             f'set {len(state.sets)} is {_show(groups)}',
@@ -108,9 +138,83 @@
     latest = len(state.sets) - 1
     if latest == 0 or not variant.waits_until_former_is_blocked:
         return True
+    if state.forced_epoch == latest:
+        return state.has_waited
     return _is_blocked(state.sets[-2], _hosts_with(state, latest))
 
 
+def _force(state: State, variant: Variant) -> Transitions:
+    if not variant.may_force:
+        return []
+    if state.forced_epoch != NEVER:
+        waited = state._replace(has_waited=True)
+        return [] if state.has_waited else [('the wait is over', waited)]
+    latest = len(state.sets) - 1
+    if latest == LAST_FORCED_EPOCH:
+        return []
+    present = [*state.sets[-1], *(state.sets[-2] if latest else ())]
+    return [
+        (
+            f'{host} forces the set {_show((forced_set,))}',
+            state._replace(
+                sets=(*state.sets, (forced_set,)),
+                forced_epoch=latest + 1,
+                forced_by=host,
+            ),
+        )
+        for host, forced_set in itertools.product(FORCING_HOSTS, FORCED_SETS)
+        if state.adopted[HOSTS.index(host)] == latest
+        and (
+            not variant.only_voters_force
+            or all(host in group for group in present)
+        )
+    ]
+
+
+def _refresh(state: State, variant: Variant) -> Transitions:
+    if not state.has_waited:
+        return []
+    transitions: Transitions = []
+    for index, host in enumerate(HOSTS):
+        if state.adopted[index] != state.forced_epoch:
+            continue
+        if host in state.refreshed:
+            continue
+        knows = state.knows
+        if state.is_claimed and variant.reads_claims_after_wait:
+            knows = checking.replace_item(knows, index, True)
+        transitions.append((
+            f'{host} has news after the wait',
+            state._replace(knows=knows, refreshed=state.refreshed | {host}),
+        ))
+    return transitions
+
+
+def _is_pledged(state: State, host: str, epoch: int, variant: Variant) -> bool:
+    """Return whether a host votes in no epoch as early as this one."""
+    if not variant.forcing_host_votes_no_more:
+        return False
+    return host == state.forced_by and epoch < state.forced_epoch
+
+
+def _counts(
+    state: State, host: str, hosts: Group, epoch: int, variant: Variant
+) -> bool:
+    """Return whether hosts are a quorum for a host with a set."""
+    groups = state.sets[epoch]
+    if _is_pledged(state, host, epoch, variant):
+        return False
+    if epoch == state.forced_epoch:
+        is_usable = host in state.refreshed or (
+            not variant.waits_before_forced_counts
+        )
+        return is_usable and _is_quorum(hosts, groups)
+    has_no_news = state.has_waited and epoch < state.forced_epoch
+    if has_no_news and variant.others_need_all_voters:
+        return all(group <= hosts for group in groups)
+    return _is_quorum(hosts, groups)
+
+
 def _hosts_with(state: State, epoch: int) -> Group:
     """Return the hosts that have adopted at least an epoch."""
     known = zip(HOSTS, state.adopted, strict=True)
@@ -137,7 +241,7 @@
 
 def _take_over(state: State, variant: Variant) -> Transitions:
     taker = HOSTS.index(TAKER)
-    if state.is_taken:
+    if state.is_taken or state.adopted[taker] == NOT_SYNCED:
         return []
     if not state.is_claimed:
         claimed = state._replace(
@@ -156,9 +260,9 @@
     for host in sorted(voters - state.notified):
         index = HOSTS.index(host)
         is_later = state.adopted[index] > state.taker_epoch
-        if state.adopted[index] == NOT_SYNCED:
-            continue
-        if is_later and variant.refuses_older_sets:
+        is_refused = is_later and variant.refuses_older_sets
+        is_pledged = _is_pledged(state, host, state.taker_epoch, variant)
+        if state.adopted[index] == NOT_SYNCED or is_refused or is_pledged:
             continue
         transitions.append((
             f'b notifies {host}',
@@ -172,10 +276,15 @@
 
 def _finish(state: State, variant: Variant) -> Transitions:
     groups = state.sets[state.taker_epoch]
-    if not variant.counts_silent_hosts:
+    if variant.counts_silent_hosts:
+        is_taken = _counts(
+            state, TAKER, state.notified, state.taker_epoch, variant
+        )
+    else:
         # The hosts that gave no answer are dropped from the count.
         groups = tuple(group & state.notified for group in groups)
-    if not _is_quorum(state.notified, groups):
+        is_taken = _is_quorum(state.notified, groups)
+    if not is_taken:
         return []
     return [('b has taken over', state._replace(is_taken=True))]
 
@@ -198,8 +307,9 @@
         if not knows
         and adopted != NOT_SYNCED
         and (adopted <= epoch or not variant.refuses_older_sets)
+        and not _is_pledged(state, host, epoch, variant)
     )
-    return _is_quorum(willing, state.sets[epoch])
+    return _counts(state, HOLDER, willing, epoch, variant)
 
 
 def _is_exclusive(variant: Variant, fields: dict[str, typing.Any]) -> bool:
@@ -220,13 +330,37 @@
 }
 
 
+_BROKEN_FORCED = {
+    'a forced set counts at once': Variant(
+        may_force=True, waits_before_forced_counts=False
+    ),
+    'a majority goes on without news of the store': Variant(
+        may_force=True, others_need_all_voters=False
+    ),
+    'the host that forces a set still votes': Variant(
+        may_force=True, forcing_host_votes_no_more=False
+    ),
+    'a host that does not vote forces a set': Variant(
+        may_force=True, only_voters_force=False
+    ),
+    'claims are not read again after the wait': Variant(
+        may_force=True, reads_claims_after_wait=False
+    ),
+}
+
+
+_FORCED_INITIAL = State(
+    sets=((FIRST_SET_WITH_FORCED,),), adopted=(0, NOT_SYNCED, 0, 0)
+)
+
+
 def _specification(
     name: str, variant: Variant, *, is_broken: bool = False
 ) -> checking.Specification:
     # The invariant depends on the variant, so each has a model of its own.
     models = checking.with_broken_variants(
         name=name,
-        initial=State(),
+        initial=_FORCED_INITIAL if variant.may_force else State(),
         transitions=_transitions,
         variant=variant,
         broken={},
@@ -245,4 +379,9 @@
             _specification(f'voters, {label}', variant, is_broken=True)
             for label, variant in _BROKEN.items()
         ),
+        _specification('forced voters', Variant(may_force=True)),
+        *(
+            _specification(f'forced voters, {label}', variant, is_broken=True)
+            for label, variant in _BROKEN_FORCED.items()
+        ),
     ]
--- a/src/egretstep/membership/quorum_calls.py
+++ b/src/egretstep/membership/quorum_calls.py
@@ -27,6 +27,7 @@
 
     One set of voters counts for all answers to a call, also if another one is
     adopted meanwhile. A voter that knows a later set does not confirm.
+    Long after the last news of the store, only all voters are a quorum.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         current = self._voters.current
         if current is None:
             return claims_module.Confirmation(newer=(), has_quorum=False)
+        may_count = self._voters.is_usable
         fields = [fleet_messages.encode_claim(claim) for claim in sent]
         replies = await self._gather_quorum(
             current,
@@ -95,7 +97,7 @@
         )
         return claims_module.Confirmation(
             newer=tuple(replies.values()),
-            has_quorum=self._is_quorum(current, replies),
+            has_quorum=may_count and self._is_quorum(current, replies),
         )
 
     async def voter_epochs(
@@ -124,7 +126,10 @@
         current: voters.VoterSet,
         replies: typing.Mapping[identifiers.HostName, typing.Any],
     ) -> bool:
-        return current.is_quorum(frozenset((*replies, self._hosts.own.host)))
+        hosts = frozenset((*replies, self._hosts.own.host))
+        if self._voters.has_recent_news:
+            return current.is_quorum(hosts)
+        return current.all_hosts <= hosts
 
     async def _gather_quorum(
         self,
--- a/src/egretstep/membership/voter.py
+++ b/src/egretstep/membership/voter.py
@@ -39,7 +39,7 @@
         processes confirmed, and no later voters than the caller.
         """
         newer = self._keeper.newer_claims(sent)
-        is_current = self._voters.epoch <= caller_epoch
+        is_current = self._voters.accepts(caller_epoch)
         return VoterAnswer(
             newer=newer,
             is_confirmed=is_current and self._keeper.can_confirm(sent),
--- a/src/egretstep/membership/voter_changes.py
+++ b/src/egretstep/membership/voter_changes.py
@@ -1,7 +1,6 @@
 """Keeps the voters up to date with the hosts that run.
 
-Each voter watches the next ones in the order of names, up to the first one
-that answers. Voters that stay silent or that stop are left out of the next
+Voters that stay silent or that stop are left out of the next
 set, and hosts that run and do not vote are added to it. Whichever host notices
 a change writes it; the store lets only one of them succeed.
 """
@@ -19,15 +18,13 @@
     fleet_links,
     quorum_calls,
     rendezvous,
+    voter_watch,
     voters,
 )
 from egretstep.storage import tables
 
 MIN_CHECK_INTERVAL_SECONDS = 0.5
 MAX_CHECK_INTERVAL_SECONDS = 0.7
-# Longer than most restarts take, since a change costs more than one silence.
-SILENT_SECONDS = 3.0
-MAX_WATCHED_HOSTS = 4
 MAX_JOINING_HOSTS = 64
 START_DELAY_SECONDS = 1.0
 RANK_DELAY_SECONDS = 0.6
@@ -37,6 +34,8 @@
 STEP_INTERVAL_GROWTH = 1.3
 MAX_CHANGE_SECONDS = 6.0
 RETRY_SECONDS = 2.0
+# Longer than most losses of power: hosts that come back need no forced set.
+FORCE_AFTER_SECONDS = 30.0
 LEAVE_POLL_INTERVAL_SECONDS = 0.05
 _logger = logbook.Logger('voters')
 
@@ -64,13 +63,19 @@
         self._hosts = hosts
         self._voters = known_voters
         self._calls = calls
-        self._links = links
         self._store = store
         self._clock = time_source
         self._started_at = time_source.now()
         self._is_leaving = False
         self._check_now = asyncio.Event()
-        self._silent_since: dict[identifiers.HostName, float] = {}
+        self._watch = voter_watch.VoterWatch(
+            own=hosts.own.host,
+            known_voters=known_voters,
+            calls=calls,
+            links=links,
+            time_source=time_source,
+        )
+        self._blocked_since: float | None = None
         self._adopted_epoch = 0
         self._adopted_at = time_source.now()
 
@@ -111,7 +116,7 @@
         self._check_now.clear()
 
     async def _check(self) -> None:
-        await self._watch_next_voters()
+        await self._watch.check()
         if not self._is_change_due():
             return
         try:
@@ -128,22 +133,6 @@
             )
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def _watch_next_voters(self) -> None:
-        """Note since when the voters that follow this one are silent."""
-        current = self._voters.current
-        if current is None or self._own not in current.all_hosts:
-            self._silent_since.clear()
-            return
-        ordered = sorted(current.all_hosts)
-        place = ordered.index(self._own) + 1
-        following = (*ordered[place:], *ordered[: place - 1])
-        silent = {}
-        for host in following[:MAX_WATCHED_HOSTS]:
-            if await self._links.is_alive(host):
-                break
-            silent[host] = self._silent_since.get(host, self._clock.now())
-        self._silent_since = silent
-
     def _is_change_due(self) -> bool:
         current = self._voters.current
         now = self._clock.now()
@@ -155,7 +144,7 @@
         elapsed = now - self._adopted_at
         if self._voters.is_lost_from_store:
             return elapsed >= self._delay()
-        if self._find_silent() & current.target:
+        if self._watch.silent & current.target:
             return True
         if current.is_joint:
             return elapsed >= UNFINISHED_DELAY_SECONDS + self._delay()
@@ -182,19 +171,13 @@
         place = ranked.index(self._own) if self._own in ranked else len(ranked)
         return RANK_DELAY_SECONDS * place
 
-    def _find_silent(self) -> voters.HostNames:
-        limit = self._clock.now() - SILENT_SECONDS
-        return frozenset(
-            host for host, since in self._silent_since.items() if since <= limit
-        )
-
     def _has_stopped(self, name: identifiers.HostName) -> bool:
         host = self._hosts.hosts.get(name)
         return host is not None and host.state is not directory.HostState.UP
 
     async def _change(self) -> None:
         """Write the sets that follow until the voters are those that run."""
-        lost = await self._find_lost()
+        lost = await self._watch.find_lost()
         pause = STEP_INTERVAL_SECONDS
         is_done = False
         while not is_done:
@@ -205,13 +188,6 @@
             await asyncio.sleep(pause)
             pause *= STEP_INTERVAL_GROWTH
 
-    async def _find_lost(self) -> voters.HostNames:
-        lost = set()
-        for host in self._find_silent():
-            if not await self._calls.is_reached_by_any(host):
-                lost.add(host)
-        return frozenset(lost)
-
     async def _write_next(
         self, stored: tables.Row, lost: voters.HostNames
     ) -> bool:
@@ -230,22 +206,60 @@
         epochs = await self._find_running(latest.all_hosts)
         if any(epoch > latest.epoch for epoch in epochs.values()):
             return True
-        target = self._choose_target(latest, lost, frozenset(epochs))
-        if target == latest.target and not latest.is_joint:
+        return await self._step(stored, latest, epochs, lost)
+
+    async def _step(
+        self,
+        stored: tables.Row,
+        latest: voters.VoterSet,
+        epochs: dict[identifiers.HostName, int],
+        lost: voters.HostNames,
+    ) -> bool:
+        """Write the set that follows `latest`; return whether none does.
+
+        `epochs` holds the latest epoch that each running host knows.
+        """
+        running = frozenset(epochs)
+        target = self._choose_target(latest, lost, running)
+        is_complete = target == latest.target and not latest.is_joint
+        if is_complete and not self._voters.is_pledged:
             return True
-        if not latest.may_be_changed_by(frozenset(epochs)):
-            raise _TooFewVotersError(
-                f'of {sorted(latest.all_hosts)} only {sorted(epochs)} answer'
-            )
+        epoch = fencing.next_number(latest.epoch, stored.version.era)
+        if not latest.may_be_changed_by(running):
+            await self._write(stored, self._force(latest, running, epoch))
+            return True
+        self._blocked_since = None
+        if latest.is_forced and not self._voters.is_usable:
+            raise _TooFewVotersError('a forced set does not count yet')
         informed = frozenset(
-            host for host, epoch in epochs.items() if epoch == latest.epoch
+            host for host, known in epochs.items() if known == latest.epoch
         )
-        epoch = fencing.next_number(latest.epoch, stored.version.era)
         following = latest.next_step(target, informed, epoch)
         if following is not None:
             await self._write(stored, following)
         return False
 
+    def _force(
+        self, latest: voters.VoterSet, running: voters.HostNames, epoch: int
+    ) -> voters.VoterSet:
+        """Return a set of the running hosts, after too few have for long.
+
+        Raises `_TooFewVotersError` until then, or if this host may not.
+        """
+        now = self._clock.now()
+        if self._blocked_since is None:
+            self._blocked_since = now
+        is_due = now - self._blocked_since >= FORCE_AFTER_SECONDS
+        is_counted = not latest.is_forced or self._voters.is_usable
+        if not (is_due and is_counted and latest.may_be_forced_by(self._own)):
+            raise _TooFewVotersError(
+                f'of {sorted(latest.all_hosts)} only {sorted(running)} answer'
+            )
+        self._voters.pledge(epoch)
+        lost = latest.all_hosts - running
+        target = self._choose_target(latest, lost, running)
+        return voters.VoterSet(epoch=epoch, groups=(target,), is_forced=True)
+
     async def _write_first(self, stored: tables.Row) -> None:
         answering = await self._find_running(frozenset())
         candidates = [self._hosts.hosts[host] for host in answering]
--- a/src/egretstep/membership/voters.py
+++ b/src/egretstep/membership/voters.py
@@ -5,6 +5,12 @@
 is needed. The set that follows is written only when no quorum of the former
 set can form any more, because enough of its voters know of a later one and
 refuse its epoch. `specifications/voters.py` models these rules.
+
+If half of the voters or more are lost at once, no change can be completed that
+way. One that is left then forces a set of the hosts that run. It counts only
+after all others must have noticed it or stopped: a host that has had no news of
+the store for `MAX_STORE_SILENCE_SECONDS` needs the confirmation of all voters,
+and the writer of the forced set gives it to no earlier set any more.
 """
 
 import collections
@@ -15,7 +21,7 @@
 import logbook
 import orjson
 
-from egretstep import errors, identifiers, json_fields
+from egretstep import clock, errors, identifiers, json_fields
 from egretstep.membership import directory, fencing
 from egretstep.storage import tables
 
@@ -24,6 +30,16 @@
 KEY = 'quorum/voters'
 # In a larger fleet, more voters cost calls and tolerate no other losses.
 MAX_VOTERS = 31
+MAX_STORE_SILENCE_SECONDS = 30.0
+# News of the store may be older than their arrival by the time of a poll, and a
+# lease may last on after it.
+FORCED_WAIT_MARGIN_SECONDS = 5.0
+FORCED_WAIT_SECONDS = (
+    MAX_STORE_SILENCE_SECONDS
+    + tables.LONGEST_WAIT_SECONDS
+    + tables.POLL_ANSWER_SECONDS
+    + FORCED_WAIT_MARGIN_SECONDS
+)
 _logger = logbook.Logger('voters')
 
 HostNames = frozenset[identifiers.HostName]
@@ -35,7 +51,7 @@
 
     `groups` holds the voters; during a change it holds the former and the next
     ones, and a quorum needs a majority of each group. `former_groups` are the
-    groups of the epoch before.
+    groups of the epoch before; a set that `is_forced` has none.
 
     >>> hosts = frozenset('abc')
     >>> voters = VoterSet(epoch=1, groups=(hosts, frozenset('cd')))
@@ -48,6 +64,7 @@
     epoch: int
     groups: tuple[HostNames, ...]
     former_groups: tuple[HostNames, ...] = ()
+    is_forced: bool = False
 
     @property
     def is_joint(self) -> bool:
@@ -79,6 +96,15 @@
         """
         return _block(hosts, self.groups)
 
+    def may_be_forced_by(self, host: identifiers.HostName) -> bool:
+        """Return whether no host can get the votes of all without this one.
+
+        That goes for the former set as well, in which hosts may still be.
+        """
+        return all(
+            host in group for group in (*self.groups, *self.former_groups)
+        )
+
     def next_step(
         self, target: HostNames, informed: HostNames, epoch: int
     ) -> 'VoterSet | None':
@@ -137,6 +163,7 @@
         'epoch': voters.epoch,
         'groups': [sorted(group) for group in voters.groups],
         'former_groups': [sorted(group) for group in voters.former_groups],
+        'is_forced': voters.is_forced,
     })
 
 
@@ -161,6 +188,7 @@
         epoch=fields.integer('epoch'),
         groups=groups,
         former_groups=_decode_groups(fields, 'former_groups'),
+        is_forced=fields.flag('is_forced', default=False),
     )
 
 
@@ -174,10 +202,23 @@
 
 
 class KnownVoters:
-    """The latest voter set that this host has adopted from the store."""
+    """The latest voter set that this host has adopted from the store.
 
-    def __init__(self) -> None:
+    `store_silence` returns for how many seconds this host has had no news of
+    the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        store_silence: typing.Callable[[], float],
+        time_source: clock.Clock,
+    ) -> None:
+        self._store_silence = store_silence
+        self._clock = time_source
         self._current: VoterSet | None = None
+        self._adopted_at = 0.0
+        self._pledged_epoch = 0
         self._is_lost_from_store = False
 
     @property
@@ -190,6 +231,36 @@
         """Return the epoch of the latest set, zero if none is known."""
         return self._current.epoch if self._current else 0
 
+    @property
+    def has_recent_news(self) -> bool:
+        """Return whether no other host can have forced a set that counts."""
+        return self._store_silence() <= MAX_STORE_SILENCE_SECONDS
+
+    @property
+    def is_usable(self) -> bool:
+        """Return whether quorums of the latest set count."""
+        if self._current is None or self._pledged_epoch > self.epoch:
+            return False
+        if not self._current.is_forced:
+            return True
+        # Another host may have taken over a task during the wait. So this one
+        # needs news of the store from after it, which brings the claim.
+        news_at = self._clock.now() - self._store_silence()
+        return news_at - self._adopted_at >= FORCED_WAIT_SECONDS
+
+    @property
+    def is_pledged(self) -> bool:
+        """Return whether this host waits for the set that it has forced."""
+        return self._pledged_epoch > self.epoch
+
+    def pledge(self, epoch: int) -> None:
+        """Vote in no earlier epoch, also if this one is never written."""
+        self._pledged_epoch = max(self._pledged_epoch, epoch)
+
+    def accepts(self, caller_epoch: int) -> bool:
+        """Return whether this host votes for a caller with a set."""
+        return caller_epoch >= max(self.epoch, self._pledged_epoch)
+
     @property
     def is_lost_from_store(self) -> bool:
         """Return whether the store has no set or, restored, an earlier one."""
@@ -205,6 +276,7 @@
         stored_epoch = stored.epoch if stored else 0
         if stored is not None and stored_epoch > self.epoch:
             self._current = stored
+            self._adopted_at = self._clock.now()
             _logger.info(
                 'voters of epoch {}: {}',
                 stored.epoch,
--- a/src/egretstep/programs/host_membership.py
+++ b/src/egretstep/programs/host_membership.py
@@ -1,6 +1,7 @@
 """Creates the components through which a host takes part in the fleet."""
 
 import dataclasses
+import typing
 
 from egretstep import clock
 from egretstep.membership import (
@@ -39,16 +40,20 @@
     registration: host_rows.Registration,
     store: tables.Tables,
     is_first_start: bool,
+    store_silence: typing.Callable[[], float],
     time_source: clock.Clock,
 ) -> HostMembership:
     """Return the components of a host that is not registered yet.
 
-    `is_first_start` says that the fleet starts for the first time.
+    `is_first_start` says that the fleet starts for the first time, and
+    `store_silence` returns the seconds without news of the store.
     """
     hosts = directory.Directory(own=pending.own, time_source=time_source)
     hosts.is_registered = False
     peers = fleet_links.FleetLinks(hosts=hosts, time_source=time_source)
-    known_voters = voters.KnownVoters()
+    known_voters = voters.KnownVoters(
+        store_silence=store_silence, time_source=time_source
+    )
     quorum = quorum_calls.QuorumCalls(
         hosts=hosts,
         links=peers,
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -105,6 +105,7 @@
             registration=self._registration,
             store=self._store,
             is_first_start=self._settings.is_first_start,
+            store_silence=lambda: self._watches.fleet.age,
             time_source=self._clock,
         )
         self._hosts = membership.hosts
--- a/tests/membership/test_quorum_calls.py
+++ b/tests/membership/test_quorum_calls.py
@@ -42,13 +42,17 @@
     *,
     groups: tuple[typing.Collection[str], ...] = (HOSTS,),
     later: typing.Collection[str] = (),
+    store_silence: float = 0,
 ) -> quorum_calls.QuorumCalls:
     """Return the calls of the first host; `later` know a later voter set."""
     hosts = directory.Directory(
         own=platform_fakes.host(HOSTS[0]),
         time_source=clock.MonotonicClock(),
     )
-    known = voters.KnownVoters()
+    known = voters.KnownVoters(
+        store_silence=lambda: store_silence,
+        time_source=clock.MonotonicClock(),
+    )
     known.update(
         _voter_row(
             voters.VoterSet(
@@ -82,7 +86,9 @@
 
     links.call = call  # type: ignore[method-assign]
     return quorum_calls.QuorumCalls(
-        hosts=hosts, links=links, known_voters=known
+        hosts=hosts,
+        links=links,
+        known_voters=known,
     )
 
 
@@ -124,6 +130,16 @@
         confirmed = await make_calls(HOSTS[4:], groups=groups).confirm([CLAIM])
         self.assertTrue(confirmed.has_quorum)
 
+    async def test_only_all_voters_are_a_quorum_long_after_the_last_news(
+        self,
+    ) -> None:
+        """A voter that sees the store may have forced another set."""
+        silence = voters.MAX_STORE_SILENCE_SECONDS + 1
+        calls = make_calls(HOSTS[4:], store_silence=silence)
+        self.assertFalse((await calls.confirm([CLAIM])).has_quorum)
+        calls = make_calls(store_silence=silence)
+        self.assertTrue((await calls.confirm([CLAIM])).has_quorum)
+
     async def test_voters_that_know_a_later_set_do_not_confirm(self) -> None:
         """Guards against two majorities of sets that share no host."""
         confirmed = await make_calls(later=HOSTS[2:]).confirm([CLAIM])
--- a/tests/membership/test_voter_changes.py
+++ b/tests/membership/test_voter_changes.py
@@ -6,7 +6,12 @@
 import unittest
 
 from egretstep import identifiers
-from egretstep.membership import directory, voter_changes, voters
+from egretstep.membership import (
+    directory,
+    voter_changes,
+    voter_watch,
+    voters,
+)
 from tests import platform_fakes, virtual_time
 
 ADOPTS_AFTER_SECONDS = 0.3
@@ -20,10 +25,14 @@
         self._fleet = fleet
         self.name = identifiers.HostName(name)
         self.is_up = True
+        self.heard_at = 0.0
         self.hosts = directory.Directory(
             own=platform_fakes.host(name), time_source=fleet.clock
         )
-        self.known_voters = voters.KnownVoters()
+        self.known_voters = voters.KnownVoters(
+            store_silence=lambda: fleet.clock.now() - self.heard_at,
+            time_source=fleet.clock,
+        )
         self.changes = voter_changes.VoterChanges(
             hosts=self.hosts,
             known_voters=self.known_voters,
@@ -46,6 +55,7 @@
                 rows = {row.key: row for row in snapshot.rows}
                 self.hosts.update(rows)
                 self.known_voters.update(rows)
+                self.heard_at = self._fleet.clock.now()
             await asyncio.sleep(ADOPTS_AFTER_SECONDS)
 
     async def is_alive(self, host: identifiers.HostName) -> bool:
@@ -190,12 +200,56 @@
 
         self._run(steps)
 
+    def test_the_rest_of_a_fleet_goes_on_after_the_loss_of_most(self) -> None:
+        """No majority is left, so that the store alone decides, and slowly."""
+
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            fleet.lose('a')
+            fleet.lose('b')
+            await fleet.add('d')
+            await asyncio.sleep(voter_changes.FORCE_AFTER_SECONDS * 0.9)
+            stored = await fleet.stored()
+            assert stored is not None
+            self.assertFalse(stored.is_forced)
+            await asyncio.sleep(SETTLED_SECONDS * 2)
+            last = fleet.hosts[identifiers.HostName('c')].known_voters
+            self.assertTrue(last.current and last.current.is_forced)
+            # Hosts that are cut off from the store may still go on.
+            self.assertFalse(last.is_usable)
+            self.assertFalse(last.accepts(stored.epoch))
+            fleet.store.is_down = True
+            await asyncio.sleep(voters.FORCED_WAIT_SECONDS)
+            # What happened meanwhile is not known yet.
+            self.assertFalse(last.is_usable)
+            fleet.store.is_down = False
+            await asyncio.sleep(SETTLED_SECONDS)
+            self.assertTrue(last.is_usable)
+            self.assertEqual(last.current.target, frozenset('cd'))
+
+        self._run(steps)
+
+    def test_new_hosts_alone_force_nothing(self) -> None:
+        """The voters may all run on, cut off with each other."""
+
+        async def steps(fleet: _Fleet) -> None:
+            await self._start(fleet, 'abc')
+            for name in 'abc':
+                fleet.lose(name)
+            await fleet.add('d')
+            await asyncio.sleep(voters.FORCED_WAIT_SECONDS * 2)
+            stored = await fleet.stored()
+            assert stored is not None
+            self.assertEqual(stored.target, frozenset('abc'))
+
+        self._run(steps)
+
     def test_a_short_silence_changes_nothing(self) -> None:
         async def steps(fleet: _Fleet) -> None:
             await self._start(fleet, 'abc')
             before = await fleet.stored()
             fleet.hosts[identifiers.HostName('a')].is_up = False
-            await asyncio.sleep(voter_changes.SILENT_SECONDS / 2)
+            await asyncio.sleep(voter_watch.SILENT_SECONDS / 2)
             fleet.hosts[identifiers.HostName('a')].is_up = True
             await asyncio.sleep(SETTLED_SECONDS)
             self.assertEqual(await fleet.stored(), before)
@@ -233,7 +287,7 @@
             )
             fleet.lose('a')
             await fleet.write_row(gone)
-            await asyncio.sleep(voter_changes.SILENT_SECONDS * 0.9)
+            await asyncio.sleep(voter_watch.SILENT_SECONDS * 0.9)
             stored = await fleet.stored()
             assert stored is not None
             self.assertEqual(stored.target, frozenset('bc'))
