Voters: the first set waits for a majority of the registered hosts

Until it grew, nothing could be renewed without the store unless host-0 answered; had host-0 been lost for good then, no voter would have been left (log: "voters of epoch are written: [['host-0']]", then "of ['host-0'] only ['host-1'] answer").

Change: in the first 10 s of its process a host writes a first set only if more than half of the registered hosts answer.

Test: VoterChangesTest.test_the_first_set_waits_for_hosts_that_start_slowly, which fails without the change.

--- a/src/egretstep/membership/voter_changes.py
+++ b/src/egretstep/membership/voter_changes.py
@@ -27,6 +27,8 @@
 MAX_CHECK_INTERVAL_SECONDS = 0.7
 MAX_JOINING_HOSTS = 64
 START_DELAY_SECONDS = 1.0
+# A first set of few hosts would be lost with them.
+FIRST_SET_PATIENCE_SECONDS = 10.0
 RANK_DELAY_SECONDS = 0.6
 # A host that has begun a change writes its steps without this delay.
 UNFINISHED_DELAY_SECONDS = 2.0
@@ -262,6 +264,13 @@
 
     async def _write_first(self, stored: tables.Row) -> None:
         answering = await self._find_running(frozenset())
+        registered = self._hosts.up_host_names()
+        elapsed = self._clock.now() - self._started_at
+        is_early = elapsed < FIRST_SET_PATIENCE_SECONDS
+        if is_early and len(answering) * 2 <= len(registered):
+            raise _TooFewVotersError(
+                f'of {sorted(registered)} only {sorted(answering)} answer'
+            )
         candidates = [self._hosts.hosts[host] for host in answering]
         first = voters.VoterSet(
             epoch=fencing.next_number(0, stored.version.era),
--- a/tests/membership/test_voter_changes.py
+++ b/tests/membership/test_voter_changes.py
@@ -244,6 +244,21 @@
 
         self._run(steps)
 
+    def test_the_first_set_waits_for_hosts_that_start_slowly(self) -> None:
+        """One host alone was the only voter, and could be lost."""
+
+        async def steps(fleet: _Fleet) -> None:
+            await fleet.add('a')
+            for name in 'bc':
+                await fleet.write_row(platform_fakes.host(name))
+            await asyncio.sleep(voter_changes.START_DELAY_SECONDS * 3)
+            self.assertIsNone(await fleet.stored())
+            for name in 'bc':
+                await fleet.add(name)
+            await self._expect(fleet, 'abc')
+
+        self._run(steps)
+
     def test_a_short_silence_changes_nothing(self) -> None:
         async def steps(fleet: _Fleet) -> None:
             await self._start(fleet, 'abc')
