--- a/specifications/voters.py
+++ b/specifications/voters.py
@@ -18,87 +18,13 @@
 import itertools
 import typing
 
-from specifications import checking
-
-HOLDER, TAKER = 'a', 'b'
-HOSTS = 'abcd'
-FIRST_SET = frozenset('abc')
-# Losses and joins, such that other sets have majorities without each other.
-NEXT_SETS = (frozenset('a'), frozenset('bc'), frozenset('ad'))
-# With forced sets, the taker does not vote at first, and one voter may be the
-# only one that sees the store. A set that it forces may have no vote of its own.
-FIRST_SET_WITH_FORCED = frozenset('acd')
-NEXT_SETS_WITH_FORCED = (frozenset('ad'),)
-FORCED_SETS = (frozenset('a'), frozenset('b'))
-FORCING_HOSTS = 'abc'
-LAST_EPOCH = 4
-LAST_FORCED_EPOCH = 3
-NOT_SYNCED = -1
-NEVER = -1
-
-Group = frozenset[str]
-Groups = tuple[Group, ...]
-
-
-class State(typing.NamedTuple):
-    """State of the store and of the hosts.
-
-    `sets` are the voter sets written so far; an epoch is an index into it.
-    `adopted` and `knows` hold, for each host, the epoch that it has adopted
-    and whether it knows the taker's claim. `taker_epoch` is the epoch of the
-    set that the taker notifies, and `notified` are the hosts that answered.
-    `forced_epoch` is that of a set that `forced_by` has forced, and
-    `has_waited` is set once it counts. `refreshed` are the hosts that have read
-    the claims again after that.
-    """
-
-    sets: tuple[Groups, ...] = ((FIRST_SET,),)
-    adopted: tuple[int, ...] = (0, 0, 0, NOT_SYNCED)
-    is_claimed: bool = False
-    knows: tuple[bool, ...] = (False, False, False, False)
-    taker_epoch: int = NOT_SYNCED
-    notified: Group = frozenset()
-    is_taken: bool = False
-    forced_epoch: int = NEVER
-    has_waited: bool = False
-    forced_by: str = ''
-    refreshed: Group = frozenset()
-
-
-class Variant(typing.NamedTuple):
-    """Mechanisms of the voter set; a broken variant sets one to False."""
-
-    has_joint_sets: bool = True
-    waits_until_former_is_blocked: bool = True
-    refuses_older_sets: bool = True
-    reads_claims_with_set: bool = True
-    counts_silent_hosts: bool = True
-    may_force: bool = False
-    waits_before_forced_counts: bool = True
-    others_need_all_voters: bool = True
-    forcing_host_votes_no_more: bool = True
-    only_voters_force: bool = True
-    reads_claims_after_wait: bool = True
-
-
-Transitions = list[tuple[str, State]]
-
-
-def _is_majority(hosts: Group, group: Group) -> bool:
-    return len(hosts & group) * 2 > len(group)
-
-
-def _is_quorum(hosts: Group, groups: Groups) -> bool:
-    return all(_is_majority(hosts, group) for group in groups)
-
-
-def _is_blocked(groups: Groups, knowing: Group) -> bool:
-    """Return whether each quorum has a host that knows a later set."""
-    return any(len(knowing & group) * 2 >= len(group) for group in groups)
-
-
-def _transitions(state: State, variant: Variant) -> Transitions:
-    if state.knows[HOSTS.index(HOLDER)]:
+from specifications import checking, voter_state
+
+
+def _transitions(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
+    if state.knows[voter_state.HOSTS.index(voter_state.HOLDER)]:
         # The holder has stopped.
         return []
     return [
@@ -110,13 +36,23 @@
     ]
 
 
-def _change_set(state: State, variant: Variant) -> Transitions:
+def _change_set(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
     latest = len(state.sets) - 1
-    last = LAST_FORCED_EPOCH if variant.may_force else LAST_EPOCH
+    last = (
+        voter_state.LAST_FORCED_EPOCH
+        if variant.may_force
+        else voter_state.LAST_EPOCH
+    )
     if latest == last or not _may_change(state, variant):
         return []
     current = state.sets[-1]
-    next_sets = NEXT_SETS_WITH_FORCED if variant.may_force else NEXT_SETS
+    next_sets = (
+        voter_state.NEXT_SETS_WITH_FORCED
+        if variant.may_force
+        else voter_state.NEXT_SETS
+    )
     if len(current) > 1:
         following = [(group,) for group in current]
     elif variant.has_joint_sets:
@@ -134,23 +70,27 @@
     ]
 
 
-def _may_change(state: State, variant: Variant) -> bool:
+def _may_change(state: voter_state.State, variant: voter_state.Variant) -> bool:
     latest = len(state.sets) - 1
     if latest == 0 or not variant.waits_until_former_is_blocked:
         return True
     if state.forced_epoch == latest:
         return state.has_waited
-    return _is_blocked(state.sets[-2], _hosts_with(state, latest))
+    return voter_state.is_blocked(
+        state.sets[-2], voter_state.hosts_with(state, latest)
+    )
 
 
-def _force(state: State, variant: Variant) -> Transitions:
+def _force(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
     if not variant.may_force:
         return []
-    if state.forced_epoch != NEVER:
+    if state.forced_epoch != voter_state.NEVER:
         waited = state._replace(has_waited=True)
         return [] if state.has_waited else [('the wait is over', waited)]
     latest = len(state.sets) - 1
-    if latest == LAST_FORCED_EPOCH:
+    if latest == voter_state.LAST_FORCED_EPOCH:
         return []
     present = [*state.sets[-1], *(state.sets[-2] if latest else ())]
     return [
@@ -162,8 +102,10 @@
                 forced_by=host,
             ),
         )
-        for host, forced_set in itertools.product(FORCING_HOSTS, FORCED_SETS)
-        if state.adopted[HOSTS.index(host)] == latest
+        for host, forced_set in itertools.product(
+            voter_state.FORCING_HOSTS, voter_state.FORCED_SETS
+        )
+        if state.adopted[voter_state.HOSTS.index(host)] == latest
         and (
             not variant.only_voters_force
             or all(host in group for group in present)
@@ -171,11 +113,13 @@
     ]
 
 
-def _refresh(state: State, variant: Variant) -> Transitions:
+def _refresh(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
     if not state.has_waited:
         return []
-    transitions: Transitions = []
-    for index, host in enumerate(HOSTS):
+    transitions: voter_state.Transitions = []
+    for index, host in enumerate(voter_state.HOSTS):
         if state.adopted[index] != state.forced_epoch:
             continue
         if host in state.refreshed:
@@ -190,46 +134,17 @@
     return transitions
 
 
-def _is_pledged(state: State, host: str, epoch: int, variant: Variant) -> bool:
-    """Return whether a host votes in no epoch as early as this one."""
-    if not variant.forcing_host_votes_no_more:
-        return False
-    return host == state.forced_by and epoch < state.forced_epoch
-
-
-def _counts(
-    state: State, host: str, hosts: Group, epoch: int, variant: Variant
-) -> bool:
-    """Return whether hosts are a quorum for a host with a set."""
-    groups = state.sets[epoch]
-    if _is_pledged(state, host, epoch, variant):
-        return False
-    if epoch == state.forced_epoch:
-        is_usable = host in state.refreshed or (
-            not variant.waits_before_forced_counts
-        )
-        return is_usable and _is_quorum(hosts, groups)
-    has_no_news = state.has_waited and epoch < state.forced_epoch
-    if has_no_news and variant.others_need_all_voters:
-        return all(group <= hosts for group in groups)
-    return _is_quorum(hosts, groups)
-
-
-def _hosts_with(state: State, epoch: int) -> Group:
-    """Return the hosts that have adopted at least an epoch."""
-    known = zip(HOSTS, state.adopted, strict=True)
-    return frozenset(host for host, adopted in known if adopted >= epoch)
-
-
-def _adopt(state: State, variant: Variant) -> Transitions:
+def _adopt(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
     latest = len(state.sets) - 1
-    transitions: Transitions = []
-    for index, host in enumerate(HOSTS):
+    transitions: voter_state.Transitions = []
+    for index, host in enumerate(voter_state.HOSTS):
         if state.adopted[index] == latest:
             continue
         adopted = checking.replace_item(state.adopted, index, latest)
         knows = state.knows
-        is_first = state.adopted[index] == NOT_SYNCED
+        is_first = state.adopted[index] == voter_state.NOT_SYNCED
         if state.is_claimed and (variant.reads_claims_with_set or is_first):
             knows = checking.replace_item(knows, index, True)
         transitions.append((
@@ -239,30 +154,40 @@
     return transitions
 
 
-def _take_over(state: State, variant: Variant) -> Transitions:
-    taker = HOSTS.index(TAKER)
-    if state.is_taken or state.adopted[taker] == NOT_SYNCED:
+def _take_over(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
+    taker = voter_state.HOSTS.index(voter_state.TAKER)
+    if state.is_taken or state.adopted[taker] == voter_state.NOT_SYNCED:
         return []
     if not state.is_claimed:
         claimed = state._replace(
             is_claimed=True,
             knows=checking.replace_item(state.knows, taker, True),
             taker_epoch=state.adopted[taker],
-            notified=frozenset(TAKER),
+            notified=frozenset(voter_state.TAKER),
         )
         return [('b writes its claim', claimed)]
     return [*_notify(state, variant), *_finish(state, variant)]
 
 
-def _notify(state: State, variant: Variant) -> Transitions:
-    transitions: Transitions = []
+def _notify(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
+    transitions: voter_state.Transitions = []
     voters = frozenset().union(*state.sets[state.taker_epoch])
     for host in sorted(voters - state.notified):
-        index = HOSTS.index(host)
+        index = voter_state.HOSTS.index(host)
         is_later = state.adopted[index] > state.taker_epoch
         is_refused = is_later and variant.refuses_older_sets
-        is_pledged = _is_pledged(state, host, state.taker_epoch, variant)
-        if state.adopted[index] == NOT_SYNCED or is_refused or is_pledged:
+        is_pledged = voter_state.is_pledged(
+            state, host, state.taker_epoch, variant
+        )
+        if (
+            state.adopted[index] == voter_state.NOT_SYNCED
+            or is_refused
+            or is_pledged
+        ):
             continue
         transitions.append((
             f'b notifies {host}',
@@ -274,93 +199,106 @@
     return transitions
 
 
-def _finish(state: State, variant: Variant) -> Transitions:
+def _finish(
+    state: voter_state.State, variant: voter_state.Variant
+) -> voter_state.Transitions:
     groups = state.sets[state.taker_epoch]
     if variant.counts_silent_hosts:
-        is_taken = _counts(
-            state, TAKER, state.notified, state.taker_epoch, variant
+        is_taken = voter_state.counts(
+            state, voter_state.TAKER, state.notified, state.taker_epoch, variant
         )
     else:
         # The hosts that gave no answer are dropped from the count.
         groups = tuple(group & state.notified for group in groups)
-        is_taken = _is_quorum(state.notified, groups)
+        is_taken = voter_state.is_quorum(state.notified, groups)
     if not is_taken:
         return []
     return [('b has taken over', state._replace(is_taken=True))]
 
 
-def _show(groups: Groups) -> str:
+def _show(groups: voter_state.Groups) -> str:
     return ' and '.join(''.join(sorted(group)) for group in groups)
 
 
-def _may_renew(state: State, variant: Variant) -> bool:
+def _may_renew(state: voter_state.State, variant: voter_state.Variant) -> bool:
     """Return whether hosts may still confirm the former claim."""
-    holder = HOSTS.index(HOLDER)
+    holder = voter_state.HOSTS.index(voter_state.HOLDER)
     epoch = state.adopted[holder]
     if state.knows[holder]:
         return False
     willing = frozenset(
         host
         for host, adopted, knows in zip(
-            HOSTS, state.adopted, state.knows, strict=True
+            voter_state.HOSTS, state.adopted, state.knows, strict=True
         )
         if not knows
-        and adopted != NOT_SYNCED
+        and adopted != voter_state.NOT_SYNCED
         and (adopted <= epoch or not variant.refuses_older_sets)
-        and not _is_pledged(state, host, epoch, variant)
+        and not voter_state.is_pledged(state, host, epoch, variant)
+    )
+    return voter_state.counts(
+        state, voter_state.HOLDER, willing, epoch, variant
     )
-    return _counts(state, HOLDER, willing, epoch, variant)
 
 
-def _is_exclusive(variant: Variant, fields: dict[str, typing.Any]) -> bool:
-    state = State(**fields)
+def _is_exclusive(
+    variant: voter_state.Variant, fields: dict[str, typing.Any]
+) -> bool:
+    state = voter_state.State(**fields)
     return not (state.is_taken and _may_renew(state, variant))
 
 
 _BROKEN = {
-    'hosts count as soon as they are seen': Variant(has_joint_sets=False),
-    'hosts are dropped after a silence': Variant(counts_silent_hosts=False),
-    'a set follows before the last one is known': Variant(
+    'hosts count as soon as they are seen': voter_state.Variant(
+        has_joint_sets=False
+    ),
+    'hosts are dropped after a silence': voter_state.Variant(
+        counts_silent_hosts=False
+    ),
+    'a set follows before the last one is known': voter_state.Variant(
         waits_until_former_is_blocked=False
     ),
-    'callers with an older set are not refused': Variant(
+    'callers with an older set are not refused': voter_state.Variant(
         refuses_older_sets=False
     ),
-    'a set is adopted without the claims': Variant(reads_claims_with_set=False),
+    'a set is adopted without the claims': voter_state.Variant(
+        reads_claims_with_set=False
+    ),
 }
 
 
 _BROKEN_FORCED = {
-    'a forced set counts at once': Variant(
+    'a forced set counts at once': voter_state.Variant(
         may_force=True, waits_before_forced_counts=False
     ),
-    'a majority goes on without news of the store': Variant(
+    'a majority goes on without news of the store': voter_state.Variant(
         may_force=True, others_need_all_voters=False
     ),
-    'the host that forces a set still votes': Variant(
+    'the host that forces a set still votes': voter_state.Variant(
         may_force=True, forcing_host_votes_no_more=False
     ),
-    'a host that does not vote forces a set': Variant(
+    'a host that does not vote forces a set': voter_state.Variant(
         may_force=True, only_voters_force=False
     ),
-    'claims are not read again after the wait': Variant(
+    'claims are not read again after the wait': voter_state.Variant(
         may_force=True, reads_claims_after_wait=False
     ),
 }
 
 
-_FORCED_INITIAL = State(
-    sets=((FIRST_SET_WITH_FORCED,),), adopted=(0, NOT_SYNCED, 0, 0)
+_FORCED_INITIAL = voter_state.State(
+    sets=((voter_state.FIRST_SET_WITH_FORCED,),),
+    adopted=(0, voter_state.NOT_SYNCED, 0, 0),
 )
 
 
 def _specification(
-    name: str, variant: Variant, *, is_broken: bool = False
+    name: str, variant: voter_state.Variant, *, is_broken: bool = False
 ) -> checking.Specification:
     # The invariant depends on the variant, so each has a model of its own.
     models = checking.with_broken_variants(
         name=name,
-        initial=_FORCED_INITIAL if variant.may_force else State(),
+        initial=_FORCED_INITIAL if variant.may_force else voter_state.State(),
         transitions=_transitions,
         variant=variant,
         broken={},
@@ -374,12 +312,12 @@
 def specifications() -> list[checking.Specification]:
     """Return the model of the voter set and its broken variants."""
     return [
-        _specification('voters', Variant()),
+        _specification('voters', voter_state.Variant()),
         *(
             _specification(f'voters, {label}', variant, is_broken=True)
             for label, variant in _BROKEN.items()
         ),
-        _specification('forced voters', Variant(may_force=True)),
+        _specification('forced voters', voter_state.Variant(may_force=True)),
         *(
             _specification(f'forced voters, {label}', variant, is_broken=True)
             for label, variant in _BROKEN_FORCED.items()
--- a/tests/membership/test_voter_changes.py
+++ b/tests/membership/test_voter_changes.py
@@ -13,130 +13,20 @@
     voters,
 )
 from tests import platform_fakes, virtual_time
+from tests.membership import voter_fleet
 
-ADOPTS_AFTER_SECONDS = 0.3
 SETTLED_SECONDS = 8
 
 
-class _Host:
-    """A host in a fleet in one process; a lost one answers nothing."""
-
-    def __init__(self, fleet: '_Fleet', name: str) -> None:
-        self._fleet = fleet
-        self.name = identifiers.HostName(name)
-        self.is_up = True
-        self.heard_at = 0.0
-        self.hosts = directory.Directory(
-            own=platform_fakes.host(name), time_source=fleet.clock
-        )
-        self.known_voters = voters.KnownVoters(
-            store_silence=lambda: fleet.clock.now() - self.heard_at,
-            time_source=fleet.clock,
-        )
-        self.changes = voter_changes.VoterChanges(
-            hosts=self.hosts,
-            known_voters=self.known_voters,
-            calls=self,  # type: ignore[arg-type]
-            links=self,  # type: ignore[arg-type]
-            store=fleet.store,
-            time_source=fleet.clock,
-        )
-
-    async def run(self) -> None:
-        """Follow the store and check the voters until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._follow())
-            tasks.create_task(self.changes.run())
-
-    async def _follow(self) -> None:
-        while True:
-            if not self._fleet.store.is_down:
-                snapshot = await self._fleet.store.read(directory.TABLE)
-                rows = {row.key: row for row in snapshot.rows}
-                self.hosts.update(rows)
-                self.known_voters.update(rows)
-                self.heard_at = self._fleet.clock.now()
-            await asyncio.sleep(ADOPTS_AFTER_SECONDS)
-
-    async def is_alive(self, host: identifiers.HostName) -> bool:
-        """Return whether a host answers this one."""
-        return self._fleet.answers(self.name, host)
-
-    async def is_reached_by_any(self, host: identifiers.HostName) -> bool:
-        """Return whether any other host that answers reaches a host."""
-        return any(
-            self._fleet.answers(self.name, other)
-            and self._fleet.answers(other, host)
-            for other in self.hosts.hosts
-            if other not in {self.name, host}
-        )
-
-    async def voter_epochs(
-        self, queried: typing.Iterable[identifiers.HostName]
-    ) -> dict[identifiers.HostName, int]:
-        """Return the epochs that the answering hosts know."""
-        return {
-            host: self._fleet.hosts[host].known_voters.epoch
-            for host in queried
-            if self._fleet.answers(self.name, host)
-        }
-
-
-class _Fleet:
-    """Hosts that share a store; `cut` are the hosts that only see each other."""
-
-    def __init__(self) -> None:
-        self.clock = virtual_time.LoopClock()
-        self.store = platform_fakes.FakeTables()
-        self.hosts: dict[identifiers.HostName, _Host] = {}
-        self.cut: set[str] = set()
-        self._tasks: dict[identifiers.HostName, asyncio.Task[None]] = {}
-
-    def answers(
-        self, caller: identifiers.HostName, host: identifiers.HostName
-    ) -> bool:
-        """Return whether a host answers another one."""
-        if host not in self.hosts or not self.hosts[host].is_up:
-            return False
-        return (caller in self.cut) == (host in self.cut)
-
-    async def add(self, name: str) -> None:
-        host = _Host(self, name)
-        await self.write_row(platform_fakes.host(name))
-        self.hosts[host.name] = host
-        self._tasks[host.name] = asyncio.ensure_future(host.run())
-
-    async def write_row(self, host: directory.Host) -> None:
-        key = directory.PREFIX + host.host
-        stored = await self.store.read_row(directory.TABLE, key)
-        await self.store.compare_and_swap(
-            directory.TABLE,
-            key,
-            expected=stored.version,
-            content=directory.encode(host),
-        )
-
-    def lose(self, name: str) -> None:
-        host = self.hosts[identifiers.HostName(name)]
-        host.is_up = False
-        self._tasks[host.name].cancel()
-
-    async def stored(self) -> voters.VoterSet | None:
-        row = await self.store.read_row(directory.TABLE, voters.KEY)
-        return voters.decode_row(row)
-
-    async def stop(self) -> None:
-        for task in self._tasks.values():
-            task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
-
-
 class VoterChangesTest(unittest.TestCase):
     def _run(
-        self, steps: typing.Callable[[_Fleet], typing.Awaitable[None]]
+        self,
+        steps: typing.Callable[
+            [voter_fleet.VoterFleet], typing.Awaitable[None]
+        ],
     ) -> None:
         async def run() -> None:
-            fleet = _Fleet()
+            fleet = voter_fleet.VoterFleet()
             try:
                 await steps(fleet)
             finally:
@@ -144,12 +34,12 @@
 
         virtual_time.run(run())
 
-    async def _start(self, fleet: _Fleet, names: str) -> None:
+    async def _start(self, fleet: voter_fleet.VoterFleet, names: str) -> None:
         for name in names:
             await fleet.add(name)
         await self._expect(fleet, names)
 
-    async def _expect(self, fleet: _Fleet, names: str) -> None:
+    async def _expect(self, fleet: voter_fleet.VoterFleet, names: str) -> None:
         await asyncio.sleep(SETTLED_SECONDS)
         stored = await fleet.stored()
         self.assertIsNotNone(stored)
@@ -159,7 +49,7 @@
     def test_machines_replaced_one_by_one_stop_counting(self) -> None:
         """Lost machines counted for ever; then there was no majority."""
 
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             for lost, new, expected in (
                 ('a', 'd', 'bcd'),
@@ -176,7 +66,7 @@
     def test_the_last_of_two_hosts_is_a_majority(self) -> None:
         """A fleet of two served no more once the owner was lost for good."""
 
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'ab')
             fleet.lose('a')
             await self._expect(fleet, 'b')
@@ -186,13 +76,12 @@
     def test_a_cut_minority_does_not_shrink_the_voters(self) -> None:
         """It sees the store, but the others may go on without it."""
 
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abcde')
             fleet.cut = {'a', 'b'}
             for name in 'cde':
-                # The majority does not see the store.
-                fleet.hosts[identifiers.HostName(name)].changes = None
-                fleet._tasks[identifiers.HostName(name)].cancel()
+                # To the hosts that see the store, they are lost.
+                fleet.lose(name)
             await asyncio.sleep(SETTLED_SECONDS * 3)
             stored = await fleet.stored()
             assert stored is not None
@@ -203,7 +92,7 @@
     def test_the_rest_of_a_fleet_goes_on_after_the_loss_of_most(self) -> None:
         """No majority is left, so that the store alone decides, and slowly."""
 
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             fleet.lose('a')
             fleet.lose('b')
@@ -232,7 +121,7 @@
     def test_new_hosts_alone_force_nothing(self) -> None:
         """The voters may all run on, cut off with each other."""
 
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             for name in 'abc':
                 fleet.lose(name)
@@ -247,7 +136,7 @@
     def test_the_first_set_waits_for_hosts_that_start_slowly(self) -> None:
         """One host alone was the only voter, and could be lost."""
 
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await fleet.add('a')
             for name in 'bc':
                 await fleet.write_row(platform_fakes.host(name))
@@ -260,7 +149,7 @@
         self._run(steps)
 
     def test_a_short_silence_changes_nothing(self) -> None:
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             before = await fleet.stored()
             fleet.hosts[identifiers.HostName('a')].is_up = False
@@ -272,7 +161,7 @@
         self._run(steps)
 
     def test_a_host_that_was_cut_off_votes_again(self) -> None:
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             fleet.cut = {'a'}
             await self._expect(fleet, 'bc')
@@ -282,7 +171,7 @@
         self._run(steps)
 
     def test_a_stopped_host_leaves_the_voters(self) -> None:
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             host = fleet.hosts[identifiers.HostName('a')]
             await host.changes.leave(fleet.clock.now() + 3)
@@ -295,7 +184,7 @@
     def test_a_host_that_stopped_without_its_own_change_is_left_out(
         self,
     ) -> None:
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             gone = dataclasses.replace(
                 platform_fakes.host('a'), state=directory.HostState.GONE
@@ -310,7 +199,7 @@
         self._run(steps)
 
     def test_a_host_that_ended_in_a_change_holds_up_nothing(self) -> None:
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             latest = await fleet.stored()
             assert latest is not None
@@ -334,7 +223,7 @@
     def test_a_restored_store_gets_the_latest_voters_again(self) -> None:
         """Else hosts that have left would count, and new ones not."""
 
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abc')
             copy = dict(fleet.store.rows)
             await fleet.add('d')
@@ -347,7 +236,7 @@
         self._run(steps)
 
     def test_hosts_that_start_together_need_one_change(self) -> None:
-        async def steps(fleet: _Fleet) -> None:
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
             await self._start(fleet, 'abcdefgh')
             stored = await fleet.stored()
             assert stored is not None
