Log holders are processes: a server that starts again has lost its log

A replica that started again under its id, with an empty log, answered STATUS and counted as one that reported, though the commits of its former process may be on no other server that did. The proof then allowed a promotion without them.

Change: LogHolder has the start time; the former process counts as unknown until a replica has everything acknowledged since. A change of the holders, and a leader without an entry in the store, are logged with what follows.

Test: LogHoldersTest.test_a_server_that_starts_again_has_lost_its_log, which fails without the start time.

--- a/src/egretstep/backends/connection.py
+++ b/src/egretstep/backends/connection.py
@@ -42,6 +42,11 @@
         default=tables.NO_VERSION, compare=False
     )
 
+    @property
+    def process(self) -> tuple[ServerId, int]:
+        """Return what tells this process from others of the server."""
+        return self.server, self.started_ms
+
     def is_older_than(self, known: 'BackendServer') -> bool:
         """Return whether a registration is older than the known one.
 
--- a/src/egretstep/replication/claim_record.py
+++ b/src/egretstep/replication/claim_record.py
@@ -4,11 +4,15 @@
 import dataclasses
 import typing
 
+import logbook
+
 from egretstep import identifiers
 from egretstep.membership import claims, leases
 from egretstep.replication import candidates, log_holders, primary_record
 from egretstep.settings import deployment
 
+_logger = logbook.Logger('succession')
+
 
 class ClaimRecord:
     """Reads and saves what this owner leaves to the next one.
@@ -40,8 +44,16 @@
 
     async def save(self, record: primary_record.PrimaryRecord) -> bool:
         """Save a record; return whether the next owner will know it."""
-        if record == self.current:
+        former = self.current
+        if record == former:
             return True
+        if record.log_holders != former.log_holders:
+            _logger.info(
+                'service {}: acknowledged commits may be on {} (epoch {})',
+                self._service,
+                [each.server for each in record.log_holders],
+                self._claim.epoch,
+            )
         return await self._keeper.record(self._claim, record.encode())
 
     def save_primary(self, candidate: candidates.Candidate) -> None:
--- a/src/egretstep/replication/log_holders.py
+++ b/src/egretstep/replication/log_holders.py
@@ -62,12 +62,14 @@
         """Return a record with the registered servers as log holders too."""
         if not self.are_recorded(service):
             return dataclasses.replace(record, log_holders=())
-        known = {each.server: each for each in record.log_holders}
+        known = {each.process: each for each in record.log_holders}
         for server in self._servers.of_service(service):
-            known[server.server] = primary_record.LogHolder(
-                server=server.server, address=server.address
+            known[server.process] = primary_record.LogHolder(
+                server=server.server,
+                address=server.address,
+                started_ms=server.started_ms,
             )
-        ordered = tuple(known[name] for name in sorted(known))
+        ordered = tuple(known[process] for process in sorted(known))
         return dataclasses.replace(record, log_holders=ordered)
 
     def unregistered(
@@ -75,7 +77,11 @@
         service: deployment.ServiceName,
         record: primary_record.PrimaryRecord,
     ) -> list[connection.BackendServer]:
-        """Return the log holders without an entry, at their last addresses."""
+        """Return the log holders without an entry, at their last addresses.
+
+        A process whose server has started again is not among them: the new one
+        would answer in its place.
+        """
         registered = {
             server.server for server in self._servers.of_service(service)
         }
@@ -104,7 +110,10 @@
         record: primary_record.PrimaryRecord,
     ) -> bool:
         """Return whether to look for holders that are none any more."""
-        if not self.unregistered(service, record):
+        registered = {
+            server.process for server in self._servers.of_service(service)
+        }
+        if all(each.process in registered for each in record.log_holders):
             return False
         now = self._clock.now()
         if now - self._checked_at < CHECK_INTERVAL_SECONDS:
@@ -123,25 +132,42 @@
         `acknowledged` returns a position that covers every acknowledged
         commit.
         """
-        lapsed = self.unregistered(service, record)
-        gone = {
-            each.server for each in lapsed if await self._has_ended(each)
-        } - {record.server}
+        gone = self._restarted(service, record)
+        for server in self.unregistered(service, record):
+            is_recorded = server.server == record.server
+            if not is_recorded and await self._has_ended(server):
+                gone.add(server.process)
         if not gone or not await self._is_held_elsewhere(
             service, record, acknowledged()
         ):
             return record
         _logger.info(
             'service {}: {} run no more, and a replica has what was '
-            'acknowledged until then',
+            'acknowledged until then; they count for no promotion any more',
             service,
             sorted(gone),
         )
         remaining = tuple(
-            each for each in record.log_holders if each.server not in gone
+            each for each in record.log_holders if each.process not in gone
         )
         return dataclasses.replace(record, log_holders=remaining)
 
+    def _restarted(
+        self,
+        service: deployment.ServiceName,
+        record: primary_record.PrimaryRecord,
+    ) -> set[tuple[connection.ServerId, int]]:
+        """Return the processes whose servers are registered with another one."""
+        current = {
+            server.server: server.process
+            for server in self._servers.of_service(service)
+        }
+        return {
+            each.process
+            for each in record.log_holders
+            if current.get(each.server, each.process) != each.process
+        }
+
     async def _has_ended(self, server: connection.BackendServer) -> bool:
         """Return whether a server without an entry does not run any more."""
         liveness = await self._probe.check_liveness(server)
@@ -181,4 +207,5 @@
         zone=_NO_ZONE,
         slots=1,
         role=connection.Role.REPLICA,
+        started_ms=holder.started_ms,
     )
--- a/src/egretstep/replication/primary_record.py
+++ b/src/egretstep/replication/primary_record.py
@@ -20,10 +20,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LogHolder:
-    """A server that may hold acknowledged commits, and its last address."""
+    """A process of a server that may hold acknowledged commits.
+
+    `address` is its last address, and `started_ms` its start time: a server
+    that starts again under its name has none of the commits.
+    """
 
     server: connection.ServerId
     address: node.Address
+    started_ms: int = 0
+
+    @property
+    def process(self) -> tuple[connection.ServerId, int]:
+        """Return what tells the process from others of the server."""
+        return self.server, self.started_ms
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -57,6 +67,7 @@
                     'server': each.server,
                     'address': each.address.host,
                     'port': each.address.port,
+                    'started_ms': each.started_ms,
                 }
                 for each in self.log_holders
             ],
@@ -108,4 +119,5 @@
         address=node.checked_address(
             fields.text('address'), fields.integer('port')
         ),
+        started_ms=fields.integer('started_ms', default=0),
     )
--- a/src/egretstep/replication/successor_choice.py
+++ b/src/egretstep/replication/successor_choice.py
@@ -130,6 +130,14 @@
         if chosen is None:
             self._log_no_choice(change, evidence)
             return None
+        if chosen in evidence.unregistered:
+            _logger.warning(
+                'service {}: only {} has every acknowledged commit, and it has '
+                'no entry in the store; it leads without statements until a '
+                'registered server has its log',
+                change.service,
+                chosen.server.server,
+            )
         _logger.info(
             'service {}: promoting {} at position {} (epoch {}, acknowledged: '
             '{}, servers without an answer: {})',
@@ -206,16 +214,13 @@
                 each for each in lapsed if not _is_former(change, each)
             ]),
         )
-        holders = {server.server for server in (*others, *lapsed)}
-        if change.former is not None:
-            holders.add(change.former.server)
-        if change.record.server:
-            holders.add(change.record.server)
+        reported = {each.server.process for each in (*found, *unregistered)}
+        unknown = _holders(change, others) - reported
         current = self._current_deployment().services.get(change.service)
         return candidates.Evidence(
             found=found,
             unregistered=unregistered,
-            unknown_count=len(holders) - len(found) - len(unregistered),
+            unknown_count=len(unknown),
             acknowledged=change.acknowledged,
             sync_replicas=current.sync_replicas if current else 0,
             can_catch_up=change.may_postpone,
@@ -245,5 +250,19 @@
         )
 
 
+def _holders(
+    change: Change, others: typing.Sequence[connection.BackendServer]
+) -> set[tuple[connection.ServerId, int]]:
+    """Return the processes that may hold acknowledged commits."""
+    holders = {server.process for server in others}
+    holders |= {each.process for each in change.record.log_holders}
+    if change.former is not None:
+        holders.add(change.former.process)
+    recorded = change.record.server
+    if recorded and all(server != recorded for server, _ in holders):
+        holders.add((recorded, 0))
+    return holders
+
+
 def _is_former(change: Change, server: connection.BackendServer) -> bool:
     return change.former is not None and (server.server == change.former.server)
--- a/tests/replication/test_log_holders.py
+++ b/tests/replication/test_log_holders.py
@@ -99,6 +99,25 @@
         self.lapsed.refuses_with = answers.Code.WRONG_SERVER
         self.assertNotIn(LAPSED, await self._remaining())
 
+    async def test_a_server_that_starts_again_has_lost_its_log(self) -> None:
+        """Its new process answers, but without the commits of the former."""
+        self.other.started_ms = 7
+        record = self._add(self.record)
+        former = ('other', 0)
+        self.assertIn(former, [each.process for each in record.log_holders])
+        self.other.position = identifiers.LogPosition(1, 0)
+        remaining = await self.holders.drop_gone(
+            platform_fakes.SERVICE, record, lambda: ACKNOWLEDGED
+        )
+        self.assertEqual(remaining, record)
+        self.other.position = ACKNOWLEDGED
+        remaining = await self.holders.drop_gone(
+            platform_fakes.SERVICE, record, lambda: ACKNOWLEDGED
+        )
+        processes = [each.process for each in remaining.log_holders]
+        self.assertNotIn(former, processes)
+        self.assertIn(('other', 7), processes)
+
     def test_a_service_without_synchronous_replicas_records_none(self) -> None:
         self.current = _deployment(sync_replicas=0)
         self.assertEqual(self._add(self.record).log_holders, ())
