Refusals and logs of the voters and of a planned stop say more

While a forced voter set does not count yet, no lost owner is replaced; its callers were told to return after 0.3 s, again and again. A BEGIN or a new session that a stopping host refuses has a log line and a counter; a written voter set says who joins, who leaves or why it is forced. "Pledge" is the field's "promise" now.

--- a/specifications/voter_state.py
+++ b/specifications/voter_state.py
@@ -80,7 +80,7 @@
     return any(len(knowing & group) * 2 >= len(group) for group in groups)
 
 
-def is_pledged(state: State, host: str, epoch: int, variant: Variant) -> bool:
+def has_promised(state: State, host: str, epoch: int, variant: Variant) -> bool:
     """Return whether a host votes in no epoch as early as this one."""
     if not variant.forcing_host_votes_no_more:
         return False
@@ -92,7 +92,7 @@
 ) -> bool:
     """Return whether hosts are a quorum for a host with a set."""
     groups = state.sets[epoch]
-    if is_pledged(state, host, epoch, variant):
+    if has_promised(state, host, epoch, variant):
         return False
     if epoch == state.forced_epoch:
         is_usable = host in state.refreshed or (
--- a/specifications/voters.py
+++ b/specifications/voters.py
@@ -180,13 +180,13 @@
         index = voter_state.HOSTS.index(host)
         is_later = state.adopted[index] > state.taker_epoch
         is_refused = is_later and variant.refuses_older_sets
-        is_pledged = voter_state.is_pledged(
+        has_promised = voter_state.has_promised(
             state, host, state.taker_epoch, variant
         )
         if (
             state.adopted[index] == voter_state.NOT_SYNCED
             or is_refused
-            or is_pledged
+            or has_promised
         ):
             continue
         transitions.append((
@@ -234,7 +234,7 @@
         if not knows
         and adopted != voter_state.NOT_SYNCED
         and (adopted <= epoch or not variant.refuses_older_sets)
-        and not voter_state.is_pledged(state, host, epoch, variant)
+        and not voter_state.has_promised(state, host, epoch, variant)
     )
     return voter_state.counts(
         state, voter_state.HOLDER, willing, epoch, variant
--- a/src/egretstep/callers/platform_session.py
+++ b/src/egretstep/callers/platform_session.py
@@ -155,9 +155,9 @@
             return self._refuse(command)
         started = time.monotonic()
         route, workspace = self.authorize()
-        if not self._services.stop.allows(route.timeout):
-            return failure_answers.host_stopping()
-        refusal = await self._admit(statement_id, workspace)
+        refusal = platform_work.refuse_while_stopping(
+            statement_id, route, self._services.stop
+        ) or await self._admit(statement_id, workspace)
         if refusal is not None:
             return refusal
         self._transaction = session_services.Transaction(
--- a/src/egretstep/callers/platform_work.py
+++ b/src/egretstep/callers/platform_work.py
@@ -5,8 +5,10 @@
 from egretstep import identifiers
 from egretstep.backends import answers, commands
 from egretstep.observability import decisions, metrics
+from egretstep.pooling import failure_answers
 from egretstep.pooling import work as work_module
 from egretstep.settings import deployment
+from egretstep.supervision import stop_deadline
 
 
 def new_work(
@@ -49,6 +51,21 @@
     )
 
 
+def refuse_while_stopping(
+    statement_id: bytes,
+    route: deployment.Route,
+    stop: stop_deadline.StopDeadline,
+) -> answers.Answer | None:
+    """Return a refusal if this host stops before a request can be served."""
+    if stop.allows(route.timeout):
+        return None
+    refusal = failure_answers.host_stopping()
+    decisions.refused_while_stopping(
+        statement_id, route.database, route.timeout, refusal
+    )
+    return refusal
+
+
 def target_left(route: deployment.Route, spent_seconds: float) -> float | None:
     """Return what is left of an operation's target latency, in seconds.
 
--- a/src/egretstep/membership/claim_writer.py
+++ b/src/egretstep/membership/claim_writer.py
@@ -173,7 +173,8 @@
         if not confirmation.has_quorum:
             _logger.warning(
                 'task {}: {} other hosts confirmed epoch {}, which is no '
-                'quorum of the voters',
+                'quorum of the voters; the store must confirm it, or it is '
+                'claimed again',
                 new_claim.task,
                 len(confirmation.newer),
                 new_claim.epoch,
--- a/src/egretstep/membership/voter_changes.py
+++ b/src/egretstep/membership/voter_changes.py
@@ -198,7 +198,7 @@
         known = self._voters.current
         if known and (latest is None or latest.epoch < known.epoch):
             # The store was restored from a copy.
-            await self._write(stored, known)
+            await self._write(stored, known, 'lost by the store')
             return True
         if latest is None:
             await self._write_first(stored)
@@ -224,11 +224,13 @@
         running = frozenset(epochs)
         target = self._choose_target(latest, lost, running)
         is_complete = target == latest.target and not latest.is_joint
-        if is_complete and not self._voters.is_pledged:
+        if is_complete and not self._voters.has_promised:
             return True
         epoch = fencing.next_number(latest.epoch, stored.version.era)
         if not latest.may_be_changed_by(running):
-            await self._write(stored, self._force(latest, running, epoch))
+            forced = self._force(latest, running, epoch)
+            reason = f'forced, as only {sorted(running)} answer'
+            await self._write(stored, forced, reason)
             return True
         self._blocked_since = None
         if latest.is_forced and not self._voters.is_usable:
@@ -238,7 +240,9 @@
         )
         following = latest.next_step(target, informed, epoch)
         if following is not None:
-            await self._write(stored, following)
+            await self._write(
+                stored, following, _describe(latest.target, target)
+            )
         return False
 
     def _force(
@@ -257,7 +261,7 @@
             raise _TooFewVotersError(
                 f'of {sorted(latest.all_hosts)} only {sorted(running)} answer'
             )
-        self._voters.pledge(epoch)
+        self._voters.promise(epoch)
         lost = latest.all_hosts - running
         target = self._choose_target(latest, lost, running)
         return voters.VoterSet(epoch=epoch, groups=(target,), is_forced=True)
@@ -276,7 +280,7 @@
             epoch=fencing.next_number(0, stored.version.era),
             groups=(voters.choose(candidates, frozenset()),),
         )
-        await self._write(stored, first)
+        await self._write(stored, first, 'there were none')
 
     def _choose_target(
         self,
@@ -317,7 +321,7 @@
         return {**epochs, own: self._voters.epoch}
 
     async def _write(
-        self, stored: tables.Row, following: voters.VoterSet
+        self, stored: tables.Row, following: voters.VoterSet, reason: str
     ) -> None:
         await self._store.compare_and_swap(
             directory.TABLE,
@@ -326,8 +330,14 @@
             content=voters.encode(following),
         )
         _logger.info(
-            'voters of epoch {} are written: {} (after {})',
+            'voters of epoch {} are written: {} (after {}; {})',
             following.epoch,
             [sorted(group) for group in following.groups],
             [sorted(group) for group in following.former_groups],
+            reason,
         )
+
+
+def _describe(former: voters.HostNames, target: voters.HostNames) -> str:
+    """Return why voters change, for the log."""
+    return f'leave: {sorted(former - target)}, join: {sorted(target - former)}'
--- a/src/egretstep/membership/voters.py
+++ b/src/egretstep/membership/voters.py
@@ -218,7 +218,7 @@
         self._clock = time_source
         self._current: VoterSet | None = None
         self._adopted_at = 0.0
-        self._pledged_epoch = 0
+        self._promised_epoch = 0
         self._is_lost_from_store = False
 
     @property
@@ -239,7 +239,7 @@
     @property
     def is_usable(self) -> bool:
         """Return whether quorums of the latest set count."""
-        if self._current is None or self._pledged_epoch > self.epoch:
+        if self._current is None or self._promised_epoch > self.epoch:
             return False
         if not self._current.is_forced:
             return True
@@ -249,17 +249,28 @@
         return news_at - self._adopted_at >= FORCED_WAIT_SECONDS
 
     @property
-    def is_pledged(self) -> bool:
+    def has_promised(self) -> bool:
         """Return whether this host waits for the set that it has forced."""
-        return self._pledged_epoch > self.epoch
+        return self._promised_epoch > self.epoch
 
-    def pledge(self, epoch: int) -> None:
+    @property
+    def takeover_delay(self) -> float:
+        """Return for how many seconds no lost holder of a task is replaced.
+
+        That is so until a forced set counts. Zero otherwise.
+        """
+        if self._current is None or self.is_usable:
+            return 0
+        elapsed = self._clock.now() - self._adopted_at
+        return max(0.0, FORCED_WAIT_SECONDS - elapsed)
+
+    def promise(self, epoch: int) -> None:
         """Vote in no earlier epoch, also if this one is never written."""
-        self._pledged_epoch = max(self._pledged_epoch, epoch)
+        self._promised_epoch = max(self._promised_epoch, epoch)
 
     def accepts(self, caller_epoch: int) -> bool:
         """Return whether this host votes for a caller with a set."""
-        return caller_epoch >= max(self.epoch, self._pledged_epoch)
+        return caller_epoch >= max(self.epoch, self._promised_epoch)
 
     @property
     def is_lost_from_store(self) -> bool:
@@ -278,10 +289,15 @@
             self._current = stored
             self._adopted_at = self._clock.now()
             _logger.info(
-                'voters of epoch {}: {}',
+                'voters of epoch {}: {}{}',
                 stored.epoch,
                 ', then '.join(
                     ' '.join(sorted(group)) for group in stored.groups
                 ),
+                (
+                    f'; forced, so that they count in {FORCED_WAIT_SECONDS} s'
+                    if stored.is_forced
+                    else ''
+                ),
             )
         self._is_lost_from_store = stored_epoch < self.epoch
--- a/src/egretstep/observability/decisions.py
+++ b/src/egretstep/observability/decisions.py
@@ -108,6 +108,27 @@
     )
 
 
+def refused_while_stopping(
+    statement_id: bytes,
+    database: identifiers.DatabaseName,
+    timeout: float,
+    answer: answers.Answer,
+) -> None:
+    """Log and count a refusal of a host that stops too soon for a request.
+
+    `timeout` is the time limit of its route, in seconds.
+    """
+    metrics.refusals.inc(database, 'stopping')
+    _log_event(
+        'refused',
+        statement_id,
+        reason='the host is stopping',
+        database=database,
+        timeout_s=timeout,
+        retry_after_ms=answer.retry_after_ms,
+    )
+
+
 def denied(
     statement_id: bytes,
     database: identifiers.DatabaseName,
--- a/src/egretstep/platform/caller_connection.py
+++ b/src/egretstep/platform/caller_connection.py
@@ -8,13 +8,15 @@
     access,
     client_limits,
     platform_session,
+    platform_work,
     session_services,
 )
 from egretstep.platform import client_stream, wire
-from egretstep.pooling import failure_answers
 
 START_TIMEOUT_SECONDS = 10.0
 START_FIELD_COUNT = 3
+# Names a refused START in the log, which has no id.
+START_ID = b'START'
 
 
 class CallerConnection:
@@ -139,8 +141,11 @@
         except access.SessionRefusedError as error:
             self.stream.refuse(error.answer)
             return None
-        if not self._services.stop.allows(route.timeout):
-            self.stream.refuse(failure_answers.host_stopping())
+        refusal = platform_work.refuse_while_stopping(
+            START_ID, route, self._services.stop
+        )
+        if refusal is not None:
+            self.stream.refuse(refusal)
             return None
         writer.write(b'READY I -\r\n')
         return session
--- a/src/egretstep/pooling/failure_answers.py
+++ b/src/egretstep/pooling/failure_answers.py
@@ -7,10 +7,13 @@
 
 import dataclasses
 
+from egretstep import clock, identifiers
 from egretstep.backends import answers, commands
 from egretstep.pooling import work as work_module
 
 RETRY_AFTER_MS = 100
+NO_OWNER_RETRY_AFTER_MS = 300
+MAX_NO_OWNER_RETRY_AFTER_MS = 5000
 STOPPING = 'this host is stopping'
 PRIMARY_REPLACED = 'the primary is being replaced'
 
@@ -24,6 +27,24 @@
     )
 
 
+def owner_lost(
+    host: identifiers.HostName | None, takeover_delay: float
+) -> answers.Answer:
+    """Return the answer while the owner of a service does not answer.
+
+    No other host takes the service over for `takeover_delay` seconds, but the
+    owner itself may come back sooner.
+    """
+    delay_ms = clock.to_milliseconds(takeover_delay)
+    return answers.refusal(
+        answers.Code.OVERLOADED,
+        f'the owner ({host}) does not answer',
+        retry_after_ms=max(
+            NO_OWNER_RETRY_AFTER_MS, min(delay_ms, MAX_NO_OWNER_RETRY_AFTER_MS)
+        ),
+    )
+
+
 def timed_out(work: work_module.Work, *, was_sent: bool) -> answers.Answer:
     """Return the answer for a statement that ran past its deadline."""
     if not was_sent:
--- a/src/egretstep/programs/wiring.py
+++ b/src/egretstep/programs/wiring.py
@@ -189,6 +189,7 @@
             keeper=self._keeper,
             peers=self._peers,
             local=self._local,
+            takeover_delay=lambda: self._known_voters.takeover_delay,
             time_source=self._clock,
         )
         services = session_services.SessionServices(
--- a/src/egretstep/routing/dispatcher.py
+++ b/src/egretstep/routing/dispatcher.py
@@ -32,7 +32,6 @@
 from egretstep.settings import deployment
 
 LOCAL_LINK_ID = work_module.LinkId(0)
-NO_OWNER_RETRY_AFTER_MS = 300
 _TASK_PREFIX = 'service-'
 
 
@@ -61,7 +60,10 @@
 
 
 class Dispatcher:
-    """Sends statements to service owners and to hosts near a replica."""
+    """Sends statements to service owners and to hosts near a replica.
+
+    `takeover_delay` returns for how many seconds no lost owner is replaced.
+    """
 
     def __init__(
         self,
@@ -71,6 +73,7 @@
         keeper: leases.LeaseKeeper,
         peers: fleet_links.FleetLinks,
         local: local_host.LocalHost,
+        takeover_delay: typing.Callable[[], float],
         time_source: clock.Clock,
         rng: random.Random | None = None,
     ) -> None:
@@ -78,6 +81,7 @@
         self._keeper = keeper
         self._peers = peers
         self._local = local
+        self._takeover_delay = takeover_delay
         self._clock = time_source
         self._random = rng or random.Random()
         loads = server_loads.ServerLoads(time_source=time_source)
@@ -290,11 +294,7 @@
         attempts.tried.add(target.intended)
         if host is None or self._hosts.is_suspected(host):
             return Dispatched(
-                answer=answers.refusal(
-                    answers.Code.OVERLOADED,
-                    f'the owner ({host}) does not answer',
-                    retry_after_ms=NO_OWNER_RETRY_AFTER_MS,
-                ),
+                answer=failure_answers.owner_lost(host, self._takeover_delay()),
                 host=host or self._hosts.own.host,
             )
         bounded_work = attempts.remaining_work(target.server, self._clock.now())
--- a/tests/membership/test_voter_changes.py
+++ b/tests/membership/test_voter_changes.py
@@ -107,6 +107,7 @@
             # Hosts that are cut off from the store may still go on.
             self.assertFalse(last.is_usable)
             self.assertFalse(last.accepts(stored.epoch))
+            self.assertGreater(last.takeover_delay, SETTLED_SECONDS)
             fleet.store.is_down = True
             await asyncio.sleep(voters.FORCED_WAIT_SECONDS)
             # What happened meanwhile is not known yet.
@@ -114,6 +115,7 @@
             fleet.store.is_down = False
             await asyncio.sleep(SETTLED_SECONDS)
             self.assertTrue(last.is_usable)
+            self.assertEqual(last.takeover_delay, 0)
             self.assertEqual(last.current.target, frozenset('cd'))
 
         self._run(steps)
--- a/tests/routing/simulated_fleet.py
+++ b/tests/routing/simulated_fleet.py
@@ -150,6 +150,7 @@
             TASK: claims.Claim(task=TASK, host=OWNER, boot=1, epoch=1)
         }
         self.moved_until = 0.0
+        self.takeover_delay = 0.0
         self.answers: list[answers.Answer] = []
         self.seconds: list[float] = []
         self.dispatchers = [
@@ -222,6 +223,7 @@
             local=types.SimpleNamespace(
                 execute=lambda work, _link: self.execute(OWNER, work)
             ),
+            takeover_delay=lambda: self.takeover_delay,
             time_source=self._time,
             rng=self._random,
         )
