--- a/src/egretstep/membership/voter_changes.py
+++ b/src/egretstep/membership/voter_changes.py
@@ -228,9 +228,11 @@
             return True
         epoch = fencing.next_number(latest.epoch, stored.version.era)
         if not latest.may_be_changed_by(running):
-            forced = self._force(latest, running, epoch)
-            reason = f'forced, as only {sorted(running)} answer'
-            await self._write(stored, forced, reason)
+            await self._write(
+                stored,
+                self._force(latest, running, epoch),
+                f'forced, as only {sorted(running)} answer',
+            )
             return True
         self._blocked_since = None
         if latest.is_forced and not self._voters.is_usable:
