Times of a former silence or loss do not count for the next one

Found by reading the diff: two beliefs were kept without what they were about. A voter kept the time since which too few voters answered, also once they did again, so that the next short loss could force a voter set at once. An owner kept since when a log holder was silent, also once it was registered again, so that it could be dropped at once after its entry lapsed the next time.

Change: both times end with what they describe; the silence is one of a process. "this host is stopping" tells its caller to connect again.

Tests: VoterChangesTest.test_two_short_losses_of_most_force_nothing and LogHoldersTest.test_a_silence_ends_when_the_server_is_registered_again, which fail without the change.

--- a/src/egretstep/membership/voter_changes.py
+++ b/src/egretstep/membership/voter_changes.py
@@ -120,6 +120,7 @@
     async def _check(self) -> None:
         await self._watch.check()
         if not self._is_change_due():
+            self._blocked_since = None
             return
         try:
             async with asyncio.timeout(MAX_CHANGE_SECONDS):
--- a/src/egretstep/pooling/failure_answers.py
+++ b/src/egretstep/pooling/failure_answers.py
@@ -14,7 +14,7 @@
 RETRY_AFTER_MS = 100
 NO_OWNER_RETRY_AFTER_MS = 300
 MAX_NO_OWNER_RETRY_AFTER_MS = 5000
-STOPPING = 'this host is stopping'
+STOPPING = 'this host is stopping; connect again'
 PRIMARY_REPLACED = 'the primary is being replaced'
 
 
--- a/src/egretstep/replication/log_holders.py
+++ b/src/egretstep/replication/log_holders.py
@@ -47,7 +47,7 @@
         self._current_deployment = current_deployment
         self._clock = time_source
         self._checked_at = float('-inf')
-        self._silent_since: dict[connection.ServerId, float] = {}
+        self._silent_since: dict[tuple[connection.ServerId, int], float] = {}
 
     def are_recorded(self, service: deployment.ServiceName) -> bool:
         """Return whether the log holders of a service are recorded."""
@@ -133,7 +133,13 @@
         commit.
         """
         gone = self._restarted(service, record)
-        for server in self.unregistered(service, record):
+        lapsed = self.unregistered(service, record)
+        self._silent_since = {
+            process: since
+            for process, since in self._silent_since.items()
+            if any(server.process == process for server in lapsed)
+        }
+        for server in lapsed:
             is_recorded = server.server == record.server
             if not is_recorded and await self._has_ended(server):
                 gone.add(server.process)
@@ -172,12 +178,12 @@
         """Return whether a server without an entry does not run any more."""
         liveness = await self._probe.check_liveness(server)
         if liveness.is_alive:
-            self._silent_since.pop(server.server, None)
+            self._silent_since.pop(server.process, None)
             return False
         if liveness.is_other_server or self._servers.has_left(server.server):
             return True
         now = self._clock.now()
-        since = self._silent_since.setdefault(server.server, now)
+        since = self._silent_since.setdefault(server.process, now)
         return now - since >= MAX_SILENCE_SECONDS
 
     async def _is_held_elsewhere(
--- a/tests/membership/test_voter_changes.py
+++ b/tests/membership/test_voter_changes.py
@@ -120,6 +120,24 @@
 
         self._run(steps)
 
+    def test_two_short_losses_of_most_force_nothing(self) -> None:
+        """The time of a former loss counted for the next one."""
+
+        async def steps(fleet: voter_fleet.VoterFleet) -> None:
+            await self._start(fleet, 'abc')
+            for _ in range(2):
+                for name in 'ab':
+                    fleet.lose(name)
+                await asyncio.sleep(voter_changes.FORCE_AFTER_SECONDS * 0.9)
+                for name in 'ab':
+                    await fleet.add(name)
+                await asyncio.sleep(SETTLED_SECONDS)
+            stored = await fleet.stored()
+            assert stored is not None
+            self.assertFalse(stored.is_forced)
+
+        self._run(steps)
+
     def test_new_hosts_alone_force_nothing(self) -> None:
         """The voters may all run on, cut off with each other."""
 
--- a/tests/replication/registered_servers.py
+++ b/tests/replication/registered_servers.py
@@ -33,6 +33,10 @@
             each for each in self._servers if each.name != name
         )
 
+    def add(self, server: platform_fakes.FakeServer) -> None:
+        """Add the entry of a server."""
+        self._servers = (*self._servers, server)
+
     def has_left(self, name: connection.ServerId) -> bool:
         """Return whether a server has left on plan."""
         return name in self.left
--- a/tests/replication/test_log_holders.py
+++ b/tests/replication/test_log_holders.py
@@ -93,6 +93,18 @@
         self.clock.advance(log_holders.MAX_SILENCE_SECONDS)
         self.assertNotIn(LAPSED, await self._remaining())
 
+    async def test_a_silence_ends_when_the_server_is_registered_again(
+        self,
+    ) -> None:
+        """The time of a former silence counted for the next one."""
+        self.lapsed.is_down = True
+        await self._remaining()
+        self.servers.add(self.lapsed)
+        await self._remaining()
+        self.clock.advance(log_holders.MAX_SILENCE_SECONDS)
+        self.servers.remove('lapsed')
+        self.assertIn(LAPSED, await self._remaining())
+
     async def test_a_server_whose_address_another_one_has_is_dropped(
         self,
     ) -> None:
